--- /dev/null
+++ b/tests/kernel/test_kernel.py
@@ -0,0 +1,94 @@
+"""Tests of message delivery, deadlines and failures."""
+
+from typing import NamedTuple
+
+import pytest
+
+from cuminhatch import KernelError, ManualClock
+from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+
+
+class Ping(NamedTuple):
+    """Test message."""
+
+    number: int
+
+
+class Recorder(Service):
+    """Keeps the messages it gets; number 13 fails."""
+
+    name = "recorder"
+
+    def __init__(self, kernel, name=None):
+        super().__init__(kernel, name)
+        self.received = []
+
+    def message_handlers(self):
+        return {Ping: self._on_ping, HandlerFailed: self.received.append}
+
+    def _on_ping(self, message):
+        if message.number == 13:
+            raise ValueError("unlucky")
+        self.received.append(message)
+
+
+@pytest.fixture
+def kernel():
+    return Kernel(ManualClock())
+
+
+def run_ticks(kernel, count=5):
+    for _ in range(count):
+        kernel.tick()
+
+
+def test_messages_arrive_in_order(kernel):
+    """Guards against reordering, which would mix up the parts of a body."""
+    recorder = kernel.register(Recorder(kernel))
+    for number in range(5):
+        kernel.send("recorder", Ping(number))
+    run_ticks(kernel)
+    assert recorder.received == [Ping(number) for number in range(5)]
+
+
+def test_failed_handler_is_reported_and_service_goes_on(kernel):
+    """Guards against one bad message that ends a daemon."""
+    recorder = kernel.register(Recorder(kernel))
+    supervisor = kernel.register(Recorder(kernel, SUPERVISOR))
+    kernel.send("recorder", Ping(13))
+    kernel.send("recorder", Ping(1))
+    run_ticks(kernel)
+    assert recorder.received == [Ping(1)]
+    assert [failed.message for failed in supervisor.received] == [Ping(13)]
+
+
+def test_deadlines_fire_in_order_unless_cancelled(kernel):
+    """Guards against timers that fire early, late or after being cancelled."""
+    recorder = kernel.register(Recorder(kernel))
+    kernel.call_at(20, "recorder", Ping(2))
+    kernel.call_at(10, "recorder", Ping(1))
+    token = kernel.call_at(15, "recorder", Ping(9))
+    kernel.cancel(token)
+    run_ticks(kernel)
+    assert recorder.received == []
+    kernel.clock.advance(10)
+    run_ticks(kernel)
+    assert recorder.received == [Ping(1)]
+    kernel.clock.advance(10)
+    run_ticks(kernel)
+    assert recorder.received == [Ping(1), Ping(2)]
+
+
+def test_second_service_of_a_name_is_refused(kernel):
+    """Guards against two services that both answer to one name."""
+    kernel.register(Recorder(kernel))
+    with pytest.raises(KernelError):
+        kernel.register(Recorder(kernel))
+
+
+def test_service_that_overwrites_circuits_state_is_refused(kernel):
+    """Guards against attributes that break event delivery silently."""
+    service = Recorder(kernel)
+    service._queue = []
+    with pytest.raises(KernelError):
+        kernel.register(service)
