--- /dev/null
+++ b/src/cuminhatch/codecs/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding and decoding of messages; no sockets, no decisions."""
--- /dev/null
+++ b/src/cuminhatch/services/__init__.py
@@ -0,0 +1,7 @@
+"""Services: tasks that own sockets and state and talk by messages."""
+
+from cuminhatch.services.backends import BackendConnections
+from cuminhatch.services.dispatch import Dispatch
+from cuminhatch.services.http_listener import HttpListener
+
+__all__ = ["BackendConnections", "Dispatch", "HttpListener"]
--- /dev/null
+++ b/src/cuminhatch_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small programs that take the place of backend servers and platform."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,33 @@
+"""Holds the line between decisions, codecs and everything with sockets."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).parent.parent / "src" / "cuminhatch"
+FORBIDDEN = {
+    "decisions": {"circuits", "socket", "time", "cuminhatch.services"}
+    | {"cuminhatch.kernel", "cuminhatch.codecs", "cuminhatch.messages"},
+    "codecs": {"circuits", "socket", "cuminhatch.services", "cuminhatch.kernel"},
+    "kernel": {"cuminhatch.services", "cuminhatch.decisions", "cuminhatch.codecs"},
+    "services": {"cuminhatch.daemon", "cuminhatch.cli", "cuminhatch_standins"},
+}
+
+
+def imported_names(path):
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            yield from (alias.name for alias in node.names)
+        elif isinstance(node, ast.ImportFrom):
+            yield node.module
+
+
+@pytest.mark.parametrize("layer", sorted(FORBIDDEN))
+def test_layer_imports_only_layers_below(layer):
+    """Guards against a decision that can be used by one front end only."""
+    for path in (SOURCE / layer).rglob("*.py"):
+        for name in imported_names(path):
+            parts = name.split(".")
+            prefixes = {".".join(parts[:n]) for n in range(1, len(parts) + 1)}
+            assert not prefixes & FORBIDDEN[layer], f"{path} imports {name}"
