--- /dev/null
+++ b/src/cuminhatch/codecs/peers_thrift.py
@@ -0,0 +1,197 @@
+"""
+Messages between daemons: thrift compact protocol with an HMAC in front.
+
+A message is ``HMAC-SHA256 (32 bytes) || kind (1 byte) || thrift struct``.
+One that does not match is refused, so hosts without the key cannot change
+anything.
+"""
+
+from hashlib import sha256
+from hmac import compare_digest, digest
+from typing import Any, NamedTuple
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from cuminhatch.codecs.gen.peers.ttypes import (
+    Heartbeat as ThriftHeartbeat,
+    LoadSample as ThriftLoadSample,
+    MemberEntry as ThriftMemberEntry,
+    NotesPull as ThriftNotesPull,
+    NotesReply as ThriftNotesReply,
+    PermitWish as ThriftPermitWish,
+)
+from cuminhatch.decisions.hybrid_clock import Stamp
+from cuminhatch.decisions.membership import Entry
+from cuminhatch.errors import CodecError
+
+MAC_BYTES = 32
+# Fits an Ethernet frame, so that datagrams are not fragmented.
+MAX_DATAGRAM_BYTES = 1_400
+US_PER_MS = 1000.0
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+
+
+class PeerMessageError(CodecError):
+    """A message of another daemon is forged, broken or of another kind."""
+
+
+class LoadSample(NamedTuple):
+    """Load of a backend server as probed ``age_ms`` ago."""
+
+    server_id: str
+    in_flight: int
+    queued: int
+    slots: int
+    latency_ms: float
+    is_leaving: bool
+    age_ms: float
+
+
+class PermitWish(NamedTuple):
+    """An instance asks the receiver for a permit."""
+
+    instance_id: str
+    kind: str
+    server_id: str
+
+
+class Heartbeat(NamedTuple):
+    """What an instance tells others twice a second."""
+
+    sender: Entry
+    head_sequence: int
+    stamp: Stamp
+    members: tuple[Entry, ...]
+    samples: tuple[LoadSample, ...]
+    wishes: tuple[PermitWish, ...]
+
+
+class NotesPull(NamedTuple):
+    """Asks for accepted notes after a sequence number."""
+
+    after: int
+    limit: int
+
+
+class NotesReply(NamedTuple):
+    """Accepted notes in order, each as JSON."""
+
+    notes: tuple[bytes, ...]
+
+
+PeerMessage = Heartbeat | NotesPull | NotesReply
+
+
+def _heartbeat_to_thrift(message: Heartbeat) -> ThriftHeartbeat:
+    return ThriftHeartbeat(
+        ThriftMemberEntry(*message.sender),
+        message.head_sequence,
+        message.stamp.wall_ms,
+        message.stamp.counter,
+        [ThriftMemberEntry(*entry) for entry in message.members],
+        [
+            ThriftLoadSample(
+                sample.server_id,
+                sample.in_flight,
+                sample.queued,
+                sample.slots,
+                int(sample.latency_ms * US_PER_MS),
+                sample.is_leaving,
+                int(sample.age_ms),
+            )
+            for sample in message.samples
+        ],
+        [ThriftPermitWish(*wish) for wish in message.wishes],
+    )
+
+
+def _entry_from_thrift(entry: ThriftMemberEntry) -> Entry:
+    return Entry(
+        entry.instance_id,
+        entry.host,
+        entry.port,
+        entry.incarnation,
+        entry.heartbeat,
+        entry.is_leaving,
+    )
+
+
+def _heartbeat_from_thrift(message: ThriftHeartbeat) -> Heartbeat:
+    return Heartbeat(
+        _entry_from_thrift(message.sender),
+        message.head_sequence,
+        Stamp(message.stamp_wall_ms, message.stamp_counter),
+        tuple(_entry_from_thrift(entry) for entry in message.members),
+        tuple(
+            LoadSample(
+                sample.server_id,
+                sample.in_flight,
+                sample.queued,
+                sample.slots,
+                sample.latency_us / US_PER_MS,
+                sample.is_leaving,
+                float(sample.age_ms),
+            )
+            for sample in message.samples
+        ),
+        tuple(
+            PermitWish(wish.instance_id, wish.kind, wish.server_id)
+            for wish in message.wishes
+        ),
+    )
+
+
+_KINDS: dict[type, tuple[int, Any, Any]] = {
+    Heartbeat: (1, _heartbeat_to_thrift, ThriftHeartbeat),
+    NotesPull: (2, lambda message: ThriftNotesPull(*message), ThriftNotesPull),
+    NotesReply: (
+        3,
+        lambda message: ThriftNotesReply(list(message.notes)),
+        ThriftNotesReply,
+    ),
+}
+_READERS: dict[int, tuple[Any, Any]] = {
+    1: (ThriftHeartbeat, _heartbeat_from_thrift),
+    2: (ThriftNotesPull, lambda pull: NotesPull(pull.after, pull.limit)),
+    3: (ThriftNotesReply, lambda reply: NotesReply(tuple(reply.notes))),
+}
+
+
+def encode_message(message: PeerMessage, key: bytes) -> bytes:
+    """
+    Encode a message and put its HMAC in front.
+
+    :param message: message to encode.
+    :param key: key shared by all daemons.
+    """
+    kind, convert, _ = _KINDS[type(message)]
+    payload = bytes([kind]) + serialize(convert(message), _FACTORY)
+    return digest(key, payload, sha256) + payload
+
+
+def decode_message(data: bytes, key: bytes) -> PeerMessage:
+    """
+    Check the HMAC and decode a message.
+
+    :param data: bytes as received.
+    :param key: key shared by all daemons.
+    :raises PeerMessageError: the HMAC does not match or the rest is broken.
+    """
+    payload = data[MAC_BYTES:]
+    if not payload or not compare_digest(
+        digest(key, payload, sha256), data[:MAC_BYTES]
+    ):
+        raise PeerMessageError("HMAC does not match")
+    reader = _READERS.get(payload[0])
+    if reader is None:
+        raise PeerMessageError(f"unknown kind of message {payload[0]}")
+    make, convert = reader
+    try:
+        struct = deserialize(make(), payload[1:], _FACTORY)
+        struct.validate()
+        return convert(struct)
+    except Exception as error:
+        # The protocol classes raise many kinds of errors on broken input.
+        raise PeerMessageError("malformed message") from error
--- a/src/cuminhatch/decisions/membership.py
+++ b/src/cuminhatch/decisions/membership.py
@@ -1,7 +1,23 @@
-"""Who the other instances are, from heartbeats and the platform's list."""
+"""
+Who the other instances are, from heartbeats and the platform's list.
 
+Each instance counts its own heartbeats. An entry is news only if its
+incarnation, or its counter within the same incarnation, is higher than the
+one known; so old datagrams and relayed copies change nothing. Nothing that
+must hold depends on this view: rights are rows of the table service.
+"""
+
+from collections.abc import Mapping
+from random import Random
 from typing import NamedTuple
 
+# An entry is relayed to 2 instances every 500 ms, so that with 18 instances
+# several copies arrive within a second; 5 s bridge lost datagrams and short
+# pauses.
+SUSPECT_AFTER_MS = 5_000.0
+# A suspect is remembered long enough that a partition can heal.
+FORGET_AFTER_MS = 600_000.0
+
 
 class Member(NamedTuple):
     """
@@ -16,3 +32,135 @@
     port: int
     incarnation: int
     state: str
+
+
+class Entry(NamedTuple):
+    """What an instance says of itself, as relayed by others."""
+
+    instance_id: str
+    host: str
+    port: int
+    incarnation: int
+    heartbeat: int
+    is_leaving: bool
+
+
+class Known(NamedTuple):
+    """An entry and when its last heartbeat arrived, in milliseconds."""
+
+    entry: Entry
+    heard_ms: float
+
+
+View = Mapping[str, Known]
+
+
+def merge_entry(view: dict[str, Known], entry: Entry, now_ms: float) -> bool:
+    """
+    Take an entry over if it is news.
+
+    :param view: known entries by instance id; changed in place.
+    :param entry: entry as received.
+    :param now_ms: monotonic time in milliseconds.
+    :returns: whether the entry was news.
+    """
+    known = view.get(entry.instance_id)
+    if known is not None:
+        old = (known.entry.incarnation, known.entry.heartbeat)
+        if (entry.incarnation, entry.heartbeat) <= old:
+            return False
+    view[entry.instance_id] = Known(entry, now_ms)
+    return True
+
+
+def forget_old(view: dict[str, Known], now_ms: float) -> None:
+    """
+    Drop entries that have been silent for a long time.
+
+    :param view: known entries by instance id; changed in place.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    for instance_id, known in list(view.items()):
+        if now_ms - known.heard_ms > FORGET_AFTER_MS:
+            del view[instance_id]
+
+
+def is_live(known: Known, now_ms: float) -> bool:
+    """
+    Tell whether an instance has been heard of lately.
+
+    :param known: entry of the instance.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    return now_ms - known.heard_ms <= SUSPECT_AFTER_MS
+
+
+def list_members(view: View, now_ms: float) -> tuple[Member, ...]:
+    """
+    Return all known instances with their states.
+
+    :param view: known entries by instance id.
+    :param now_ms: monotonic time in milliseconds.
+    :returns: members in the order of their ids.
+    """
+    return tuple(
+        Member(
+            entry.instance_id,
+            entry.host,
+            entry.port,
+            entry.incarnation,
+            _state(known, now_ms),
+        )
+        for known in (view[instance_id] for instance_id in sorted(view))
+        for entry in (known.entry,)
+    )
+
+
+def _state(known: Known, now_ms: float) -> str:
+    if not is_live(known, now_ms):
+        return "suspect"
+    return "leaving" if known.entry.is_leaving else "live"
+
+
+def pick_targets(
+    view: View, contacts: tuple[str, ...], count: int, now_ms: float, rng: Random
+) -> tuple[str, ...]:
+    """
+    Choose the addresses of the next heartbeats.
+
+    :param view: known entries by instance id.
+    :param contacts: addresses, ``host:port``, that may be instances: from
+        the settings and the platform's list.
+    :param count: how many to choose.
+    :param now_ms: monotonic time in milliseconds.
+    :param rng: source of randomness.
+    :returns: different addresses. While live instances are known, one
+        heartbeat in ten goes to any contact or suspect instead, so that two
+        groups that have lost each other find together again.
+    """
+    live, others = set(), set(contacts)
+    for known in view.values():
+        address = f"{known.entry.host}:{known.entry.port}"
+        (live if is_live(known, now_ms) else others).add(address)
+    others -= live
+    chosen = rng.sample(sorted(live), min(count, len(live)))
+    if others and (len(chosen) < count or rng.random() < 0.1 * count):
+        missing = max(1, count - len(chosen))
+        chosen = chosen[: count - missing]
+        chosen += rng.sample(sorted(others), min(missing, len(others)))
+    return tuple(chosen)
+
+
+def pick_entries(
+    view: View, count: int, now_ms: float, rng: Random
+) -> tuple[Entry, ...]:
+    """
+    Choose entries to relay: live ones only, so that the ended fade out.
+
+    :param view: known entries by instance id.
+    :param count: most entries to choose.
+    :param now_ms: monotonic time in milliseconds.
+    :param rng: source of randomness.
+    """
+    live = [known.entry for known in view.values() if is_live(known, now_ms)]
+    return tuple(rng.sample(live, min(count, len(live))))
--- /dev/null
+++ b/src/cuminhatch/decisions/probing.py
@@ -0,0 +1,82 @@
+"""
+Which backend servers this instance probes, and when.
+
+The budget of a backend server holds over all instances, because only the
+holder of its probing permit probes it. A new holder waits for one interval
+first, so that the last probe of the former holder is not followed too soon.
+"""
+
+from collections.abc import Iterable, Mapping
+from hashlib import blake2b
+from typing import NamedTuple
+
+from cuminhatch.clock import MS_PER_SECOND
+
+
+class ProbePlan(NamedTuple):
+    """Next probe of a backend server; times in milliseconds."""
+
+    next_ms: float
+    interval_ms: float
+
+
+def _weight(server_id: str, instance_id: str) -> bytes:
+    return blake2b(f"{server_id}\0{instance_id}".encode(), digest_size=8).digest()
+
+
+def preferred_servers(
+    server_ids: Iterable[str], instance_id: str, live_ids: Iterable[str]
+) -> tuple[str, ...]:
+    """
+    Return the backend servers that this instance should ask to probe.
+
+    Rendezvous hashing spreads them evenly without messages. Instances whose
+    views differ may ask for the same one; the permit decides.
+
+    :param server_ids: all backend servers.
+    :param instance_id: id of this instance.
+    :param live_ids: ids of the other live instances.
+    """
+    others = tuple(other for other in live_ids if other != instance_id)
+    return tuple(
+        server_id
+        for server_id in server_ids
+        if all(
+            _weight(server_id, instance_id) > _weight(server_id, other)
+            for other in others
+        )
+    )
+
+
+def start_plan(rate: float, now_ms: float) -> ProbePlan:
+    """
+    Return the plan of a backend server whose permit has just been granted.
+
+    :param rate: budget in probes a second.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    interval_ms = MS_PER_SECOND / rate
+    # At least a second: the former holder may have used the whole budget of
+    # the second before.
+    return ProbePlan(now_ms + max(interval_ms, MS_PER_SECOND), interval_ms)
+
+
+def take_due(
+    plans: Mapping[str, ProbePlan], now_ms: float
+) -> tuple[tuple[str, ...], dict[str, ProbePlan]]:
+    """
+    Return the backend servers to probe now and the plans that follow.
+
+    :param plans: plans by server id.
+    :param now_ms: monotonic time in milliseconds.
+    :returns: ids of servers due, and all plans. After a pause the next probe
+        counts from now, so that missed probes are not made up for.
+    """
+    due = tuple(
+        server_id for server_id, plan in plans.items() if plan.next_ms <= now_ms
+    )
+    following = dict(plans)
+    for server_id in due:
+        interval_ms = plans[server_id].interval_ms
+        following[server_id] = ProbePlan(now_ms + interval_ms, interval_ms)
+    return due, following
--- a/src/cuminhatch/kernel/kernel.py
+++ b/src/cuminhatch/kernel/kernel.py
@@ -164,8 +164,7 @@
         self._root.tick(timeout_s)
 
     def run(self) -> None:
-        """Open all services and run until :meth:`stop` is called."""
-        self.open()
+        """Run until :meth:`stop` is called; services must be open."""
         self._root.run()
 
     def stop(self) -> None:
--- a/src/cuminhatch/messages/address.py
+++ b/src/cuminhatch/messages/address.py
@@ -1,10 +1,5 @@
 """Where a peer is reached."""
 
-from typing import NamedTuple
+from cuminhatch.address import Address
 
-
-class Address(NamedTuple):
-    """IP address and port of a peer."""
-
-    host: str
-    port: int
+__all__ = ["Address"]
--- a/src/cuminhatch/messages/lifecycle.py
+++ b/src/cuminhatch/messages/lifecycle.py
@@ -1,6 +1,6 @@
 """Messages about the life cycle of the daemon."""
 
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 
 class DrainRequested(NamedTuple):
@@ -23,3 +23,23 @@
     part: str
     is_ready: bool
     reason: str
+
+
+class DrainFinished(NamedTuple):
+    """A part of the daemon has nothing left to finish."""
+
+    part: str
+
+
+class StatusReported(NamedTuple):
+    """What a part of the daemon shows operators of its state."""
+
+    part: str
+    values: dict[str, Any]
+
+
+class RequestFailed(NamedTuple):
+    """A handler failed while it worked on a request of a caller."""
+
+    request_id: int
+    reason: str
--- a/src/cuminhatch/messages/telemetry.py
+++ b/src/cuminhatch/messages/telemetry.py
@@ -2,6 +2,9 @@
 
 from typing import Any, NamedTuple
 
+from cuminhatch.decisions.hybrid_clock import Stamp
+from cuminhatch.decisions.timeline import TimelineEvent
+
 
 class EventRecorded(NamedTuple):
     """Something worth a line on the timeline."""
@@ -27,3 +30,51 @@
     name: str
     labels: dict[str, str]
     value: float
+
+
+class TimelineRequested(NamedTuple):
+    """
+    Events are to be listed.
+
+    An empty ``request_id`` or a ``note_sequence`` of 0 selects all.
+    """
+
+    reply_to: str
+    token: int
+    request_id: str
+    note_sequence: int
+    limit: int
+
+
+class TimelineReplied(NamedTuple):
+    """Events in the order of their stamps."""
+
+    token: int
+    events: tuple[TimelineEvent, ...]
+
+
+class MetricsRequested(NamedTuple):
+    """The metrics are to be rendered."""
+
+    reply_to: str
+    token: int
+
+
+class MetricsReplied(NamedTuple):
+    """The metrics in the text format of Prometheus."""
+
+    token: int
+    content_type: str
+    data: bytes
+
+
+class StampHeard(NamedTuple):
+    """Another instance has sent the stamp of its latest event."""
+
+    stamp: Stamp
+
+
+class StampAdvanced(NamedTuple):
+    """The stamp to be sent to other instances."""
+
+    stamp: Stamp
--- /dev/null
+++ b/src/cuminhatch/services/peers.py
@@ -0,0 +1,380 @@
+"""Heartbeats and notes between the daemons."""
+
+from itertools import count
+from random import Random
+from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOL_SOCKET, socket
+from typing import Any, NamedTuple
+
+from loguru import logger
+
+from cuminhatch.address import Address
+from cuminhatch.codecs.peers_thrift import (
+    MAX_DATAGRAM_BYTES,
+    Heartbeat,
+    LoadSample,
+    PeerMessageError,
+    PermitWish,
+    decode_message,
+    encode_message,
+)
+from cuminhatch.decisions.hybrid_clock import ZERO_STAMP, Stamp, merge_stamp
+from cuminhatch.decisions.membership import (
+    Entry,
+    Known,
+    Member,
+    forget_old,
+    list_members,
+    merge_entry,
+    pick_entries,
+    pick_targets,
+)
+from cuminhatch.decisions.platform import InstanceList
+from cuminhatch.errors import ServiceError
+from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.messages import (
+    ConfigurationChanged,
+    CounterIncremented,
+    DrainAnnounced,
+    HeadChanged,
+    HeadHeard,
+    InstanceListChanged,
+    InstanceListReplied,
+    InstanceListRequested,
+    LoadObserved,
+    MembershipChanged,
+    PermitNeeded,
+    PermitWanted,
+    StampAdvanced,
+    StampHeard,
+    StatusReported,
+)
+
+# Two heartbeats of about 650 bytes every 500 ms, sent and received, are
+# 5.2 KB/s of the 8 KB/s that control may use.
+HEARTBEAT_INTERVAL_MS = 500
+HEARTBEAT_FAN_OUT = 2
+# A new head is told at once, so that it does not wait for a heartbeat.
+HEAD_FAN_OUT = 3
+MAX_MEMBERS = 8
+MAX_SAMPLES = 8
+MAX_WISHES = 4
+SAMPLE_AGE_LIMIT_MS = 2_000
+LIST_INTERVAL_MS = 1_000
+STATUS_INTERVAL_MS = 2_000
+MAX_DATAGRAMS_PER_EVENT = 64
+
+
+class HeartbeatDue(NamedTuple):
+    """The next regular heartbeat is to be sent."""
+
+
+class ListReadDue(NamedTuple):
+    """The platform's list is to be read again."""
+
+
+class StatusDue(NamedTuple):
+    """The status is to be reported to operators."""
+
+
+class Peers(Service):
+    """Owns the UDP socket and the view of the other instances."""
+
+    name = "peers"
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        address: Address,
+        key: str,
+        instance_id: str,
+        seeds: tuple[Address, ...],
+        rng: Random | None = None,
+    ) -> None:
+        """
+        Create the service without opening its socket.
+
+        :param kernel: kernel of the process.
+        :param address: address to listen on; port 0 takes any.
+        :param key: key shared by all daemons.
+        :param instance_id: id of this instance.
+        :param seeds: first contacts.
+        :param rng: source of randomness.
+        """
+        super().__init__(kernel)
+        self._address = address
+        self._key = key.encode()
+        self._instance_id = instance_id
+        # Higher after each restart, as long as the wall clock is not set
+        # back by more than the time the process was up.
+        self._incarnation = int(kernel.clock.wall_ms)
+        self._heartbeat = 0
+        self._is_leaving = False
+        self._seeds = tuple(f"{seed.host}:{seed.port}" for seed in seeds)
+        self._contacts: tuple[str, ...] = self._seeds
+        self._rng = rng or Random()
+        self._view: dict[str, Known] = {}
+        self._members: tuple[Member, ...] = ()
+        self._head = 0
+        self._stamp: Stamp = ZERO_STAMP
+        self._samples: dict[str, LoadObserved] = {}
+        self._wishes: dict[str, list[PermitWish]] = {}
+        self._leaving_ids: frozenset[str] = frozenset()
+        self._sock: socket | None = None
+        self._tokens = count(1)
+        self._sent_bytes = 0
+        self._received_bytes = 0
+        self._refused_count = 0
+
+    def message_handlers(self) -> MessageTable:
+        """Return the messages of notes, probes, permits and the platform."""
+        return {
+            HeartbeatDue: self._on_heartbeat_due,
+            ListReadDue: self._on_list_read_due,
+            StatusDue: self._on_status_due,
+            HeadChanged: self._on_head_changed,
+            ConfigurationChanged: self._on_configuration_changed,
+            LoadObserved: self._on_load_observed,
+            PermitNeeded: self._on_permit_needed,
+            StampAdvanced: self._on_stamp_advanced,
+            InstanceListReplied: self._on_instance_list_replied,
+            DrainAnnounced: self._on_drain_announced,
+        }
+
+    @property
+    def address(self) -> Address:
+        """Return the address in use, with the real port once open."""
+        if self._sock is not None:
+            return Address(*self._sock.getsockname()[:2])
+        return self._address
+
+    @property
+    def incarnation(self) -> int:
+        """Return the incarnation of this process."""
+        return self._incarnation
+
+    def open(self) -> None:
+        """
+        Bind the socket and start the heartbeats.
+
+        :raises ServiceError: the address cannot be bound.
+        """
+        sock = socket(AF_INET, SOCK_DGRAM)
+        sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+        try:
+            sock.bind(self._address)
+        except OSError as error:
+            sock.close()
+            host, port = self._address
+            raise ServiceError(
+                f"cannot bind UDP {host}:{port}: {error.strerror}"
+            ) from error
+        sock.setblocking(False)
+        self._sock = sock
+        self.watch_read(sock, self._read)
+        self.call_after(0, HeartbeatDue())
+        self.call_after(0, ListReadDue())
+        self.call_after(STATUS_INTERVAL_MS, StatusDue())
+
+    # Sending
+
+    def _on_heartbeat_due(self, message: HeartbeatDue) -> None:
+        now_ms = self.kernel.clock.now_ms
+        forget_old(self._view, now_ms)
+        self._heartbeat += 1
+        self._tell(HEARTBEAT_FAN_OUT)
+        self._report_members()
+        self.call_after(HEARTBEAT_INTERVAL_MS, HeartbeatDue())
+
+    def _on_head_changed(self, message: HeadChanged) -> None:
+        self._head = message.sequence
+        self._heartbeat += 1
+        self._tell(HEAD_FAN_OUT)
+
+    def _tell(self, fan_out: int) -> None:
+        now_ms = self.kernel.clock.now_ms
+        own = self._own_entry()
+        contacts = tuple(
+            contact for contact in self._contacts if contact != f"{own.host}:{own.port}"
+        )
+        targets = pick_targets(self._view, contacts, fan_out, now_ms, self._rng)
+        for target in targets:
+            self._send_heartbeat(target, own, now_ms)
+
+    def _own_entry(self) -> Entry:
+        host, port = self.address
+        return Entry(
+            self._instance_id,
+            host,
+            port,
+            self._incarnation,
+            self._heartbeat,
+            self._is_leaving,
+        )
+
+    def _send_heartbeat(self, target: str, own: Entry, now_ms: float) -> None:
+        heartbeat = Heartbeat(
+            own,
+            self._head,
+            self._stamp,
+            pick_entries(self._view, MAX_MEMBERS, now_ms, self._rng),
+            self._pick_samples(now_ms),
+            tuple(self._wishes.pop(target, ())),
+        )
+        data = encode_message(heartbeat, self._key)
+        if len(data) > MAX_DATAGRAM_BYTES:
+            # Long ids; the parts that only help are left out.
+            data = encode_message(heartbeat._replace(members=(), samples=()), self._key)
+        host, _, port = target.rpartition(":")
+        try:
+            self._sock.sendto(data, (host, int(port)))
+            self._sent_bytes += len(data)
+        except OSError:
+            # Heartbeats may be lost anyway; the next one is due soon.
+            pass
+
+    def _pick_samples(self, now_ms: float) -> tuple[LoadSample, ...]:
+        fresh = [
+            sample
+            for sample in self._samples.values()
+            if now_ms - sample.observed_ms <= SAMPLE_AGE_LIMIT_MS
+        ]
+        chosen = self._rng.sample(fresh, min(MAX_SAMPLES, len(fresh)))
+        return tuple(
+            LoadSample(
+                sample.server_id,
+                sample.in_flight,
+                sample.queued,
+                sample.slots,
+                sample.latency_ms,
+                sample.is_leaving,
+                now_ms - sample.observed_ms,
+            )
+            for sample in chosen
+        )
+
+    # Receiving
+
+    def _read(self) -> None:
+        for _ in range(MAX_DATAGRAMS_PER_EVENT):
+            try:
+                data, _ = self._sock.recvfrom(65_536)
+            except OSError:
+                return
+            self._received_bytes += len(data)
+            try:
+                message = decode_message(data, self._key)
+            except PeerMessageError as error:
+                self._refuse(error)
+                continue
+            if isinstance(message, Heartbeat):
+                self._on_heartbeat(message)
+
+    def _refuse(self, error: PeerMessageError) -> None:
+        self._refused_count += 1
+        self.send("metrics", CounterIncremented("peer_messages_refused_total", {}))
+        if self._refused_count == 1:
+            logger.warning("peers: Datagram refused: {}.", error)
+
+    def _on_heartbeat(self, message: Heartbeat) -> None:
+        now_ms = self.kernel.clock.now_ms
+        for entry in (message.sender, *message.members):
+            if entry.instance_id != self._instance_id:
+                merge_entry(self._view, entry, now_ms)
+        self._stamp = merge_stamp(self._stamp, message.stamp, self.kernel.clock.wall_ms)
+        self.send("timeline", StampHeard(message.stamp))
+        sender = message.sender
+        self.send(
+            "notes",
+            HeadHeard(
+                message.head_sequence,
+                sender.instance_id,
+                Address(sender.host, sender.port),
+            ),
+        )
+        for sample in message.samples:
+            self._take_sample(sample, now_ms)
+        for wish in message.wishes:
+            self.send("permits", PermitWanted(*wish))
+
+    def _take_sample(self, sample: LoadSample, now_ms: float) -> None:
+        observed = LoadObserved(
+            sample.server_id,
+            sample.in_flight,
+            sample.queued,
+            sample.slots,
+            sample.latency_ms,
+            sample.is_leaving,
+            now_ms - sample.age_ms,
+            "peer",
+        )
+        known = self._samples.get(sample.server_id)
+        if known is None or known.observed_ms < observed.observed_ms:
+            self._samples[sample.server_id] = observed
+            self.send("dispatch", observed)
+
+    # Messages of other services
+
+    def _on_load_observed(self, message: LoadObserved) -> None:
+        self._samples[message.server_id] = message
+
+    def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
+        servers = message.configuration.servers
+        for server_id in [s for s in self._samples if s not in servers]:
+            del self._samples[server_id]
+
+    def _on_permit_needed(self, message: PermitNeeded) -> None:
+        known = self._view.get(message.holder_id)
+        if known is None:
+            return
+        target = f"{known.entry.host}:{known.entry.port}"
+        wish = PermitWish(self._instance_id, message.kind, message.server_id)
+        wishes = self._wishes.setdefault(target, [])
+        if wish not in wishes and len(wishes) < MAX_WISHES:
+            wishes.append(wish)
+        self._send_heartbeat(target, self._own_entry(), self.kernel.clock.now_ms)
+
+    def _on_stamp_advanced(self, message: StampAdvanced) -> None:
+        self._stamp = max(self._stamp, message.stamp)
+
+    def _on_drain_announced(self, message: DrainAnnounced) -> None:
+        self._is_leaving = True
+
+    def _on_list_read_due(self, message: ListReadDue) -> None:
+        self.send("platform", InstanceListRequested(self.name, next(self._tokens)))
+        self.call_after(LIST_INTERVAL_MS, ListReadDue())
+
+    def _on_instance_list_replied(self, message: InstanceListReplied) -> None:
+        if not isinstance(message.result, InstanceList):
+            return
+        entries = message.result.instances
+        self._contacts = tuple(
+            {
+                *self._seeds,
+                *(entry.address for entry in entries if entry.kind == "entry"),
+            }
+        )
+        leaving = frozenset(
+            entry.instance_id
+            for entry in entries
+            if entry.kind == "backend" and entry.state == "leaving"
+        )
+        if leaving != self._leaving_ids:
+            self._leaving_ids = leaving
+            self.send("dispatch", InstanceListChanged(leaving))
+
+    def _report_members(self) -> None:
+        members = list_members(self._view, self.kernel.clock.now_ms)
+        if members != self._members:
+            self._members = members
+            for name in ("dispatch", "permits", "probes"):
+                self.send(name, MembershipChanged(members))
+
+    def _on_status_due(self, message: StatusDue) -> None:
+        values: dict[str, Any] = {
+            "members": [member._asdict() for member in self._members],
+            "sent_bytes": self._sent_bytes,
+            "received_bytes": self._received_bytes,
+            "refused": self._refused_count,
+        }
+        self.send("operators", StatusReported(self.name, values))
+        self.call_after(STATUS_INTERVAL_MS, StatusDue())
--- a/src/cuminhatch_standins/_process.py
+++ b/src/cuminhatch_standins/_process.py
@@ -78,6 +78,7 @@
         service = kernel.register(make_service(kernel))
         address = Address(flags.FLAGS.host, flags.FLAGS.port)
         kernel.register(HttpListener(kernel, address, service.name))
+        kernel.open()
         kernel.run()
 
     app.run(main)
--- /dev/null
+++ b/tests/codecs/test_peers_thrift.py
@@ -0,0 +1,63 @@
+"""Tests of the messages between daemons."""
+
+import pytest
+
+from cuminhatch.codecs.peers_thrift import (
+    MAX_DATAGRAM_BYTES,
+    Heartbeat,
+    LoadSample,
+    NotesPull,
+    NotesReply,
+    PeerMessageError,
+    PermitWish,
+    decode_message,
+    encode_message,
+)
+from cuminhatch.decisions.hybrid_clock import Stamp
+from cuminhatch.decisions.membership import Entry
+
+KEY = b"peers-key"
+
+
+def make_heartbeat(members=8, samples=8):
+    def make_entry(n):
+        return Entry(f"entry-{n}", "10.11.12.13", 8082, 1_780_000_000_000, n, False)
+
+    return Heartbeat(
+        make_entry(0),
+        28_000,
+        Stamp(1_780_000_000_123, 4),
+        tuple(make_entry(n) for n in range(1, members + 1)),
+        tuple(
+            LoadSample(f"status-board-{n}", 2, 1, 3, 1.5, False, 200.0)
+            for n in range(samples)
+        ),
+        (PermitWish("entry-0", "long", "archive-depot-1"),),
+    )
+
+
+@pytest.mark.parametrize(
+    "message", [make_heartbeat(), NotesPull(7, 200), NotesReply((b"{}", b"[]"))]
+)
+def test_round_trip(message):
+    """Guards against fields that are lost or swapped on the wire."""
+    assert decode_message(encode_message(message, KEY), KEY) == message
+
+
+def test_heartbeat_fits_one_datagram():
+    """Guards against fragments, of which one lost loses the whole."""
+    assert len(encode_message(make_heartbeat(), KEY)) < MAX_DATAGRAM_BYTES
+
+
+@pytest.mark.parametrize("cut", [0, 10, 32, 33, 60])
+def test_broken_messages_are_refused(cut):
+    """Guards against hostile or cut datagrams that change the view."""
+    data = encode_message(make_heartbeat(), KEY)
+    with pytest.raises(PeerMessageError):
+        decode_message(data[:cut], KEY)
+    with pytest.raises(PeerMessageError):
+        decode_message(data, b"another key")
+    flipped = bytearray(data)
+    flipped[-1] ^= 1
+    with pytest.raises(PeerMessageError):
+        decode_message(bytes(flipped), KEY)
--- /dev/null
+++ b/tests/codecs/test_settings_toml.py
@@ -0,0 +1,63 @@
+"""Tests of the checks of the settings file."""
+
+import pytest
+
+from cuminhatch.address import Address
+from cuminhatch.codecs.settings_toml import parse_settings
+from cuminhatch.errors import SettingsError
+
+GOOD = """
+[instance]
+id = "entry-1"
+failure_domain = "Kingston"
+[callers]
+address = "127.0.0.1:8080"
+[operators]
+address = "127.0.0.1:8081"
+key = "o"
+[peers]
+address = "127.0.0.1:8082"
+key = "p"
+seeds = ["127.0.0.1:8182"]
+[platform]
+table = "127.0.0.1:9001"
+objects = "127.0.0.1:9002"
+list = "127.0.0.1:9003"
+"""
+
+
+def test_good_settings_with_defaults():
+    """Guards against keys that are read into the wrong place."""
+    settings = parse_settings(GOOD, "d.toml", {})
+    assert settings.instance.instance_id == "entry-1"
+    assert settings.peers.seeds == (Address("127.0.0.1", 8182),)
+    assert settings.platform.instance_list == Address("127.0.0.1", 9003)
+    assert settings.drain.announce_ms == 5000.0
+
+
+def test_environment_goes_before_the_file():
+    """Guards against keys that have to be kept in files."""
+    settings = parse_settings(GOOD, "d.toml", {"CUMINHATCH_PEERS_KEY": "secret"})
+    assert settings.peers.key == "secret"
+
+
+@pytest.mark.parametrize(
+    ("old", "new"),
+    [
+        ('key = "o"', ""),
+        ('key = "o"', "key = 5"),
+        ("[callers]", "[caller]"),
+        ('id = "entry-1"', 'id = "entry-1"\nname = "x"'),
+        ('"127.0.0.1:8080"', '"localhost:8080"'),
+        ('"127.0.0.1:8080"', '"127.0.0.1:99999"'),
+        ('["127.0.0.1:8182"]', '"127.0.0.1:8182"'),
+        ("[platform]", "[drain]\nlimit_ms = -1\n[platform]"),
+        ("[platform]", "[platform"),
+    ],
+)
+def test_error_is_one_line_that_names_file_and_key(old, new, snapshot):
+    """Guards against settings that are half understood."""
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(GOOD.replace(old, new, 1), "d.toml", {})
+    assert "\n" not in str(caught.value)
+    assert str(caught.value) == snapshot
--- /dev/null
+++ b/tests/decisions/test_probing.py
@@ -0,0 +1,35 @@
+"""Tests of the probe schedule."""
+
+from cuminhatch.decisions.probing import preferred_servers, start_plan, take_due
+
+SERVERS = tuple(f"s{number}" for number in range(26))
+INSTANCES = tuple(f"i{number}" for number in range(18))
+
+
+def test_every_server_has_exactly_one_preferred_instance():
+    """Guards against servers that nobody probes or that all ask for."""
+    chosen = [
+        server
+        for instance in INSTANCES
+        for server in preferred_servers(SERVERS, instance, INSTANCES)
+    ]
+    assert sorted(chosen) == sorted(SERVERS)
+
+
+def test_new_holder_waits_out_the_former_holders_second():
+    """Guards against two holders that both use one second's budget."""
+    plan = start_plan(4.0, 1000.0)
+    assert plan.next_ms == 2000.0
+    assert plan.interval_ms == 250.0
+
+
+def test_missed_probes_are_not_made_up_for():
+    """Guards against a burst above the budget after a freeze."""
+    plans = {"s1": start_plan(2.0, 0.0)}
+    sent = []
+    now_ms = 60_000.0
+    while now_ms < 61_000.0:
+        due, plans = take_due(plans, now_ms)
+        sent += due
+        now_ms += 10.0
+    assert len(sent) == 2
