--- a/src/cuminhatch/messages/__init__.py
+++ b/src/cuminhatch/messages/__init__.py
@@ -28,6 +28,11 @@
     ClaimRequested,
     ClaimVoided,
 )
+from cuminhatch.messages.http_client import (
+    HttpFailed,
+    HttpReplied,
+    HttpRequested,
+)
 from cuminhatch.messages.lifecycle import (
     DrainAnnounced,
     DrainRequested,
@@ -122,6 +127,9 @@
     "EventRecorded",
     "HeadChanged",
     "HeadHeard",
+    "HttpFailed",
+    "HttpReplied",
+    "HttpRequested",
     "InstanceListChanged",
     "InstanceListReplied",
     "InstanceListRequested",
