--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -7,7 +7,13 @@
 
 from collections.abc import Mapping
 from types import MappingProxyType
-from typing import NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from cuminhatch.errors import DecisionError
+
+if TYPE_CHECKING:
+    # ``notes`` imports this module at run time.
+    from cuminhatch.decisions.notes import AcceptedNote
 
 
 class Rule(NamedTuple):
@@ -87,3 +93,95 @@
         for server in configuration.servers.values()
         if server.service_id == service_id
     )
+
+
+Entry = ServiceSpec | BackendServer | Rule
+
+ENTRY_TYPES: Mapping[str, type[Entry]] = MappingProxyType(
+    {"service": ServiceSpec, "backend_server": BackendServer, "rule": Rule}
+)
+
+# Names that differ between a note and the entry built from it.
+_FLAGS = {"idempotent": "is_idempotent"}
+_FLOATS = frozenset(
+    ("probe_rate", "slow_start_ms", "deadline_ms", "response_timeout_ms")
+)
+
+
+def entries_of(configuration: Configuration, kind: str) -> Mapping[str, Entry]:
+    """
+    Return all entries of a kind.
+
+    :param configuration: configuration to look in.
+    :param kind: ``service``, ``backend_server`` or ``rule``.
+    :returns: entries by id.
+    """
+    if kind == "service":
+        return configuration.services
+    return configuration.servers if kind == "backend_server" else configuration.rules
+
+
+def build_entry(
+    kind: str, item_id: str, values: Mapping[str, Any], present: Entry | None = None
+) -> Entry:
+    """
+    Build an entry from the fields of a note item.
+
+    :param kind: ``service``, ``backend_server`` or ``rule``.
+    :param item_id: id of the entry.
+    :param values: fields by their names in a note.
+    :param present: entry that the fields change, None for a new one.
+    :returns: the new entry.
+    :raises DecisionError: a field is unknown or missing.
+    """
+    fields = {
+        _FLAGS.get(name, name): float(value) if name in _FLOATS else value
+        for name, value in values.items()
+    }
+    try:
+        if present is not None:
+            return present._replace(**fields)
+        return ENTRY_TYPES[kind](item_id, **fields)
+    except (TypeError, ValueError) as error:
+        raise DecisionError(f"{kind} {item_id}: {error}") from error
+
+
+def apply_note(configuration: Configuration, accepted: "AcceptedNote") -> Configuration:
+    """
+    Return the configuration after an accepted note.
+
+    Only the collections that the note touches are copied. The result depends
+    on nothing but the arguments, so all instances agree; items were checked
+    before the note was accepted, and a withdrawal of an absent entry is
+    ignored.
+
+    :param configuration: configuration before the note.
+    :param accepted: the note with the next sequence number.
+    :returns: the next configuration.
+    :raises DecisionError: the sequence number is not the next one.
+    """
+    if accepted.sequence != configuration.sequence + 1:
+        raise DecisionError(
+            f"note {accepted.sequence} cannot follow note {configuration.sequence}"
+        )
+    copies: dict[str, dict[str, Any]] = {}
+    for item in accepted.note.items:
+        entries = copies.get(item.kind)
+        if entries is None:
+            entries = copies[item.kind] = dict(entries_of(configuration, item.kind))
+        if item.action == "withdraw":
+            entries.pop(item.item_id, None)
+        else:
+            present = entries.get(item.item_id) if item.action == "change" else None
+            entries[item.item_id] = build_entry(
+                item.kind, item.item_id, item.values, present
+            )
+    # Collections that are not touched are shared as they are: a proxy around
+    # a proxy would make each look-up slower with every note.
+    views = {kind: MappingProxyType(entries) for kind, entries in copies.items()}
+    return Configuration(
+        accepted.sequence,
+        views.get("service", configuration.services),
+        views.get("backend_server", configuration.servers),
+        views.get("rule", configuration.rules),
+    )
--- a/src/cuminhatch/services/__init__.py
+++ b/src/cuminhatch/services/__init__.py
@@ -3,5 +3,6 @@
 from cuminhatch.services.backends import BackendConnections
 from cuminhatch.services.dispatch import Dispatch
 from cuminhatch.services.http_listener import HttpListener
+from cuminhatch.services.notes import Notes
 
-__all__ = ["BackendConnections", "Dispatch", "HttpListener"]
+__all__ = ["BackendConnections", "Dispatch", "HttpListener", "Notes"]
