--- /dev/null
+++ b/src/cuminhatch/cli/__main__.py
@@ -0,0 +1,5 @@
+"""Run the tool with ``python -m cuminhatch.cli``."""
+
+from cuminhatch.cli.main import main
+
+main()
--- /dev/null
+++ b/src/cuminhatch/codecs/configuration_json.py
@@ -0,0 +1,65 @@
+"""What operators and other daemons see of notes and configuration."""
+
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+
+from cuminhatch.codecs.note_json import note_from_dict, note_to_dict
+from cuminhatch.decisions.configuration import Configuration
+from cuminhatch.decisions.notes import AcceptedNote
+from cuminhatch.errors import CodecError
+
+
+def encode_configuration(configuration: Configuration) -> bytes:
+    """
+    Encode a configuration with the names of all fields.
+
+    :param configuration: configuration in force.
+    :returns: JSON: sequence, services, backend servers and rules by id.
+    """
+
+    def by_id(items: Mapping[str, Any]) -> dict[str, Any]:
+        return {item_id: item._asdict() for item_id, item in items.items()}
+
+    return orjson.dumps(
+        {
+            "sequence": configuration.sequence,
+            "services": by_id(configuration.services),
+            "backend_servers": by_id(configuration.servers),
+            "rules": by_id(configuration.rules),
+        }
+    )
+
+
+def accepted_to_dict(accepted: AcceptedNote) -> dict[str, Any]:
+    """
+    Return an accepted note as JSON values.
+
+    :param accepted: note with its sequence number.
+    """
+    return {"sequence": accepted.sequence, "note": note_to_dict(accepted.note)}
+
+
+def encode_accepted_note(accepted: AcceptedNote) -> bytes:
+    """
+    Encode an accepted note.
+
+    :param accepted: note with its sequence number.
+    """
+    return orjson.dumps(accepted_to_dict(accepted))
+
+
+def decode_accepted_note(data: bytes) -> AcceptedNote:
+    """
+    Decode an accepted note.
+
+    :param data: JSON made by :func:`encode_accepted_note`.
+    :raises CodecError: the data is not such JSON.
+    """
+    try:
+        value = orjson.loads(data)
+        sequence = int(value["sequence"])
+    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
+        raise CodecError(f"not an accepted note: {error!r}") from error
+    return AcceptedNote(sequence, note_from_dict(value["note"]))
--- /dev/null
+++ b/src/cuminhatch/daemon.py
@@ -0,0 +1,140 @@
+"""The daemon ``cuminhatchd``: one on each entry instance."""
+
+import os
+import sys
+from pathlib import Path
+from random import Random
+
+from absl import app, flags
+from loguru import logger
+
+from cuminhatch.codecs.settings_toml import Settings, parse_settings
+from cuminhatch.errors import ServiceError, SettingsError
+from cuminhatch.kernel import Kernel
+from cuminhatch.services import (
+    BackendConnections,
+    Dispatch,
+    HttpClient,
+    HttpListener,
+    Metrics,
+    Notes,
+    NoteTransfer,
+    Operators,
+    Peers,
+    Platform,
+    PlatformAddresses,
+    Probes,
+    Supervisor,
+    Timeline,
+)
+
+USAGE_STATUS = 2
+LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[instance]} {message}"
+# Services that have something to finish before the daemon may end.
+DRAINING_PARTS = ("callers",)
+
+SETTINGS = flags.DEFINE_string("settings", None, "File with the settings, in TOML.")
+
+
+def build_kernel(settings: Settings) -> Kernel:
+    """
+    Register the services of a daemon.
+
+    :param settings: checked settings.
+    :returns: a kernel that is ready to run.
+    """
+    kernel = Kernel()
+    instance = settings.instance
+    services = (
+        Supervisor(
+            kernel,
+            settings.drain.announce_ms,
+            settings.drain.limit_ms,
+            DRAINING_PARTS,
+        ),
+        Timeline(kernel, instance.instance_id),
+        Metrics(kernel),
+        HttpClient(kernel),
+        Platform(kernel, PlatformAddresses(*settings.platform)),
+        Notes(kernel, instance.instance_id, Random()),
+        Peers(
+            kernel,
+            settings.peers.address,
+            settings.peers.key,
+            instance.instance_id,
+            settings.peers.seeds,
+        ),
+        NoteTransfer(kernel, settings.peers.address, settings.peers.key),
+        Probes(kernel, instance.instance_id),
+        Dispatch(kernel, instance.instance_id),
+        BackendConnections(kernel),
+        Operators(
+            kernel,
+            settings.operators.address,
+            settings.operators.key,
+            instance.instance_id,
+        ),
+        HttpListener(kernel, settings.callers_address, "dispatch"),
+    )
+    for service in services:
+        kernel.register(service)
+    return kernel
+
+
+def configure_logs(settings: Settings) -> None:
+    """
+    Write logs as lines to standard error.
+
+    :param settings: checked settings.
+    """
+    logger.remove()
+    logger.configure(extra={"instance": settings.instance.instance_id})
+    logger.add(sys.stderr, format=LOG_FORMAT, level=settings.log_level)
+
+
+def load_settings(file_name: str | None) -> Settings:
+    """
+    Read the settings file.
+
+    :param file_name: value of ``--settings``.
+    :raises SettingsError: it is missing or invalid.
+    """
+    if not file_name:
+        raise SettingsError("--settings: missing; name the settings file")
+    try:
+        text = Path(file_name).read_text()
+    except OSError as error:
+        raise SettingsError(f"{file_name}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{file_name}: not UTF-8 text") from error
+    return parse_settings(text, file_name, os.environ)
+
+
+def run_daemon(_: list[str]) -> int:
+    """
+    Run until a drain has finished.
+
+    :returns: the exit status.
+    """
+    try:
+        settings = load_settings(SETTINGS.value)
+        configure_logs(settings)
+        kernel = build_kernel(settings)
+        kernel.open()
+    except (SettingsError, ServiceError) as error:
+        prefix = f"{SETTINGS.value}: " if isinstance(error, ServiceError) else ""
+        print(f"cuminhatchd: {prefix}{error}", file=sys.stderr)
+        return USAGE_STATUS
+    logger.info("supervisor: Daemon started.")
+    kernel.run()
+    logger.info("supervisor: Daemon ended.")
+    return 0
+
+
+def main() -> None:
+    """Run the program."""
+    app.run(run_daemon)
+
+
+if __name__ == "__main__":
+    main()
