--- a/src/cuminhatch/services/platform.py
+++ b/src/cuminhatch/services/platform.py
@@ -277,7 +277,11 @@
         try:
             result = pending.decode(message.status, message.body)
         except PlatformMessageError as error:
-            self._record_failure(pending.store)
+            if 400 <= message.status < 500:
+                # The store is up and refuses this one request.
+                pending.store.breaker = record_success(pending.store.breaker)
+            else:
+                self._record_failure(pending.store)
             pending.reply(pending.fail(f"malformed reply: {error}", True))
             return
         pending.store.breaker = record_success(pending.store.breaker)
--- /dev/null
+++ b/src/cuminhatch_standins/table_service.py
@@ -0,0 +1,180 @@
+"""
+Stand-in for the platform's transactional table service.
+
+``POST /transact``, ``GET /rows/{key}`` and ``GET /rows?after&before&limit``
+are the platform's; ``GET /stats`` counts reads and writes.
+
+Faults: ``outage`` (flag), ``slow`` (ms), ``reply_lost`` (a probability as a
+float or the next N transactions as an integer; they take effect and get no
+reply), ``late`` (``{"count": N, "ms": M}``: the next N transactions get no
+reply and are carried out M ms later).
+"""
+
+from random import Random
+from typing import NamedTuple
+
+from absl import flags
+
+from cuminhatch.codecs.platform import (
+    PlatformMessageError,
+    decode_transaction,
+    encode_row,
+    encode_rows,
+    encode_transact_reply,
+)
+from cuminhatch.decisions.platform import RowAbsent, TableTransaction
+from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.messages import ResponseAborted
+from cuminhatch_standins._faults import (
+    FaultSpec,
+    is_flag,
+    is_late_write,
+    is_number,
+    is_probability_or_count,
+)
+from cuminhatch_standins._process import (
+    FLOW_IGNORED,
+    JSON_TYPE,
+    LISTENER,
+    FaultsChanged,
+    WholeRequest,
+    bytes_answer,
+    json_answer,
+    name_in_path,
+    run_standin,
+)
+from cuminhatch_standins.table_state import TableState
+
+DEFAULT_SCAN_LIMIT = 1000
+FAULTS = {
+    "outage": FaultSpec(False, is_flag),
+    "slow": FaultSpec(0, is_number),
+    "reply_lost": FaultSpec(0, is_probability_or_count),
+    "late": FaultSpec(None, is_late_write),
+}
+
+flags.DEFINE_integer("seed", 1, "Seed for the replies that are lost.")
+
+
+class LateWriteDue(NamedTuple):
+    """A transaction whose connection is closed is to be carried out."""
+
+    transaction: TableTransaction
+
+
+class TableService(Service):
+    """Serves a table over HTTP."""
+
+    name = "table_service"
+
+    def __init__(self, kernel: Kernel, random: Random) -> None:
+        """
+        Start with an empty table.
+
+        :param kernel: kernel of the process.
+        :param random: decides which replies are lost.
+        """
+        super().__init__(kernel)
+        self._random = random
+        self._table = TableState()
+        self._reads = 0
+        self._writes = 0
+        self._reply_lost_probability = 0.0
+        self._reply_lost_count = 0
+        self._late_count = 0
+        self._late_ms = 0.0
+
+    def message_handlers(self) -> MessageTable:
+        """Return the messages of the front and the own timer."""
+        return {
+            WholeRequest: self._on_whole_request,
+            FaultsChanged: self._on_faults_changed,
+            LateWriteDue: self._on_late_write_due,
+            **FLOW_IGNORED,
+        }
+
+    def _on_faults_changed(self, message: FaultsChanged) -> None:
+        if "reply_lost" in message.names:
+            lost = message.faults["reply_lost"]
+            is_count = isinstance(lost, int)
+            self._reply_lost_count = lost if is_count else 0
+            self._reply_lost_probability = 0.0 if is_count else lost
+        if "late" in message.names:
+            late = message.faults["late"] or {"count": 0, "ms": 0}
+            self._late_count, self._late_ms = late["count"], late["ms"]
+
+    def _on_whole_request(self, request: WholeRequest) -> None:
+        key = name_in_path(request, "/rows/")
+        if (request.method, request.path) == ("POST", "/transact"):
+            self._transact(request)
+        elif request.method == "GET" and key is not None:
+            self._read(request, key)
+        elif (request.method, request.path) == ("GET", "/rows"):
+            self._scan(request)
+        elif request.path == "/stats":
+            stats = {"reads": self._reads, "writes": self._writes}
+            self.send(LISTENER, json_answer(request, 200, stats))
+        else:
+            self.send(LISTENER, json_answer(request, 404, {}))
+
+    def _transact(self, request: WholeRequest) -> None:
+        try:
+            transaction = decode_transaction(request.body)
+        except PlatformMessageError as error:
+            self.send(LISTENER, json_answer(request, 400, {"error": str(error)}))
+            return
+        self._writes += 1
+        if self._late_count:
+            self._late_count -= 1
+            self.call_after(self._late_ms, LateWriteDue(transaction))
+            self.send(LISTENER, ResponseAborted(request.request_id))
+            return
+        status, body = encode_transact_reply(self._table.transact(transaction))
+        if self._is_reply_lost():
+            self.send(LISTENER, ResponseAborted(request.request_id))
+        else:
+            self.send(LISTENER, bytes_answer(request, status, body, (JSON_TYPE,)))
+
+    def _is_reply_lost(self) -> bool:
+        if self._reply_lost_count:
+            self._reply_lost_count -= 1
+            return True
+        return self._random.random() < self._reply_lost_probability
+
+    def _on_late_write_due(self, message: LateWriteDue) -> None:
+        self._table.transact(message.transaction)
+
+    def _read(self, request: WholeRequest, key: str) -> None:
+        self._reads += 1
+        row = self._table.read(key)
+        if isinstance(row, RowAbsent):
+            answer = json_answer(request, 404, {})
+        else:
+            answer = bytes_answer(request, 200, encode_row(row), (JSON_TYPE,))
+        self.send(LISTENER, answer)
+
+    def _scan(self, request: WholeRequest) -> None:
+        query = request.query
+        limit = query.get("limit", str(DEFAULT_SCAN_LIMIT))
+        if not limit.isdecimal():
+            error = {"error": f"limit {limit!r} is not a number"}
+            self.send(LISTENER, json_answer(request, 400, error))
+            return
+        self._reads += 1
+        rows = self._table.scan(
+            query.get("after", ""), query.get("before", ""), int(limit)
+        )
+        self.send(LISTENER, bytes_answer(request, 200, encode_rows(rows), (JSON_TYPE,)))
+
+
+def main() -> None:
+    """Run the stand-in."""
+    run_standin(
+        lambda kernel: TableService(kernel, Random(flags.FLAGS.seed)),
+        FAULTS,
+        delay_ms=lambda faults: faults["slow"],
+    )
+
+
+if __name__ == "__main__":
+    main()
