--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -89,7 +89,8 @@
     """
     logger.remove()
     logger.configure(extra={"instance": settings.instance.instance_id})
-    logger.add(sys.stderr, format=LOG_FORMAT, level=settings.log_level)
+    # Diagnosis prints the values of variables, among them the ports' keys.
+    logger.add(sys.stderr, format=LOG_FORMAT, level=settings.log_level, diagnose=False)
 
 
 def load_settings(file_name: str | None) -> Settings:
--- a/src/cuminhatch/messages/__init__.py
+++ b/src/cuminhatch/messages/__init__.py
@@ -35,9 +35,12 @@
 )
 from cuminhatch.messages.lifecycle import (
     DrainAnnounced,
+    DrainFinished,
     DrainRequested,
     DrainStarted,
     ReadinessChanged,
+    RequestFailed,
+    StatusReported,
 )
 from cuminhatch.messages.notes import (
     ConfigurationChanged,
@@ -94,6 +97,12 @@
 from cuminhatch.messages.telemetry import (
     CounterIncremented,
     EventRecorded,
+    MetricsReplied,
+    MetricsRequested,
+    StampAdvanced,
+    StampHeard,
+    TimelineReplied,
+    TimelineRequested,
     ValueObserved,
 )
 
@@ -122,6 +131,7 @@
     "ConfigurationChanged",
     "CounterIncremented",
     "DrainAnnounced",
+    "DrainFinished",
     "DrainRequested",
     "DrainStarted",
     "EventRecorded",
@@ -135,6 +145,8 @@
     "InstanceListRequested",
     "LoadObserved",
     "MembershipChanged",
+    "MetricsReplied",
+    "MetricsRequested",
     "NoteDecided",
     "NoteSubmitted",
     "NotesOffered",
@@ -154,6 +166,7 @@
     "ProbeFailed",
     "ReadinessChanged",
     "RequestBody",
+    "RequestFailed",
     "RequestReadPaused",
     "RequestReadResumed",
     "RequestReceived",
@@ -161,11 +174,16 @@
     "ResponseAborted",
     "ResponseBody",
     "ResponseStarted",
+    "StampAdvanced",
+    "StampHeard",
+    "StatusReported",
     "TableReadReplied",
     "TableReadRequested",
     "TableScanReplied",
     "TableScanRequested",
     "TableTransactReplied",
     "TableTransactRequested",
+    "TimelineReplied",
+    "TimelineRequested",
     "ValueObserved",
 ]
--- a/src/cuminhatch/services/operators.py
+++ b/src/cuminhatch/services/operators.py
@@ -80,7 +80,8 @@
     :param status: HTTP status.
     :param value: JSON-serializable value.
     """
-    return Answer(status, JSON_TYPE, orjson.dumps(value) + b"\n")
+    # NamedTuples are not serialized as tuples unless asked to.
+    return Answer(status, JSON_TYPE, orjson.dumps(value, default=tuple) + b"\n")
 
 
 def error_answer(status: int, reason: str) -> Answer:
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -105,18 +105,15 @@
         logger.info("supervisor: Drain announced: {}.", message.reason)
         self._record("drain_announced", {"reason": message.reason})
         self._on_readiness_changed(ReadinessChanged(SUPERVISOR, False, "draining"))
-        self._broadcast(DrainAnnounced())
+        self.send("peers", DrainAnnounced())
         self.call_after(self._announce_ms, AnnouncementEnded())
         self.call_after(self._announce_ms + self._limit_ms, DrainLimitReached())
 
     def _on_announcement_ended(self, message: AnnouncementEnded) -> None:
         logger.info("supervisor: Drain started.")
         self._record("drain_started", {})
-        self._broadcast(DrainStarted())
-
-    def _broadcast(self, message: Any) -> None:
         for part in sorted(self._unfinished):
-            self.send(part, message)
+            self.send(part, DrainStarted())
 
     def _on_drain_finished(self, message: DrainFinished) -> None:
         self._unfinished.discard(message.part)
--- /dev/null
+++ b/tests/services/test_peers.py
@@ -0,0 +1,140 @@
+"""Tests of heartbeats and note transfers between daemons on loopback."""
+
+from random import Random
+
+import pytest
+
+from cuminhatch import ManualClock
+from cuminhatch.decisions.notes import AcceptedNote, Note, NoteItem
+from cuminhatch.kernel import Kernel, Service
+from cuminhatch.messages import (
+    Address,
+    HeadChanged,
+    HeadHeard,
+    LoadObserved,
+    MembershipChanged,
+    NotesOffered,
+    NotesPullRequested,
+    NotesReplied,
+    NotesRequested,
+    PermitNeeded,
+    PermitWanted,
+    StampHeard,
+)
+from cuminhatch.services.note_transfer import NoteTransfer
+from cuminhatch.services.peers import HEARTBEAT_INTERVAL_MS, Peers
+
+LOCAL = Address("127.0.0.1", 0)
+NOTE = Note("n1", "ann", "first", (NoteItem("withdraw", "rule", "r1", {}),))
+
+
+class FakePart(Service):
+    """Keeps messages; answers requests for notes."""
+
+    def __init__(self, kernel, name):
+        super().__init__(kernel, name)
+        self.received = []
+
+    def message_handlers(self):
+        kinds = (
+            HeadHeard,
+            LoadObserved,
+            MembershipChanged,
+            NotesOffered,
+            PermitWanted,
+            StampHeard,
+        )
+        table = dict.fromkeys(kinds, self.received.append)
+        return {**table, NotesRequested: self._on_notes_requested}
+
+    def _on_notes_requested(self, message):
+        notes = tuple(
+            AcceptedNote(sequence, NOTE)
+            for sequence in range(message.after + 1, message.after + 1 + message.limit)
+        )
+        self.send(message.reply_to, NotesReplied(message.token, notes[:3]))
+
+
+class Instance:
+    """A daemon's peers and note transfer with fake neighbours."""
+
+    def __init__(self, name, seeds=(), key="key"):
+        self.kernel = Kernel(ManualClock(1000.0))
+        self.parts = {
+            part: self.kernel.register(FakePart(self.kernel, part))
+            for part in ("notes", "dispatch", "permits", "timeline")
+        }
+        self.peers = self.kernel.register(
+            Peers(self.kernel, LOCAL, key, name, seeds, Random(1))
+        )
+        self.transfer = self.kernel.register(NoteTransfer(self.kernel, LOCAL, key))
+        self.kernel.open()
+
+    def received(self, part, kind):
+        return [m for m in self.parts[part].received if type(m) is kind]
+
+
+def run(*instances, steps=20, step_ms=0.0):
+    for _ in range(steps):
+        for instance in instances:
+            instance.kernel.clock.advance(step_ms)
+            instance.kernel.tick(0.001)
+
+
+@pytest.fixture
+def pair():
+    first = Instance("i1")
+    second = Instance("i2", (first.peers.address,))
+    run(first, second, steps=30, step_ms=HEARTBEAT_INTERVAL_MS / 5)
+    return first, second
+
+
+def test_instances_find_each_other_from_one_seed(pair):
+    """Guards against two groups that never meet."""
+    for instance, other_id in zip(pair, ("i2", "i1"), strict=True):
+        changes = instance.received("dispatch", MembershipChanged)
+        assert [member.instance_id for member in changes[-1].members] == [other_id]
+
+
+def test_new_head_is_told_at_once(pair):
+    """Guards against a note that waits for the next regular heartbeat."""
+    first, second = pair
+    first.kernel.send("peers", HeadChanged(7))
+    run(first, second)
+    heard = second.received("notes", HeadHeard)[-1]
+    assert (heard.sequence, heard.instance_id) == (7, "i1")
+
+
+def test_probed_load_and_wishes_reach_the_other(pair):
+    """Guards against probes whose results stay on one instance."""
+    first, second = pair
+    first.kernel.send(
+        "peers",
+        LoadObserved("b1", 2, 1, 3, 4.0, False, first.kernel.clock.now_ms, "probe"),
+    )
+    first.kernel.send("peers", PermitNeeded("i2", "long", "b1"))
+    run(first, second, step_ms=HEARTBEAT_INTERVAL_MS / 5)
+    sample = second.received("dispatch", LoadObserved)[0]
+    assert sample[:6] == ("b1", 2, 1, 3, 4.0, False)
+    assert PermitWanted("i1", "long", "b1") in second.received("permits", PermitWanted)
+
+
+def test_wrong_key_changes_nothing():
+    """Guards against a stranger on the peers' port."""
+    first = Instance("i1")
+    stranger = Instance("i2", (first.peers.address,), key="other")
+    run(first, stranger, step_ms=HEARTBEAT_INTERVAL_MS / 5)
+    assert first.received("dispatch", MembershipChanged) == []
+    stranger.kernel.send("note_transfer", NotesPullRequested(first.transfer.address, 0))
+    run(first, stranger)
+    assert stranger.received("notes", NotesOffered) == []
+
+
+def test_missing_notes_are_pulled(pair):
+    """Guards against an instance that cannot catch up without the store."""
+    first, second = pair
+    second.kernel.send("note_transfer", NotesPullRequested(first.transfer.address, 4))
+    run(first, second)
+    offered = second.received("notes", NotesOffered)[0]
+    assert [accepted.sequence for accepted in offered.notes] == [5, 6, 7]
+    assert offered.notes[0].note == NOTE
