--- a/src/cuminhatch/services/operators.py
+++ b/src/cuminhatch/services/operators.py
@@ -49,6 +49,7 @@
 JSON_TYPE = "application/json"
 TEXT_TYPE = "text/plain"
 MAX_CLIENTS = 64
+READ_BYTES = 64 * 1024
 # A note of the largest configuration (20,000 backend servers, about 150
 # bytes each) takes 3 MB.
 MAX_REQUEST_BYTES = 4 * 1024 * 1024
@@ -109,7 +110,9 @@
         self._kernel = kernel
         self._received: dict[socket, int] = {}
         self._timers: dict[socket, int] = {}
-        self.server = TCPServer(tuple(address), channel=WEB_CHANNEL).register(self)
+        self.server = TCPServer(
+            tuple(address), bufsize=READ_BYTES, channel=WEB_CHANNEL
+        ).register(self)
         self.http = HTTP(self, channel=WEB_CHANNEL).register(self)
 
     @property
