--- /dev/null
+++ b/tests/cli/test_plans.py
@@ -0,0 +1,159 @@
+"""Tests of what the commands ask and show."""
+
+import pytest
+
+from cuminhatch.address import Address
+from cuminhatch.cli.plans import (
+    ApiFailed,
+    ApiReply,
+    CommandError,
+    Options,
+    make_plan,
+)
+
+FIRST, SECOND = Address("127.0.0.1", 8081), Address("127.0.0.1", 8181)
+OPTIONS = Options((FIRST, SECOND), "", 0, 200)
+NOTE = 'id = "n1"\nauthor = "ann"\nsummary = "first"\n'
+
+
+@pytest.fixture
+def note_file(tmp_path):
+    path = tmp_path / "note.toml"
+    path.write_text(NOTE)
+    return str(path)
+
+
+def make_event(wall_ms, instance, name, **details):
+    return {
+        "stamp": [wall_ms, 0],
+        "instance_id": instance,
+        "part": "notes",
+        "name": name,
+        "request_id": "",
+        "note_sequence": 1,
+        "details": details,
+    }
+
+
+def make_status(instance, sequence, not_ready):
+    return {
+        "instance": instance,
+        "note_sequence": sequence,
+        "backend_servers": 26,
+        "parts": {"readiness": {"ready": not not_ready, "not_ready": not_ready}},
+    }
+
+
+@pytest.mark.parametrize(
+    ("reply", "status"),
+    [
+        (
+            ApiReply(
+                FIRST, 200, {"outcome": "accepted", "sequence": 4, "repeated": False}
+            ),
+            0,
+        ),
+        (
+            ApiReply(
+                FIRST, 200, {"outcome": "accepted", "sequence": 4, "repeated": True}
+            ),
+            0,
+        ),
+        (
+            ApiReply(FIRST, 409, {"outcome": "refused", "reason": "rule r1: conflict"}),
+            1,
+        ),
+        (ApiReply(FIRST, 504, {"outcome": "unknown", "reason": "store outage"}), 3),
+        (ApiReply(FIRST, 401, {"error": "send the operators' key"}), 1),
+        (ApiFailed(FIRST, "connection failed", False), 1),
+        (ApiFailed(FIRST, "timeout", True), 3),
+    ],
+)
+def test_submission_tells_the_truth(note_file, reply, status, snapshot):
+    """Guards against an exit status that says done, or not, without knowing."""
+    plan = make_plan(OPTIONS, ["note", "submit", note_file])
+    output = plan.show([reply])
+    assert output.status == status
+    assert output.text == snapshot
+
+
+def test_submission_goes_to_another_daemon_only_if_not_sent(note_file):
+    """Guards against a note that two daemons append at the same time."""
+    plan = make_plan(OPTIONS, ["note", "submit", note_file])
+    assert plan.is_first_only
+    assert [request.daemon for request in plan.requests] == [FIRST, SECOND]
+
+
+def test_status_of_all_daemons(snapshot):
+    """Guards against a daemon that is missing from the status unnoticed."""
+    plan = make_plan(OPTIONS, ["status"])
+    output = plan.show(
+        [
+            ApiReply(FIRST, 200, make_status("entry-1", 3, {})),
+            ApiReply(SECOND, 200, make_status("entry-2", 0, {"notes": "no-note"})),
+            ApiFailed(Address("127.0.0.1", 8281), "connection failed", False),
+        ]
+    )
+    assert output.status == 1
+    assert output.text == snapshot
+
+
+def test_timeline_merges_daemons_by_stamp(snapshot):
+    """Guards against events shown in the order of the daemons asked."""
+    plan = make_plan(OPTIONS, ["timeline"])
+    output = plan.show(
+        [
+            ApiReply(FIRST, 200, {"events": [make_event(2000, "entry-1", "decided")]}),
+            ApiReply(
+                SECOND,
+                200,
+                {
+                    "events": [
+                        make_event(1000, "entry-2", "started", reason="test"),
+                        make_event(3000, "entry-2", "applied"),
+                    ]
+                },
+            ),
+        ]
+    )
+    assert output.text == snapshot
+
+
+def test_history_is_a_table(snapshot):
+    """Guards against columns that do not line up."""
+    notes = [
+        {
+            "sequence": sequence,
+            "note": {"id": name, "author": "ann", "summary": "s", "items": [1] * 3},
+        }
+        for sequence, name in ((1, "first"), (10, "storm-2026"))
+    ]
+    plan = make_plan(OPTIONS, ["note", "history"])
+    assert plan.show([ApiReply(FIRST, 200, {"notes": notes})]).text == snapshot
+
+
+def test_check_names_file_and_key(tmp_path):
+    """Guards against a faulty note that is found only when submitted."""
+    path = tmp_path / "bad.toml"
+    path.write_text('id = "n1"\n')
+    output = make_plan(OPTIONS, ["note", "check", str(path)]).show([])
+    assert output.status == 1
+    assert "bad.toml" in output.text and "author" in output.text
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [
+        [],
+        ["notes"],
+        ["status", "now"],
+        ["note", "submit"],
+        ["note", "submit", "missing.toml"],
+        ["drain"],
+    ],
+)
+def test_usage_errors_say_what_to_do(arguments, snapshot):
+    """Guards against a tool that guesses what was meant."""
+    with pytest.raises(CommandError) as caught:
+        make_plan(OPTIONS, arguments)
+    assert str(caught.value) == snapshot
