--- a/tests/cli/test_plans.py
+++ b/tests/cli/test_plans.py
@@ -70,7 +70,7 @@
     ],
 )
 def test_submission_tells_the_truth(note_file, reply, status, snapshot):
-    """Guards against an exit status that says done, or not, without knowing."""
+    """Guards against an exit status that claims more than is known."""
     plan = make_plan(OPTIONS, ["note", "submit", note_file])
     output = plan.show([reply])
     assert output.status == status
