--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,265 @@
+"""Starts and ends the processes of one measurement."""
+
+import os
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import contextmanager
+from http.client import HTTPConnection
+from pathlib import Path
+from subprocess import DEVNULL, Popen, TimeoutExpired
+from tempfile import TemporaryDirectory
+from typing import Any, NamedTuple
+
+import orjson
+
+from bench.load import LoadPlan
+
+KEY = "bench-operators-key"
+HOST = "127.0.0.1"
+START_LIMIT_S = 20.0
+STOP_LIMIT_S = 5.0
+PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+
+
+class ServiceSize(NamedTuple):
+    """Backend servers of one service; ``work_ms`` is their default."""
+
+    service_id: str
+    servers: int
+    slots: int
+    connections: int
+    work_ms: float
+
+
+class Usage(NamedTuple):
+    """What a process has used: processor seconds, resident bytes."""
+
+    processor_s: float
+    resident_bytes: int
+
+
+def read_usage(process: Popen) -> Usage:
+    """
+    Read the use of processor and memory of a process.
+
+    :param process: a running process of this measurement.
+    """
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return Usage(ticks / TICKS_PER_SECOND, int(fields[21]) * PAGE_BYTES)
+
+
+def fetch(
+    address: str, method: str, path: str, body: bytes = b"", key: str = ""
+) -> tuple[int, bytes]:
+    """
+    Send one request and read the answer.
+
+    :param address: ``host:port``.
+    :param method: HTTP method.
+    :param path: target.
+    :param body: body of the request.
+    :param key: operators' key, if the port needs one.
+    :returns: status and body.
+    """
+    host, _, port = address.rpartition(":")
+    connection = HTTPConnection(host, int(port), timeout=30)
+    headers = {"Authorization": f"Bearer {key}"} if key else {}
+    try:
+        connection.request(method, path, body, headers)
+        response = connection.getresponse()
+        return response.status, response.read()
+    finally:
+        connection.close()
+
+
+def wait_until_up(address: str) -> None:
+    """
+    Wait until a port answers HTTP.
+
+    :param address: ``host:port``.
+    """
+    limit_s = time.monotonic() + START_LIMIT_S
+    while True:
+        try:
+            fetch(address, "GET", "/health")
+            return
+        except OSError:
+            if time.monotonic() > limit_s:
+                raise
+            time.sleep(0.05)
+
+
+class Fleet:
+    """Stand-ins and daemons of one deployment on loopback."""
+
+    def __init__(self, directory: str, base_port: int) -> None:
+        """
+        Start without processes.
+
+        :param directory: for settings, plans and reports.
+        :param base_port: first of the ports to use.
+        """
+        self._directory = Path(directory)
+        self._next_port = base_port
+        self._processes: list[Popen] = []
+        self.daemons: list[Popen] = []
+        self.callers: list[str] = []
+        self.operators: list[str] = []
+        self.backends: dict[str, list[str]] = {}
+        self.table = self.objects = self.instances = ""
+
+    def take_port(self) -> int:
+        """Return a port that this fleet has not used yet."""
+        self._next_port += 1
+        return self._next_port
+
+    def start(self, module: str, *arguments: str) -> Popen:
+        """
+        Start a program of this repository.
+
+        :param module: its module.
+        :param arguments: its command line.
+        """
+        process = Popen(
+            [sys.executable, "-m", module, *arguments], stdout=DEVNULL, stderr=DEVNULL
+        )
+        self._processes.append(process)
+        return process
+
+    def start_platform(self) -> None:
+        """Start table service, object store and list of instances."""
+        addresses = []
+        for name in ("table_service", "object_store", "instance_list"):
+            port = self.take_port()
+            self.start(f"cuminhatch_standins.{name}", "--port", str(port))
+            addresses.append(f"{HOST}:{port}")
+        self.table, self.objects, self.instances = addresses
+        for address in addresses:
+            wait_until_up(address)
+
+    def start_backends(self, sizes: tuple[ServiceSize, ...]) -> None:
+        """
+        Start the backend servers of all services.
+
+        :param sizes: services with their sizes.
+        """
+        for size in sizes:
+            addresses = []
+            for _ in range(size.servers):
+                port = self.take_port()
+                self.start(
+                    "cuminhatch_standins.backend_server",
+                    f"--port={port}",
+                    f"--slots={size.slots}",
+                    f"--work_ms={size.work_ms}",
+                )
+                addresses.append(f"{HOST}:{port}")
+            self.backends[size.service_id] = addresses
+        for addresses in self.backends.values():
+            for address in addresses:
+                wait_until_up(address)
+
+    def start_daemons(self, count: int, domains: tuple[str, ...], extra: str) -> None:
+        """
+        Start daemons and name them in the list of instances.
+
+        :param count: how many.
+        :param domains: failure domains, taken in turn.
+        :param extra: further lines of the settings.
+        """
+        ports = [[self.take_port() for _ in range(3)] for _ in range(count)]
+        for number, (callers, operators, peers) in enumerate(ports):
+            settings = self._directory / f"entry-{number}.toml"
+            seed = ports[(number + 1) % count][2]
+            settings.write_text(
+                f'[instance]\nid = "entry-{number}"\n'
+                f'failure_domain = "{domains[number % len(domains)]}"\n'
+                f'[callers]\naddress = "{HOST}:{callers}"\n'
+                f'[operators]\naddress = "{HOST}:{operators}"\nkey = "{KEY}"\n'
+                f'[peers]\naddress = "{HOST}:{peers}"\nkey = "bench-peers-key"\n'
+                f'seeds = ["{HOST}:{seed}"]\n'
+                f'[platform]\ntable = "{self.table}"\nobjects = "{self.objects}"\n'
+                f'list = "{self.instances}"\n[drain]\nannounce_ms = 0\n'
+                f"limit_ms = 1000\n{extra}"
+            )
+            fetch(
+                self.instances,
+                "PUT",
+                f"/instances/entry-{number}",
+                orjson.dumps(
+                    {"address": f"{HOST}:{peers}", "kind": "entry", "state": "live"}
+                ),
+            )
+            self.daemons.append(
+                self.start("cuminhatch.daemon", f"--settings={settings}")
+            )
+            self.callers.append(f"{HOST}:{callers}")
+            self.operators.append(f"{HOST}:{operators}")
+        for address in self.operators:
+            wait_until_up(address)
+
+    def submit_note(self, text: str) -> None:
+        """
+        Submit a note and wait until every daemon is ready.
+
+        :param text: the note in TOML.
+        """
+        status, body = fetch(self.operators[0], "POST", "/notes", text.encode(), KEY)
+        if status != 200:
+            raise RuntimeError(f"the note was not accepted: {body.decode()}")
+        limit_s = time.monotonic() + START_LIMIT_S
+        for address in self.operators:
+            while fetch(address, "GET", "/health")[0] != 200:
+                if time.monotonic() > limit_s:
+                    raise RuntimeError(f"{address} did not become ready")
+                time.sleep(0.05)
+
+    def run_loads(self, plans: list[LoadPlan]) -> list[dict[str, Any]]:
+        """
+        Run loads side by side, each in a process of its own.
+
+        :param plans: a plan a process.
+        :returns: their reports.
+        """
+        processes, reports = [], []
+        for number, plan in enumerate(plans):
+            plan_file = self._directory / f"plan-{number}.json"
+            report_file = self._directory / f"report-{number}.json"
+            plan_file.write_bytes(orjson.dumps(plan))
+            processes.append(self.start("bench.load", str(plan_file), str(report_file)))
+            reports.append(report_file)
+        for process in processes:
+            if process.wait() != 0:
+                raise RuntimeError("the load tool failed")
+            self._processes.remove(process)
+        return [orjson.loads(report.read_bytes()) for report in reports]
+
+    def stop(self) -> None:
+        """End all processes of this fleet."""
+        for process in self._processes:
+            process.terminate()
+        for process in self._processes:
+            try:
+                process.wait(STOP_LIMIT_S)
+            except TimeoutExpired:
+                process.kill()
+                process.wait()
+        self._processes.clear()
+
+
+@contextmanager
+def open_fleet(base_port: int) -> Iterator[Fleet]:
+    """
+    Give a fleet and end it afterwards.
+
+    :param base_port: first of the ports to use.
+    """
+    with TemporaryDirectory() as directory:
+        fleet = Fleet(directory, base_port)
+        try:
+            yield fleet
+        finally:
+            fleet.stop()
