Test the platform client and start waiting exchanges by message

Exchanges past their deadline are now failed unsent, and one that waits is started by a message, since starting it from a failing write recurses once per waiting exchange.

--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -46,6 +46,17 @@
     exchange_id: int
 
 
+class SlotFreed(NamedTuple):
+    """
+    A waiting exchange may start.
+
+    It is a message, because a connection can fail while it is being written
+    to, and starting the next one from there would recurse once per exchange.
+    """
+
+    address: Address
+
+
 class _Connection:
     """State of one connection."""
 
@@ -60,9 +71,12 @@
 class _Exchange:
     """State of one request and its response."""
 
-    def __init__(self, exchange_id: int, request: HttpRequested) -> None:
+    def __init__(
+        self, exchange_id: int, request: HttpRequested, deadline_ms: float
+    ) -> None:
         self.exchange_id = exchange_id
         self.request = request
+        self.deadline_ms = deadline_ms
         self.connection: _Connection | None = None
         self.timer: int | None = None
         self.sent_before = 0
@@ -111,6 +125,7 @@
         """Return the requests of other services and the own timers."""
         return {
             HttpRequested: self._on_http_requested,
+            SlotFreed: self._on_slot_freed,
             DeadlinePassed: self._on_deadline_passed,
             SweepDue: self._on_sweep_due,
         }
@@ -136,17 +151,27 @@
             failed = HttpFailed(message.token, "too many requests waiting", False)
             self.send(message.reply_to, failed)
             return
-        exchange = _Exchange(next(self._exchange_ids), message)
-        self._exchanges[exchange.exchange_id] = exchange
-        exchange.timer = self.call_after(
-            message.timeout_ms, DeadlinePassed(exchange.exchange_id)
+        exchange_id = next(self._exchange_ids)
+        deadline_ms = self.kernel.clock.now_ms + message.timeout_ms
+        exchange = _Exchange(exchange_id, message, deadline_ms)
+        self._exchanges[exchange_id] = exchange
+        exchange.timer = self.kernel.call_at(
+            deadline_ms, self.name, DeadlinePassed(exchange_id)
         )
         pool.waiting.append(exchange)
         self._start_waiting(pool)
 
+    def _on_slot_freed(self, message: SlotFreed) -> None:
+        self._start_waiting(self._pools[message.address])
+
     def _start_waiting(self, pool: _Pool) -> None:
+        now_ms = self.kernel.clock.now_ms
         while pool.waiting and pool.busy_count < MAX_CONNECTIONS_PER_ADDRESS:
             exchange = pool.waiting.popleft()
+            if exchange.deadline_ms <= now_ms:
+                # Not sent any more, so that it is known not to have run.
+                self._fail(exchange, "timeout")
+                continue
             # The newest idle connection is the least likely to be closed.
             connection = (
                 pool.idle.pop()
@@ -231,7 +256,6 @@
             request.reply_to,
             HttpReplied(request.token, head.status, head.headers, bytes(exchange.body)),
         )
-        self._start_waiting(self._pools[connection.address])
 
     def _release(self, exchange: _Exchange) -> _Connection:
         """Take an exchange off its connection and note whether it was sent."""
@@ -240,7 +264,10 @@
         exchange.connection = None
         if connection.stream.sent_bytes > exchange.sent_before:
             exchange.has_left = True
-        self._pools[connection.address].busy_count -= 1
+        pool = self._pools[connection.address]
+        pool.busy_count -= 1
+        if pool.waiting:
+            self.send(self.name, SlotFreed(connection.address))
         return connection
 
     def _end(self, exchange: _Exchange) -> None:
@@ -278,10 +305,9 @@
         pool = self._pools[connection.address]
         self._drop_all_idle(pool)
         pool.waiting.appendleft(exchange)
-        self._start_waiting(pool)
+        self.send(self.name, SlotFreed(connection.address))
 
     def _fail(self, exchange: _Exchange, reason: str) -> None:
-        pool = self._pools[exchange.request.address]
         if exchange.connection is not None:
             self._release(exchange).stream.close()
         self._end(exchange)
@@ -289,7 +315,6 @@
         self.send(
             request.reply_to, HttpFailed(request.token, reason, exchange.has_left)
         )
-        self._start_waiting(pool)
 
     def _on_deadline_passed(self, message: DeadlinePassed) -> None:
         exchange = self._exchanges.get(message.exchange_id)
--- /dev/null
+++ b/tests/services/test_http_client.py
@@ -0,0 +1,234 @@
+"""Tests of the HTTP client against a server of plain sockets."""
+
+import socket
+from select import select
+
+import pytest
+
+from cuminhatch import ManualClock
+from cuminhatch.kernel import Kernel, Service
+from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
+from cuminhatch.services import HttpClient
+from cuminhatch.services.http_client import (
+    IDLE_AGE_MS,
+    MAX_CONNECTIONS_PER_ADDRESS,
+    MAX_WAITING_PER_ADDRESS,
+    SWEEP_INTERVAL_MS,
+)
+from tests.support import free_port, run_until
+
+OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
+TIMEOUT_MS = 1000.0
+
+
+class Requester(Service):
+    """Keeps the replies it gets."""
+
+    name = "requester"
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.replies = []
+
+    def message_handlers(self):
+        return {HttpReplied: self.replies.append, HttpFailed: self.replies.append}
+
+
+class Bed:
+    """A client, its kernel with a manual clock, and a listening socket."""
+
+    def __init__(self):
+        self.kernel = Kernel(ManualClock())
+        self.client = self.kernel.register(
+            HttpClient(self.kernel, max_response_bytes=1000)
+        )
+        self.requester = self.kernel.register(Requester(self.kernel))
+        self.kernel.open()
+        self.server = socket.create_server(("127.0.0.1", 0))
+        self.address = Address(*self.server.getsockname())
+        self.accepted = []
+
+    def request(self, token, method=b"GET", body=b"", address=None):
+        self.kernel.send(
+            "http_client",
+            HttpRequested(
+                "requester",
+                token,
+                address or self.address,
+                method,
+                b"/x",
+                (),
+                body,
+                TIMEOUT_MS,
+            ),
+        )
+        for _ in range(3):
+            self.kernel.tick()
+
+    def wait_readable(self, sock):
+        run_until(self.kernel, lambda: select([sock], [], [], 0)[0])
+
+    def accept(self):
+        self.wait_readable(self.server)
+        connection, _ = self.server.accept()
+        self.accepted.append(connection)
+        return connection
+
+    def receive(self, connection):
+        self.wait_readable(connection)
+        return connection.recv(4096)
+
+    def next_reply(self):
+        run_until(self.kernel, lambda: self.requester.replies)
+        return self.requester.replies.pop(0)
+
+    def pass_time(self, ms):
+        self.kernel.clock.advance(ms)
+        for _ in range(3):
+            self.kernel.tick()
+
+
+@pytest.fixture
+def bed():
+    bed = Bed()
+    yield bed
+    for connection in (*bed.accepted, bed.server):
+        connection.close()
+
+
+def exchange(bed, connection, token):
+    bed.request(token)
+    connection = connection or bed.accept()
+    bed.receive(connection)
+    connection.sendall(OK)
+    assert bed.next_reply() == HttpReplied(token, 200, (), b"hi")
+    return connection
+
+
+def test_connection_is_kept_and_parts_are_joined(bed):
+    """Guards against a response cut short and a connection per request."""
+    connection = exchange(bed, None, 1)
+    bed.request(2, b"POST", b"abc")
+    data = bed.receive(connection)
+    assert data.startswith(b"POST /x HTTP/1.1\r\nhost: 127.0.0.1:")
+    assert data.endswith(b"content-length: 3\r\n\r\nabc")
+    head = b"HTTP/1.1 201 Created\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    connection.sendall(head)
+    for _ in range(3):
+        bed.kernel.tick()
+    connection.sendall(b"1\r\nd\r\n0\r\n\r\n")
+    assert bed.next_reply() == HttpReplied(2, 201, (), b"abcd")
+
+
+def test_refused_connection_is_not_sent(bed):
+    """Guards against a keyed request that is unknown without need."""
+    bed.request(1, b"POST", b"abc", Address("127.0.0.1", free_port()))
+    reply = bed.next_reply()
+    assert (reply.token, reply.is_sent) == (1, False)
+
+
+def test_lost_connection_counts_as_sent_and_post_is_not_repeated(bed):
+    """Guards against a transaction that is sent twice."""
+    connection = exchange(bed, None, 1)
+    bed.request(2, b"POST", b"abc")
+    bed.receive(connection)
+    connection.close()
+    assert bed.next_reply() == HttpFailed(2, "connection closed", True)
+    assert bed.client.connection_count(bed.address) == 0
+
+
+def test_get_on_reused_connection_is_repeated_once(bed):
+    """Guards against reads that fail as the server closes an idle one."""
+    connection = exchange(bed, None, 1)
+    bed.request(2)
+    bed.receive(connection)
+    connection.close()
+    second = bed.accept()
+    assert bed.receive(second).startswith(b"GET /x")
+    second.close()
+    assert bed.next_reply() == HttpFailed(2, "connection closed", True)
+
+
+def test_deadline_closes_silent_connections(bed):
+    """Guards against a pool in which every connection is silent."""
+    first = exchange(bed, None, 1)
+    bed.request(2)
+    bed.request(3)
+    second = bed.accept()
+    bed.receive(second)
+    second.sendall(OK)
+    assert bed.next_reply().token == 3
+    bed.pass_time(TIMEOUT_MS)
+    assert bed.next_reply() == HttpFailed(2, "timeout", True)
+    assert bed.receive(first).startswith(b"GET /x")
+    assert bed.receive(first) == b""
+    assert bed.receive(second) == b""
+    exchange(bed, None, 4)
+
+
+def test_deadline_bounds_a_response_that_trickles(bed):
+    """Guards against a store that holds a request by single bytes."""
+    bed.request(1)
+    connection = bed.accept()
+    bed.receive(connection)
+    for byte in OK[:10]:
+        connection.sendall(bytes([byte]))
+        bed.pass_time(TIMEOUT_MS / 10)
+    assert bed.next_reply() == HttpFailed(1, "timeout", True)
+
+
+@pytest.mark.parametrize(
+    ("response", "reason"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 1001, "response too large"),
+        (b"HTTP/1.1 2x0 OK\r\n\r\n", "malformed response"),
+    ],
+)
+def test_bad_response_fails_and_closes(bed, response, reason):
+    """Guards against unbounded memory and a connection out of step."""
+    bed.request(1)
+    connection = bed.accept()
+    bed.receive(connection)
+    connection.sendall(response)
+    assert bed.next_reply() == HttpFailed(1, reason, True)
+    assert bed.client.connection_count(bed.address) == 0
+
+
+def test_connections_are_capped_and_waiting_requests_are_not_sent(bed):
+    """Guards against a slow store that takes all file descriptors."""
+    for token in range(MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS):
+        bed.request(token)
+    assert bed.client.connection_count(bed.address) == MAX_CONNECTIONS_PER_ADDRESS
+    bed.request(999)
+    assert bed.next_reply() == HttpFailed(999, "too many requests waiting", False)
+    connection = bed.accept()
+    bed.receive(connection)
+    connection.sendall(OK)
+    assert isinstance(bed.next_reply(), HttpReplied)
+    # The freed connection serves the first request that waited.
+    assert bed.receive(connection).startswith(b"GET /x")
+    bed.pass_time(TIMEOUT_MS)
+    run_until(bed.kernel, lambda: len(bed.requester.replies) == 271)
+    sent = [reply.is_sent for reply in bed.requester.replies]
+    assert sent.count(True) == MAX_CONNECTIONS_PER_ADDRESS
+
+
+def test_many_refused_connections_fail_one_by_one(bed):
+    """Guards against recursion as deep as there are waiting requests."""
+    address = Address("127.0.0.1", free_port())
+    count = MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS
+    for token in range(count):
+        bed.kernel.send(
+            "http_client",
+            HttpRequested("requester", token, address, b"GET", b"/", (), b"", 1000.0),
+        )
+    run_until(bed.kernel, lambda: len(bed.requester.replies) == count)
+    assert not any(reply.is_sent for reply in bed.requester.replies)
+
+
+def test_old_idle_connection_is_closed(bed):
+    """Guards against a request that meets a connection being closed."""
+    connection = exchange(bed, None, 1)
+    bed.pass_time(IDLE_AGE_MS + SWEEP_INTERVAL_MS)
+    assert bed.receive(connection) == b""
+    assert bed.client.connection_count(bed.address) == 0
--- /dev/null
+++ b/tests/services/test_platform.py
@@ -0,0 +1,296 @@
+"""Tests of the platform service: outages, lost replies, the breaker."""
+
+import pytest
+
+from cuminhatch import ManualClock
+from cuminhatch.decisions.breaker import FAILURES_TO_OPEN, TRIAL_INTERVAL_MS
+from cuminhatch.decisions.platform import (
+    Committed,
+    InstanceList,
+    ListedInstance,
+    ListUnavailable,
+    Mismatched,
+    ObjectAbsent,
+    ObjectFound,
+    ObjectStored,
+    ObjectUnavailable,
+    Row,
+    RowAbsent,
+    RowCheck,
+    RowPut,
+    TableTransaction,
+    TableUnavailable,
+)
+from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+from cuminhatch.messages import (
+    Address,
+    HttpFailed,
+    HttpReplied,
+    HttpRequested,
+    InstanceListReplied,
+    InstanceListRequested,
+    ObjectGetReplied,
+    ObjectGetRequested,
+    ObjectPutReplied,
+    ObjectPutRequested,
+    TableReadReplied,
+    TableReadRequested,
+    TableScanReplied,
+    TableScanRequested,
+    TableTransactReplied,
+    TableTransactRequested,
+)
+from cuminhatch.services import HttpClient, Platform, PlatformAddresses
+from cuminhatch.services.platform import MAX_IN_FLIGHT
+from tests.support import run_until, running_standin
+
+ADDRESSES = PlatformAddresses(*(Address("127.0.0.1", port) for port in (1, 2, 3)))
+OUTAGE = TableUnavailable("store outage known", False)
+REPLIES = (
+    TableTransactReplied,
+    TableReadReplied,
+    TableScanReplied,
+    ObjectPutReplied,
+    ObjectGetReplied,
+    InstanceListReplied,
+)
+
+
+class Requester(Service):
+    """Keeps the results by token, and failed handlers."""
+
+    name = SUPERVISOR
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.results = {}
+        self.failures = []
+
+    def message_handlers(self):
+        return {
+            **dict.fromkeys(REPLIES, self._on_reply),
+            HandlerFailed: self.failures.append,
+        }
+
+    def _on_reply(self, message):
+        assert message.token not in self.results
+        self.results[message.token] = message.result
+
+
+class FakeClient(Service):
+    """Keeps HTTP requests until the test answers them."""
+
+    name = "http_client"
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.requests = []
+
+    def message_handlers(self):
+        return {HttpRequested: self.requests.append}
+
+
+class Bed:
+    """The service between a requester and a fake HTTP client."""
+
+    def __init__(self):
+        self.kernel = Kernel(ManualClock())
+        self.requester = self.kernel.register(Requester(self.kernel))
+        self.client = self.kernel.register(FakeClient(self.kernel))
+        self.kernel.register(Platform(self.kernel, ADDRESSES))
+
+    def run(self):
+        for _ in range(4):
+            self.kernel.tick()
+        assert self.requester.failures == []
+
+    def request(self, message):
+        """Pass a request on and return the HTTP request it gave, if any."""
+        self.kernel.send("platform", message)
+        self.run()
+        return self.client.requests.pop() if self.client.requests else None
+
+    def result_of(self, token, answer):
+        """Pass an HTTP answer on and return the result of the request."""
+        self.kernel.send("platform", answer)
+        self.run()
+        return self.requester.results[token]
+
+    def fail(self, token, reason="timeout", is_sent=True):
+        """Let one transaction fail and return its result."""
+        request = self.request(transact(token))
+        return self.result_of(token, HttpFailed(request.token, reason, is_sent))
+
+
+@pytest.fixture
+def bed():
+    return Bed()
+
+
+def transact(token, key="a", version=0):
+    checks, puts = (RowCheck(key, version),), (RowPut(key, {"n": token}),)
+    transaction = TableTransaction(f"t{token}", checks, puts)
+    return TableTransactRequested(SUPERVISOR, token, transaction)
+
+
+def read(token, key="a"):
+    return TableReadRequested(SUPERVISOR, token, key)
+
+
+@pytest.mark.parametrize("is_sent", [True, False])
+def test_maybe_applied_unless_nothing_was_sent(bed, is_sent):
+    """Guards against a false "not run" after a lost reply."""
+    expected = TableUnavailable("timeout", is_sent)
+    assert bed.fail(1, is_sent=is_sent) == expected
+    assert bed.client.requests == []
+
+
+@pytest.mark.parametrize(
+    ("status", "body"), [(200, b'{"versions"'), (200, b"{}"), (500, b""), (400, b"{}")]
+)
+def test_unusable_reply_leaves_the_transaction_open(bed, status, body):
+    """Guards against a reply of another kind taken as "not applied"."""
+    request = bed.request(transact(1))
+    result = bed.result_of(1, HttpReplied(request.token, status, (), body))
+    assert isinstance(result, TableUnavailable)
+    assert result.is_maybe_applied
+
+
+def test_known_outage_fails_at_once_except_trials(bed):
+    """Guards against requests that each wait for a store known to be down."""
+    for token in range(FAILURES_TO_OPEN):
+        bed.fail(token)
+    assert bed.request(transact(10)) is None
+    assert bed.requester.results[10] == OUTAGE
+    bed.kernel.clock.advance(TRIAL_INTERVAL_MS)
+    trial = bed.request(transact(11))
+    assert trial is not None
+    assert bed.request(transact(12)) is None
+    assert bed.requester.results[12] == OUTAGE
+    answer = HttpReplied(trial.token, 200, (), b'{"versions": {"a": 1}}')
+    assert bed.result_of(11, answer) == Committed({"a": 1})
+    assert bed.request(transact(13)) is not None
+
+
+def test_breaker_belongs_to_one_store(bed):
+    """Guards against an outage of the table that stops reads of the list."""
+    for token in range(FAILURES_TO_OPEN):
+        bed.fail(token)
+    assert bed.request(InstanceListRequested(SUPERVISOR, 20)) is not None
+    assert bed.request(ObjectGetRequested(SUPERVISOR, 21, "x")) is not None
+
+
+def test_refused_request_does_not_open_the_breaker(bed):
+    """Guards against one bad request that looks like an outage."""
+    for token in range(FAILURES_TO_OPEN + 1):
+        request = bed.request(transact(token))
+        bed.result_of(token, HttpReplied(request.token, 400, (), b"{}"))
+    assert bed.request(transact(10)) is not None
+
+
+def test_requests_in_flight_are_bounded(bed):
+    """Guards against unbounded memory while the table hangs."""
+    for token in range(MAX_IN_FLIGHT):
+        bed.kernel.send("platform", read(token))
+    bed.run()
+    assert len(bed.client.requests) == MAX_IN_FLIGHT
+    first = bed.client.requests[0]
+    bed.client.requests.clear()
+    assert bed.request(transact(900)) is None
+    result = bed.requester.results[900]
+    assert result == TableUnavailable("too many requests in flight", False)
+    bed.result_of(0, HttpReplied(first.token, 404, (), b"{}"))
+    assert bed.request(transact(901)) is not None
+
+
+def test_value_outside_json_is_refused_unsent(bed):
+    """Guards against a requester that waits for ever for its reply."""
+    message = transact(1)
+    puts = (RowPut("a", {"x": {1}}),)
+    bad = message._replace(transaction=message.transaction._replace(puts=puts))
+    assert bed.request(bad) is None
+    assert not bed.requester.results[1].is_maybe_applied
+
+
+class RealBed:
+    """The service with the real HTTP client and real stand-ins."""
+
+    def __init__(self, addresses):
+        self.kernel = Kernel()
+        self.requester = self.kernel.register(Requester(self.kernel))
+        self.kernel.register(HttpClient(self.kernel))
+        self.kernel.register(Platform(self.kernel, addresses))
+        self.kernel.open()
+
+    def ask(self, message):
+        results = self.requester.results
+        self.kernel.send("platform", message)
+        run_until(self.kernel, lambda: message.token in results)
+        assert self.requester.failures == []
+        return results[message.token]
+
+
+@pytest.fixture(scope="module")
+def standins():
+    with (
+        running_standin("table_service") as table,
+        running_standin("object_store") as objects,
+        running_standin("instance_list") as instances,
+    ):
+        yield table, objects, instances
+
+
+@pytest.fixture
+def real_bed(standins):
+    addresses = (standin.address for standin in standins)
+    return RealBed(PlatformAddresses(*addresses))
+
+
+def test_table_over_http(real_bed, standins):
+    """Guards against client and table that read the protocol differently."""
+    key = "claim/till box/a%2F#?é"
+    committed = real_bed.ask(transact(1, key))
+    row = Row(key, committed.versions[key], {"n": 1})
+    assert real_bed.ask(transact(2, key)) == Mismatched({key: row})
+    assert real_bed.ask(read(3, key)) == row
+    assert real_bed.ask(read(4, "claim/none")) == RowAbsent()
+    absent = real_bed.ask(transact(5, "claim/none", 9))
+    assert absent == Mismatched({"claim/none": None})
+    scan = TableScanRequested(SUPERVISOR, 6, "claim/", "claim0", 10)
+    assert real_bed.ask(scan) == (row,)
+
+
+def test_lost_reply_and_outage_over_http(real_bed, standins):
+    """Guards against a lost reply that is taken for a write not made."""
+    table = standins[0]
+    table.set_faults(reply_lost=1)
+    lost = real_bed.ask(transact(1, "lost"))
+    assert lost == TableUnavailable("connection closed", True)
+    assert real_bed.ask(read(2, "lost")).value == {"n": 1}
+    table.set_faults(outage=True)
+    for token in range(10, 10 + FAILURES_TO_OPEN):
+        result = real_bed.ask(read(token, "lost"))
+        assert isinstance(result, TableUnavailable)
+    table.set_faults(outage=False)
+
+
+def test_objects_and_instances_over_http(real_bed, standins):
+    """Guards against client and stores that read the protocol differently."""
+    _, objects, instances = standins
+    name, data = "snapshot/7", bytes(range(256)) * 1000
+    put = ObjectPutRequested(SUPERVISOR, 1, name, data)
+    assert real_bed.ask(put) == ObjectStored()
+    get = ObjectGetRequested(SUPERVISOR, 2, name)
+    assert real_bed.ask(get) == ObjectFound(data)
+    assert real_bed.ask(get._replace(token=3, object_name="none")) == ObjectAbsent()
+    listed = ListedInstance("entry-1", "127.0.0.1:8080", "entry", "live")
+    body = '{"address": "127.0.0.1:8080", "kind": "entry", "state": "live"}'
+    assert instances.request("PUT", "/instances/entry-1", body).status == 200
+    ask = InstanceListRequested(SUPERVISOR, 4)
+    assert real_bed.ask(ask) == InstanceList((listed,))
+    objects.set_faults(outage=True)
+    instances.set_faults(outage=True)
+    assert isinstance(real_bed.ask(get._replace(token=5)), ObjectUnavailable)
+    assert isinstance(real_bed.ask(ask._replace(token=6)), ListUnavailable)
+    objects.set_faults(outage=False)
+    instances.set_faults(outage=False)
