--- a/src/cuminhatch_standins/_listener.py
+++ b/src/cuminhatch_standins/_listener.py
@@ -46,6 +46,16 @@
         self._last_request_id = 0
         self._last_silent_id = 0
 
+    def open(self) -> None:
+        """
+        Start to listen and print the address, for callers that chose port 0.
+
+        :raises ServiceError: the address cannot be bound.
+        """
+        super().open()
+        host, port = self.address
+        print(f"listening on {host}:{port}", flush=True)
+
     def message_handlers(self) -> MessageTable:
         """Return the messages of the listener and those of the fault."""
         handlers = dict(super().message_handlers())
--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -15,7 +15,7 @@
     MAX_WAITING_PER_ADDRESS,
     SWEEP_INTERVAL_MS,
 )
-from tests.support import free_port, run_until
+from tests.support import refusing_address, run_until
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
 TIMEOUT_MS = 1000.0
@@ -122,8 +122,9 @@
 
 def test_refused_connection_is_not_sent(bed):
     """Guards against a keyed request that is unknown without need."""
-    bed.request(1, b"POST", b"abc", Address("127.0.0.1", free_port()))
-    reply = bed.next_reply()
+    with refusing_address() as address:
+        bed.request(1, b"POST", b"abc", address)
+        reply = bed.next_reply()
     assert (reply.token, reply.is_sent) == (1, False)
 
 
@@ -215,14 +216,14 @@
 
 def test_many_refused_connections_fail_one_by_one(bed):
     """Guards against recursion as deep as there are waiting requests."""
-    address = Address("127.0.0.1", free_port())
     count = MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS
-    for token in range(count):
-        bed.kernel.send(
-            "http_client",
-            HttpRequested("requester", token, address, b"GET", b"/", (), b"", 1000.0),
-        )
-    run_until(bed.kernel, lambda: len(bed.requester.replies) == count)
+    with refusing_address() as address:
+        for token in range(count):
+            request = HttpRequested(
+                "requester", token, address, b"GET", b"/", (), b"", TIMEOUT_MS
+            )
+            bed.kernel.send("http_client", request)
+        run_until(bed.kernel, lambda: len(bed.requester.replies) == count)
     assert not any(reply.is_sent for reply in bed.requester.replies)
 
 
--- a/tests/support.py
+++ b/tests/support.py
@@ -56,6 +56,15 @@
         return sock.getsockname()[1]
 
 
+@contextmanager
+def refusing_address():
+    """Hold an address at which connections are refused."""
+    with socket.socket() as sock:
+        # Bound but not listening, so that no other program can take it.
+        sock.bind(("127.0.0.1", 0))
+        yield Address(*sock.getsockname())
+
+
 def wait_until(is_reached, what="the condition"):
     """
     Wait until a condition holds, and return its value.
@@ -118,16 +127,16 @@
     :param name: name of its module, such as ``table_service``.
     :param flag_values: its command line flags.
     """
-    address = Address("127.0.0.1", free_port())
     arguments = [f"--{flag}={value}" for flag, value in flag_values.items()]
     process = start_program(
-        f"cuminhatch_standins.{name}", f"--port={address.port}", *arguments
+        f"cuminhatch_standins.{name}", *arguments, stdout=subprocess.PIPE, text=True
     )
     try:
-        wait_for_port(address, process)
-        yield Program(process, address)
+        host, _, port = process.stdout.readline().split()[-1].partition(":")
+        yield Program(process, Address(host, int(port)))
     finally:
         stop_process(process)
+        process.stdout.close()
 
 
 def http_request(address, method, target, body=None, headers=None) -> Answer:
