Split the stand-ins' front from their programs and let all go silent

Outage, freeze and silent connections concern any HTTP server, so every stand-in has them. The HTTP client forgets pools without connections.

--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -179,12 +179,16 @@
                 else self._connect(exchange.request.address)
             )
             if connection is None:
-                self._fail(exchange, "connection refused")
+                self._fail(exchange, "no connection")
             else:
                 self._start(pool, connection, exchange)
 
     def _connect(self, address: Address) -> _Connection | None:
-        sock = socket()
+        try:
+            sock = socket()
+        except OSError:
+            # The process has no file descriptor left.
+            return None
         set_stream_options(sock)
         if sock.connect_ex(address) not in (0, EINPROGRESS):
             sock.close()
@@ -341,7 +345,9 @@
 
     def _on_sweep_due(self, message: SweepDue) -> None:
         oldest_ms = self.kernel.clock.now_ms - IDLE_AGE_MS
-        for pool in self._pools.values():
+        for address, pool in list(self._pools.items()):
             for connection in [c for c in pool.idle if c.idle_since_ms < oldest_ms]:
                 self._drop_idle(connection)
+            if not (pool.idle or pool.waiting or pool.busy_count):
+                del self._pools[address]
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
--- a/src/cuminhatch_standins/_faults.py
+++ b/src/cuminhatch_standins/_faults.py
@@ -111,3 +111,10 @@
         if not specs[name].is_valid(value):
             return FaultsRefused(f"fault {name!r} cannot be {value!r}")
     return {**faults, **changes}
+
+
+COMMON_FAULTS = {
+    "outage": FaultSpec(False, is_flag),
+    "freeze": FaultSpec(False, is_flag),
+    "silent": FaultSpec(False, is_flag),
+}
--- a/src/cuminhatch_standins/backend_server.py
+++ b/src/cuminhatch_standins/backend_server.py
@@ -7,10 +7,9 @@
 /load`` and ``GET /health`` are the probe and the health answer, ``POST
 /drain`` starts to drain, ``GET /runs`` lists the work that was started.
 
-Faults: ``slow`` (factor), ``stale_load`` (true: the report stays as it is
-now; a number: it is that many ms old), ``shed``, ``drain``, ``freeze`` (never
-answers), ``fail_fast`` (500 at once), ``cut`` (closes after the head),
-``silent`` (existing connections are lost track of, new ones work).
+Faults besides the common ones: ``slow`` (factor), ``stale_load`` (true: the
+report stays as it is now; a number: it is that many ms old), ``shed``,
+``drain``, ``fail_fast`` (500 at once), ``cut`` (closes after the head).
 """
 
 from collections import deque
@@ -29,22 +28,22 @@
     ResponseBody,
     ResponseStarted,
 )
+from cuminhatch_standins._answers import (
+    WholeRequest,
+    bytes_answer,
+    json_answer,
+    response_head,
+)
 from cuminhatch_standins._faults import (
+    COMMON_FAULTS,
     FaultSpec,
     faults_off,
     is_flag,
     is_flag_or_number,
     is_number,
 )
-from cuminhatch_standins._process import (
-    LISTENER,
-    FaultsChanged,
-    WholeRequest,
-    bytes_answer,
-    json_answer,
-    response_head,
-    run_standin,
-)
+from cuminhatch_standins._front import LISTENER, FaultsChanged
+from cuminhatch_standins._process import run_standin
 
 ECHO_PATH = "/echo"
 DEFAULT_BYTES = 20
@@ -55,14 +54,13 @@
 NOT_RUN = Header(b"request-outcome", b"not-run")
 DRAINING = Header(b"server-state", b"draining")
 FAULTS = {
+    **COMMON_FAULTS,
     "slow": FaultSpec(1, is_number),
     "stale_load": FaultSpec(False, is_flag_or_number),
     "shed": FaultSpec(False, is_flag),
     "drain": FaultSpec(False, is_flag),
-    "freeze": FaultSpec(False, is_flag),
     "fail_fast": FaultSpec(False, is_flag),
     "cut": FaultSpec(False, is_flag),
-    "silent": FaultSpec(False, is_flag),
 }
 
 flags.DEFINE_integer("slots", 3, "Requests that run at the same time.")
--- a/src/cuminhatch_standins/demo.py
+++ b/src/cuminhatch_standins/demo.py
@@ -268,10 +268,12 @@
 
     :raises DemoError: the note was not accepted.
     """
-    command = [sys.executable, "-m", "cuminhatch.cli", "note", "submit", str(NOTE)]
     daemons = [f"--daemon={text_of(daemon.operators)}" for daemon in DAEMONS]
+    command = [sys.executable, "-m", "cuminhatch.cli", *daemons]
     environment = {**os.environ, OPERATORS_KEY_VARIABLE: OPERATORS_KEY}
-    status = subprocess.run(command + daemons, env=environment).returncode
+    status = subprocess.run(
+        [*command, "note", "submit", str(NOTE)], env=environment
+    ).returncode
     if status != 0:
         raise DemoError(f"the note {NOTE} was not accepted (status {status})")
 
--- a/src/cuminhatch_standins/instance_list.py
+++ b/src/cuminhatch_standins/instance_list.py
@@ -5,7 +5,8 @@
 with ``{"address", "kind", "state"}`` and ``DELETE /instances/{id}`` set the
 truth.
 
-Faults: ``outage`` (flag), ``stale`` (flag; the answer stays as it is now).
+Faults besides the common ones: ``stale`` (flag; the answer stays as it is
+now).
 """
 
 from collections import deque
@@ -20,21 +21,19 @@
 )
 from cuminhatch.decisions.platform import InstanceList, ListedInstance
 from cuminhatch.kernel import Kernel, MessageTable, Service
-from cuminhatch_standins._faults import FaultSpec, is_flag
-from cuminhatch_standins._process import (
-    FLOW_IGNORED,
+from cuminhatch_standins._answers import (
     JSON_TYPE,
-    LISTENER,
-    FaultsChanged,
     WholeRequest,
     bytes_answer,
     json_answer,
     name_in_path,
-    run_standin,
 )
+from cuminhatch_standins._faults import COMMON_FAULTS, FaultSpec, is_flag
+from cuminhatch_standins._front import FLOW_IGNORED, LISTENER, FaultsChanged
+from cuminhatch_standins._process import run_standin
 
 FAULTS = {
-    "outage": FaultSpec(False, is_flag),
+    **COMMON_FAULTS,
     "stale": FaultSpec(False, is_flag),
 }
 
--- a/src/cuminhatch_standins/object_store.py
+++ b/src/cuminhatch_standins/object_store.py
@@ -4,25 +4,29 @@
 ``PUT``, ``GET`` and ``DELETE /objects/{name}``; ``GET /stats`` counts reads
 and writes.
 
-Faults: ``outage`` (flag), ``slow`` (ms), ``torn`` (the next N gets give half
-of the object), ``missing`` (flag; gets find nothing).
+Faults besides the common ones: ``slow`` (ms), ``torn`` (the next N gets give
+half of the object), ``missing`` (flag; gets find nothing).
 """
 
 from cuminhatch.kernel import Kernel, MessageTable, Service
-from cuminhatch_standins._faults import FaultSpec, is_count, is_flag, is_number
-from cuminhatch_standins._process import (
-    FLOW_IGNORED,
-    LISTENER,
-    FaultsChanged,
+from cuminhatch_standins._answers import (
     WholeRequest,
     bytes_answer,
     json_answer,
     name_in_path,
-    run_standin,
 )
+from cuminhatch_standins._faults import (
+    COMMON_FAULTS,
+    FaultSpec,
+    is_count,
+    is_flag,
+    is_number,
+)
+from cuminhatch_standins._front import FLOW_IGNORED, LISTENER, FaultsChanged
+from cuminhatch_standins._process import run_standin
 
 FAULTS = {
-    "outage": FaultSpec(False, is_flag),
+    **COMMON_FAULTS,
     "slow": FaultSpec(0, is_number),
     "torn": FaultSpec(0, is_count),
     "missing": FaultSpec(False, is_flag),
--- a/src/cuminhatch_standins/table_service.py
+++ b/src/cuminhatch_standins/table_service.py
@@ -4,9 +4,9 @@
 ``POST /transact``, ``GET /rows/{key}`` and ``GET /rows?after&before&limit``
 are the platform's; ``GET /stats`` counts reads and writes.
 
-Faults: ``outage`` (flag), ``slow`` (ms), ``reply_lost`` (a probability as a
-float or the next N transactions as an integer; they take effect and get no
-reply), ``late`` (``{"count": N, "ms": M}``: the next N transactions get no
+Faults besides the common ones: ``slow`` (ms), ``reply_lost`` (a probability
+as a float or the next N transactions as an integer; they take effect and get
+no reply), ``late`` (``{"count": N, "ms": M}``: the next N transactions get no
 reply and are carried out M ms later).
 """
 
@@ -25,29 +25,27 @@
 from cuminhatch.decisions.platform import RowAbsent, TableTransaction
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import ResponseAborted
-from cuminhatch_standins._faults import (
-    FaultSpec,
-    is_flag,
-    is_late_write,
-    is_number,
-    is_probability_or_count,
-)
-from cuminhatch_standins._process import (
-    FLOW_IGNORED,
+from cuminhatch_standins._answers import (
     JSON_TYPE,
-    LISTENER,
-    FaultsChanged,
     WholeRequest,
     bytes_answer,
     json_answer,
     name_in_path,
-    run_standin,
 )
+from cuminhatch_standins._faults import (
+    COMMON_FAULTS,
+    FaultSpec,
+    is_late_write,
+    is_number,
+    is_probability_or_count,
+)
+from cuminhatch_standins._front import FLOW_IGNORED, LISTENER, FaultsChanged
+from cuminhatch_standins._process import run_standin
 from cuminhatch_standins.table_state import TableState
 
 DEFAULT_SCAN_LIMIT = 1000
 FAULTS = {
-    "outage": FaultSpec(False, is_flag),
+    **COMMON_FAULTS,
     "slow": FaultSpec(0, is_number),
     "reply_lost": FaultSpec(0, is_probability_or_count),
     "late": FaultSpec(None, is_late_write),
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -17,8 +17,9 @@
     ResponseBody,
     ResponseStarted,
 )
+from cuminhatch_standins._answers import WholeRequest
 from cuminhatch_standins._faults import change_faults, faults_off
-from cuminhatch_standins._process import FaultsChanged, WholeRequest
+from cuminhatch_standins._front import FaultsChanged
 from cuminhatch_standins.backend_server import (
     FAULTS,
     PART_BYTES,
--- a/tests/standins/test_platform_standins.py
+++ b/tests/standins/test_platform_standins.py
@@ -7,7 +7,8 @@
 from cuminhatch import ManualClock
 from cuminhatch.kernel import Kernel, Service
 from cuminhatch.messages import ResponseStarted
-from cuminhatch_standins._process import FaultsChanged, WholeRequest
+from cuminhatch_standins._answers import WholeRequest
+from cuminhatch_standins._front import FaultsChanged
 from cuminhatch_standins.instance_list import InstanceListStandin
 from tests.support import is_closed_without_answer, running_standin, wait_until
 
