Prove that accepted notes hold on every instance

The state machine runs the real decisions and three real notes services against fakes of table, object store and peers. Ten broken versions of the decisions are each caught: python -m pytest tests/proofs -k caught.

--- /dev/null
+++ b/tests/proofs/fakes.py
@@ -0,0 +1,192 @@
+"""Fakes at the interfaces of services: table, objects, messages of peers."""
+
+import os
+from typing import Any
+
+from cuminhatch.decisions.platform import (
+    Committed,
+    Mismatched,
+    ObjectAbsent,
+    ObjectFound,
+    ObjectStored,
+    ObjectUnavailable,
+    Row,
+    RowAbsent,
+    TableTransaction,
+    TableUnavailable,
+)
+from cuminhatch.kernel import Kernel, Service
+from cuminhatch.messages import (
+    ObjectGetReplied,
+    ObjectGetRequested,
+    ObjectPutReplied,
+    ObjectPutRequested,
+    TableReadReplied,
+    TableReadRequested,
+    TableScanReplied,
+    TableScanRequested,
+    TableTransactReplied,
+    TableTransactRequested,
+)
+
+TABLE_MODES = ("up", "lost", "late", "down", "slow-request", "slow-reply")
+OBJECT_MODES = ("up", "torn", "corrupt", "missing", "down")
+
+
+class TableState:
+    """Rows in memory; transactions are atomic, versions only rise."""
+
+    def __init__(self) -> None:
+        self.rows: dict[str, Row] = {}
+        self._version = 0
+
+    def read(self, key: str) -> Row | RowAbsent:
+        return self.rows.get(key, RowAbsent())
+
+    def scan(self, after: str, before: str, limit: int) -> tuple[Row, ...]:
+        keys = sorted(key for key in self.rows if after < key < before)
+        return tuple(self.rows[key] for key in keys[:limit])
+
+    def transact(self, transaction: TableTransaction) -> Committed | Mismatched:
+        mismatches = {}
+        for key, version in transaction.checks:
+            row = self.rows.get(key)
+            if (row.version if row else 0) != version:
+                mismatches[key] = row
+        if mismatches:
+            return Mismatched(mismatches)
+        for key, value in transaction.puts:
+            self._version += 1
+            self.rows[key] = Row(key, self._version, value)
+        return Committed({key: self._version for key, _ in transaction.puts})
+
+
+class PlatformState:
+    """Table and object store of all instances, with the faults in force."""
+
+    def __init__(self) -> None:
+        self.table = TableState()
+        self.objects: dict[str, bytes] = {}
+        self.table_mode = "up"
+        self.object_mode = "up"
+        # Work under way: calls that complete it, in the order of arrival.
+        self.held: list[Any] = []
+        self.late: list[TableTransaction] = []
+
+    def store(self, name: str, data: bytes) -> None:
+        if self.object_mode == "torn":
+            data = data[: len(data) // 2]
+        elif self.object_mode == "corrupt":
+            data = data.replace(b"127.0.0.", b"127.0.1.")
+        if self.object_mode != "missing":
+            self.objects[name] = data
+
+
+class FakePlatform(Service):
+    """Answers in place of ``platform`` from a :class:`PlatformState`."""
+
+    name = "platform"
+
+    def __init__(self, kernel: Kernel, state: PlatformState) -> None:
+        super().__init__(kernel)
+        self._state = state
+
+    def message_handlers(self):
+        return {
+            TableTransactRequested: self._on_transact_requested,
+            TableReadRequested: self._on_read_requested,
+            TableScanRequested: self._on_scan_requested,
+            ObjectPutRequested: self._on_put_requested,
+            ObjectGetRequested: self._on_get_requested,
+        }
+
+    def _answer(self, message, reply_type, work, is_write=False):
+        state = self._state
+        mode = state.table_mode
+
+        def reply(result):
+            self.send(message.reply_to, reply_type(message.token, result))
+
+        if mode == "down":
+            reply(TableUnavailable("table service is down", False))
+        elif mode == "lost":
+            work()
+            reply(TableUnavailable("reply lost", is_write))
+        elif mode == "late" and is_write:
+            state.late.append(message.transaction)
+            reply(TableUnavailable("no reply", True))
+        elif mode == "slow-request":
+            state.held.append(lambda: reply(work()))
+        elif mode == "slow-reply":
+            result = work()
+            state.held.append(lambda: reply(result))
+        else:
+            reply(work())
+
+    def _on_transact_requested(self, message):
+        self._answer(
+            message,
+            TableTransactReplied,
+            lambda: self._state.table.transact(message.transaction),
+            is_write=True,
+        )
+
+    def _on_read_requested(self, message):
+        self._answer(
+            message,
+            TableReadReplied,
+            lambda: self._state.table.read(message.key),
+        )
+
+    def _on_scan_requested(self, message):
+        self._answer(
+            message,
+            TableScanReplied,
+            lambda: self._state.table.scan(
+                message.after, message.before, message.limit
+            ),
+        )
+
+    def _on_put_requested(self, message):
+        if self._state.object_mode == "down":
+            result = ObjectUnavailable("object store is down")
+        else:
+            self._state.store(message.object_name, message.data)
+            result = ObjectStored()
+        self.send(message.reply_to, ObjectPutReplied(message.token, result))
+
+    def _on_get_requested(self, message):
+        data = self._state.objects.get(message.object_name)
+        if self._state.object_mode == "down":
+            result = ObjectUnavailable("object store is down")
+        else:
+            result = ObjectAbsent() if data is None else ObjectFound(data)
+        self.send(message.reply_to, ObjectGetReplied(message.token, result))
+
+
+class Recorder(Service):
+    """Keeps what is sent to a service that a test leaves out."""
+
+    def __init__(self, kernel: Kernel, name: str, *message_types: type) -> None:
+        super().__init__(kernel, name)
+        self.received: list[Any] = []
+        self._message_types = message_types
+
+    def message_handlers(self):
+        return dict.fromkeys(self._message_types, self.received.append)
+
+
+def run_until_idle(kernel: Kernel) -> None:
+    """Tick until no message is left; timers due now are included."""
+    idle = 0
+    while idle < 2:
+        kernel.tick()
+        idle = 0 if len(kernel.root) else idle + 1
+
+
+def close_kernel(kernel: Kernel) -> None:
+    """Close the descriptors that a kernel keeps, since tests make many."""
+    poller = kernel.poller
+    for fd in (poller._ctrl_recv, poller._ctrl_send):
+        os.close(fd)
+    poller._poller.close()
--- /dev/null
+++ b/tests/proofs/test_notes_never_revert.py
@@ -0,0 +1,575 @@
+"""
+Proof that accepted notes hold on every instance and never revert.
+
+The real decisions and the real ``notes`` service of three instances run
+against fakes of table, object store and peers. The oracle is the list of
+notes in the table. Each broken decision at the end must be caught.
+"""
+
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cuminhatch.clock import ManualClock
+from cuminhatch.codecs.note_json import note_from_dict, note_to_dict
+from cuminhatch.decisions import notes as note_decisions
+from cuminhatch.decisions.configuration import apply_note, entries_of
+from cuminhatch.decisions.notes import (
+    Decided,
+    Note,
+    NoteAccepted,
+    NoteItem,
+    NoteRefused,
+    note_id_key,
+)
+from cuminhatch.decisions.platform import Mismatched, RowAbsent, TableUnavailable
+from cuminhatch.kernel import HandlerFailed, Kernel
+from cuminhatch.messages import (
+    Address,
+    ConfigurationChanged,
+    HeadChanged,
+    HeadHeard,
+    NoteDecided,
+    NotesOffered,
+    NotesPullRequested,
+    NotesReplied,
+    NotesRequested,
+    NoteSubmitted,
+    ReadinessChanged,
+)
+from cuminhatch.services.notes import NoteDecisions, Notes
+from tests.proofs.fakes import (
+    OBJECT_MODES,
+    TABLE_MODES,
+    FakePlatform,
+    PlatformState,
+    Recorder,
+    close_kernel,
+    run_until_idle,
+)
+
+INSTANCES = 3
+SETTINGS = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+# Longest life of a submission, twice the wait for a lost reply, and a few
+# polls.
+STEPS_TO_HEAD = 35
+
+# Snapshots every 3 notes, so that short runs use them.
+REAL = NoteDecisions(
+    is_snapshot_due=lambda sequence: sequence % 3 == 0,
+    is_snapshot_wanted=lambda sequence, head: head - sequence > 3,
+)
+
+ITEMS = (
+    ("service", "desk", {"instances_max": 10}),
+    ("service", "depot", {"probe_rate": 1.0}),
+    (
+        "backend_server",
+        "desk-1",
+        {
+            "service_id": "desk",
+            "host": "127.0.0.1",
+            "port": 9101,
+            "failure_domain": "Leith",
+            "slots": 3,
+            "connections": 200,
+        },
+    ),
+    (
+        "rule",
+        "status",
+        {"service_id": "desk", "method": "GET", "path_prefix": "/status"},
+    ),
+)
+CHANGES = {
+    "service": [{"slow_start_ms": 10.0}, {"instances_max": 12}],
+    "backend_server": [{"port": 9102}, {"slots": 5}, {"host": "127.0.0.7"}],
+    "rule": [{"idempotent": False}, {"deadline_ms": 500}],
+}
+
+
+class FakePeers(Recorder):
+    """Hands the messages of ``peers`` to the network of the test."""
+
+    def __init__(self, kernel, index, network):
+        super().__init__(kernel, "peers")
+        self._index = index
+        self._network = network
+        self.head = 0
+
+    def message_handlers(self):
+        return {
+            HeadChanged: self._on_head_changed,
+            NotesPullRequested: self._on_pull_requested,
+            NotesReplied: self._on_replied,
+        }
+
+    def _on_head_changed(self, message):
+        self.head = message.sequence
+
+    def _on_pull_requested(self, message):
+        request = NotesRequested("peers", self._index, message.after, 2)
+        self._network.append((message.address.port, request))
+
+    def _on_replied(self, message):
+        self._network.append((message.token, NotesOffered(message.notes)))
+
+
+class Instance:
+    """One life of an instance."""
+
+    def __init__(self, index, life, now_ms, platform, network, decisions):
+        self.index, self.life = index, life
+        self.is_frozen = False
+        self.kernel = Kernel(ManualClock(now_ms))
+        register = self.kernel.register
+        register(FakePlatform(self.kernel, platform))
+        self.peers = register(FakePeers(self.kernel, index, network))
+        self.dispatch = register(
+            Recorder(self.kernel, "dispatch", ConfigurationChanged)
+        )
+        self.operators = register(
+            Recorder(self.kernel, "operators", ConfigurationChanged, NoteDecided)
+        )
+        self.supervisor = register(
+            Recorder(self.kernel, "supervisor", ReadinessChanged, HandlerFailed)
+        )
+        self.notes = register(
+            Notes(
+                self.kernel,
+                f"i{index}.{life}",
+                Random(index * 1000 + life),
+                decisions,
+            )
+        )
+        self.kernel.open()
+        self.submitted = []
+
+    @property
+    def decided(self):
+        return [m for m in self.operators.received if isinstance(m, NoteDecided)]
+
+
+def fold(notes):
+    """Return what the notes add up to, as fields by kind and id."""
+    state = {}
+    for note in notes:
+        for item in note.items:
+            key = (item.kind, item.item_id)
+            if item.action == "withdraw":
+                del state[key]
+            elif item.action == "change":
+                state[key] = {**state[key], **item.values}
+            else:
+                assert key not in state, f"{key} added twice"
+                state[key] = dict(item.values)
+    return state
+
+
+def assert_equals_fold(configuration, state):
+    for kind in ("service", "backend_server", "rule"):
+        entries = entries_of(configuration, kind)
+        assert set(entries) == {i for k, i in state if k == kind}
+        for item_id, entry in entries.items():
+            for name, value in state[kind, item_id].items():
+                field = "is_idempotent" if name == "idempotent" else name
+                assert getattr(entry, field) == value
+
+
+def make_machine(decisions):
+    """Return the state machine over these decisions."""
+
+    class NotesNeverRevert(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.platform = PlatformState()
+            self.network = []
+            self.is_network_up = True
+            self.now_ms = 0.0
+            self.lives = []
+            self.instances = [self.start(index) for index in range(INSTANCES)]
+            self.written = []
+            self.notes_made = 0
+
+        def start(self, index):
+            instance = Instance(
+                index,
+                len(self.lives),
+                self.now_ms,
+                self.platform,
+                self.network,
+                decisions,
+            )
+            self.lives.append(instance)
+            return instance
+
+        # What the table says
+
+        def table_notes(self):
+            rows = self.platform.table.scan("note/", "note0", 10_000)
+            sequences = [row.value["sequence"] for row in rows]
+            assert sequences == list(range(1, len(rows) + 1))
+            return [note_from_dict(row.value["note"]) for row in rows]
+
+        # Steps
+
+        def submit_to(self, index, note):
+            instance = self.instances[index]
+            message = NoteSubmitted("operators", len(instance.submitted) + 1, note)
+            instance.submitted.append(note)
+            self.written.append(note)
+            instance.kernel.send("notes", message)
+
+        def name_note(self):
+            self.notes_made += 1
+            return f"n{self.notes_made}"
+
+        @rule(
+            index=st.integers(0, INSTANCES - 1),
+            item=st.sampled_from(ITEMS),
+            choice=st.integers(0, 3),
+            base_age=st.sampled_from([None, None, 0, 1, 2]),
+        )
+        def submit(self, index, item, choice, base_age):
+            notes = self.table_notes()
+            kind, item_id, values = item
+            if (kind, item_id) not in fold(notes):
+                change = NoteItem("add", kind, item_id, values)
+            elif choice == 3:
+                change = NoteItem("withdraw", kind, item_id, {})
+            else:
+                options = CHANGES[kind]
+                values = options[choice % len(options)]
+                change = NoteItem("change", kind, item_id, values)
+            base = None if base_age is None else max(0, len(notes) - base_age)
+            note = Note(self.name_note(), "rhea", "", (change,), base)
+            self.submit_to(index, note)
+
+        @rule(first=st.integers(0, INSTANCES - 1), item=st.sampled_from(ITEMS))
+        def race(self, first, item):
+            self.submit(first, item, 1, 0)
+            self.submit((first + 1) % INSTANCES, item, 0, 0)
+
+        @rule(
+            index=st.integers(0, INSTANCES - 1),
+            item=st.sampled_from(ITEMS),
+            waits=st.integers(1, 4),
+            is_applied=st.booleans(),
+        )
+        def submit_into_late_write(self, index, item, waits, is_applied):
+            """Reach the rare moments between a late write and its retry."""
+            self.platform.table_mode = "late"
+            self.submit(index, item, 0, None)
+            for _ in range(waits):
+                self.advance(100.0)
+            if is_applied:
+                self.apply_late(0)
+            self.platform.table_mode = "up"
+
+        @rule(mode=st.sampled_from(OBJECT_MODES), index=st.integers(0, INSTANCES - 1))
+        def reach_snapshot(self, mode, index):
+            """Accept notes until a snapshot is written."""
+            self.platform.table_mode = "up"
+            self.platform.object_mode = mode
+            for item in ITEMS:
+                self.submit(index, item, 0, None)
+                self.advance(1000.0)
+            self.advance(31_000.0)
+            self.advance(1000.0)
+
+        @rule(index=st.integers(0, INSTANCES - 1), age=st.integers(1, 4))
+        def submit_again(self, index, age):
+            if self.written:
+                self.submit_to(index, self.written[-min(age, len(self.written))])
+
+        @rule(index=st.integers(0, INSTANCES - 1))
+        def submit_other_text(self, index):
+            if self.written:
+                note = self.written[-1]
+                self.submit_to(index, note._replace(summary=note.summary + "x"))
+
+        @rule(index=st.integers(0, INSTANCES - 1))
+        def reverse_last(self, index):
+            notes = self.table_notes()
+            if not notes:
+                return
+            before, item = fold(notes[:-1]), notes[-1].items[0]
+            key = (item.kind, item.item_id)
+            if item.action == "add":
+                back = item._replace(action="withdraw", values={})
+            elif item.action == "withdraw":
+                back = item._replace(action="add", values=before[key])
+            else:
+                # A field that was not set before has no value to go back to.
+                values = {n: v for n, v in before[key].items() if n in item.values}
+                if not values:
+                    return
+                back = item._replace(values=values)
+            self.submit_to(index, Note(self.name_note(), "rhea", "", (back,)))
+
+        @rule(mode=st.sampled_from(TABLE_MODES))
+        def set_table_mode(self, mode):
+            self.platform.table_mode = mode
+
+        @rule(mode=st.sampled_from(OBJECT_MODES))
+        def set_object_mode(self, mode):
+            self.platform.object_mode = mode
+
+        @rule(place=st.integers(0, 9))
+        def release_held(self, place):
+            if self.platform.held:
+                self.platform.held.pop(place % len(self.platform.held))()
+
+        @rule(place=st.integers(0, 9))
+        def apply_late(self, place):
+            late = self.platform.late
+            if late:
+                self.platform.table.transact(late.pop(place % len(late)))
+
+        @rule(is_up=st.booleans())
+        def set_network(self, is_up):
+            self.is_network_up = is_up
+
+        @rule(place=st.integers(0, 9), is_dropped=st.booleans())
+        def deliver_one(self, place, is_dropped):
+            if self.network:
+                to, message = self.network.pop(place % len(self.network))
+                if not is_dropped:
+                    self.instances[to].kernel.send("notes", message)
+
+        @rule(index=st.integers(0, INSTANCES - 1), ticks=st.integers(1, 6))
+        def run_some(self, index, ticks):
+            if not self.instances[index].is_frozen:
+                for _ in range(ticks):
+                    self.instances[index].kernel.tick()
+
+        @rule(ms=st.sampled_from([100.0, 500.0, 1000.0, 1000.0, 6000.0, 31_000.0]))
+        def advance(self, ms):
+            self.now_ms += ms
+            for instance in self.instances:
+                instance.kernel.clock.advance(ms)
+                self.send_heartbeats(instance)
+            self.run_all()
+
+        def send_heartbeats(self, instance):
+            head = instance.peers.head
+            if instance.is_frozen or not head:
+                return
+            heard = HeadHeard(head, "", Address("127.0.0.1", instance.index))
+            for other in range(INSTANCES):
+                if other != instance.index:
+                    self.network.append((other, heard))
+
+        def run_all(self):
+            for _ in range(20):
+                for instance in self.instances:
+                    if not instance.is_frozen:
+                        run_until_idle(instance.kernel)
+                if not self.network or not self.is_network_up:
+                    return
+                delivered, self.network[:] = self.network[:], []
+                for to, message in delivered:
+                    self.instances[to].kernel.send("notes", message)
+
+        @rule(index=st.integers(0, INSTANCES - 1), is_frozen=st.booleans())
+        def freeze(self, index, is_frozen):
+            self.instances[index].is_frozen = is_frozen
+
+        @rule(index=st.integers(0, INSTANCES - 1))
+        def restart(self, index):
+            close_kernel(self.instances[index].kernel)
+            self.instances[index] = self.start(index)
+
+        # Oracle
+
+        @invariant()
+        def instances_follow_the_table(self):
+            notes = self.table_notes()
+            for instance in self.instances:
+                assert not [
+                    m
+                    for m in instance.supervisor.received
+                    if isinstance(m, HandlerFailed)
+                ]
+                seen = [m.configuration for m in instance.dispatch.received]
+                for earlier, later in zip(seen, seen[1:], strict=False):
+                    assert earlier.sequence < later.sequence, "went back"
+                configuration = instance.notes.configuration
+                assert configuration.sequence <= len(notes), "ahead of the table"
+                state = fold(notes[: configuration.sequence])
+                assert_equals_fold(configuration, state)
+
+        @invariant()
+        def decisions_are_true(self):
+            notes = self.table_notes()
+            writers = set()
+            for row in self.platform.table.scan("note-id/", "note-id0", 10_000):
+                prefix, _, number = row.value["submission"].split("-")
+                life = int(prefix.partition(".")[2])
+                writers.add((life, int(number)))
+            for instance in self.lives:
+                for token, result in instance.decided:
+                    note = instance.submitted[token - 1]
+                    if isinstance(result, NoteAccepted):
+                        found = notes[result.sequence - 1]
+                        assert note_to_dict(found) == note_to_dict(note)
+                    elif isinstance(result, NoteRefused):
+                        is_written = (instance.life, token) in writers
+                        assert not is_written, f"refused but present: {result}"
+
+        @invariant()
+        def no_accepted_note_overrides_one_unseen(self):
+            notes = self.table_notes()
+            for place, note in enumerate(notes):
+                if note.base is None:
+                    continue
+                touched = {item[1:3] for item in note.items}
+                for newer in notes[note.base : place]:
+                    assert not touched & {item[1:3] for item in newer.items}
+
+        def teardown(self):
+            try:
+                self.end_faults()
+                for _ in range(STEPS_TO_HEAD):
+                    self.advance(1000.0)
+                    if self.is_settled():
+                        break
+                self.instances_follow_the_table()
+                self.decisions_are_true()
+                self.no_accepted_note_overrides_one_unseen()
+                self.assert_all_reached_head()
+            finally:
+                for instance in self.instances:
+                    close_kernel(instance.kernel)
+
+        def end_faults(self):
+            self.platform.table_mode = self.platform.object_mode = "up"
+            self.is_network_up = True
+            for transaction in self.platform.late:
+                self.platform.table.transact(transaction)
+            for reply in self.platform.held:
+                reply()
+            self.platform.late, self.platform.held = [], []
+            for instance in self.instances:
+                instance.is_frozen = False
+
+        def is_settled(self):
+            head = len(self.table_notes())
+            return all(
+                instance.notes.configuration.sequence == head
+                and len(instance.decided) == len(instance.submitted)
+                for instance in self.instances
+            )
+
+        def assert_all_reached_head(self):
+            head = len(self.table_notes())
+            for instance in self.instances:
+                assert instance.notes.configuration.sequence == head, "behind"
+                assert len(instance.decided) == len(instance.submitted)
+                readiness = [
+                    m
+                    for m in instance.supervisor.received
+                    if isinstance(m, ReadinessChanged)
+                ]
+                assert readiness[-1].is_ready == (head > 0)
+
+    return NotesNeverRevert
+
+
+def test_accepted_notes_hold_everywhere():
+    """Guards against notes that revert, get lost or differ by instance."""
+    run_state_machine_as_test(make_machine(REAL), settings=SETTINGS)
+
+
+# Broken decisions: each must be caught.
+
+
+def apply_any_sequence(configuration, accepted):
+    before = configuration._replace(sequence=accepted.sequence - 1)
+    return apply_note(before, accepted)
+
+
+def refuse_lost_reply(submission, result, now_ms):
+    if isinstance(result, TableUnavailable):
+        return submission, Decided(NoteRefused("no reply"))
+    return note_decisions.after_append(submission, result, now_ms)
+
+
+def refuse_absent_note_id(submission, result, now_ms):
+    if isinstance(result, RowAbsent) and submission.is_append_open:
+        return submission, Decided(NoteRefused("not written"))
+    return note_decisions.after_note_id_read(submission, result, now_ms)
+
+
+def accept_lost_reply(submission, result, now_ms):
+    if isinstance(result, TableUnavailable) and result.is_maybe_applied:
+        sequence = submission.head_sequence + 1
+        return submission, Decided(NoteAccepted(sequence, False))
+    return note_decisions.after_append(submission, result, now_ms)
+
+
+def refuse_any_mismatch(submission, result, now_ms):
+    """Forgets that the mismatch may be caused by its own earlier append."""
+    if isinstance(result, Mismatched):
+        return submission, Decided(NoteRefused("the head has moved"))
+    return note_decisions.after_append(submission, result, now_ms)
+
+
+def accept_other_text(submission, result, now_ms):
+    if isinstance(result, Mismatched):
+        key = note_id_key(submission.note.note_id)
+        row = result.rows.get(key)
+        if row is not None:
+            sequence = row.value["sequence"]
+            return submission, Decided(NoteAccepted(sequence, True))
+    return note_decisions.after_append(submission, result, now_ms)
+
+
+BROKEN = {
+    "applies any sequence": REAL._replace(
+        is_next=lambda sequence, accepted: True, apply_note=apply_any_sequence
+    ),
+    "applies a higher sequence": REAL._replace(
+        is_next=lambda sequence, accepted: accepted.sequence > sequence,
+        apply_note=apply_any_sequence,
+    ),
+    "takes a lost reply as a refusal": REAL._replace(after_append=refuse_lost_reply),
+    "takes a lost reply as success": REAL._replace(after_append=accept_lost_reply),
+    "takes an absent note id as a refusal": REAL._replace(
+        after_note_id_read=refuse_absent_note_id
+    ),
+    "takes its own append for a conflict": REAL._replace(
+        after_append=refuse_any_mismatch
+    ),
+    "accepts another text under an id": REAL._replace(after_append=accept_other_text),
+    "does not look for conflicts": REAL._replace(
+        find_conflict=lambda note, newer: None
+    ),
+    "does not check a note": REAL._replace(check_note=lambda c, note: None),
+    "does not check the digest": REAL._replace(digest_bytes=lambda data: ""),
+}
+
+
+@pytest.mark.parametrize("fault", BROKEN)
+def test_broken_decision_is_caught(fault):
+    """Guards against a proof that cannot fail."""
+    # Shrinking a failure that is wanted would only take time.
+    quick = settings(
+        SETTINGS, max_examples=400, phases=[Phase.generate], report_multiple_bugs=False
+    )
+    with pytest.raises((AssertionError, KeyError, IndexError)):
+        run_state_machine_as_test(make_machine(BROKEN[fault]), settings=quick)
