--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -227,6 +227,16 @@
     assert not any(reply.is_sent for reply in bed.requester.replies)
 
 
+def test_request_without_time_left_is_not_sent(bed):
+    """Guards against a request that is sent when it can only time out."""
+    message = HttpRequested(
+        "requester", 1, bed.address, b"POST", b"/x", (), b"abc", timeout_ms=0.0
+    )
+    bed.kernel.send("http_client", message)
+    assert bed.next_reply() == HttpFailed(1, "timeout", False)
+    assert bed.client.connection_count(bed.address) == 0
+
+
 def test_old_idle_connection_is_closed(bed):
     """Guards against a request that meets a connection being closed."""
     connection = exchange(bed, None, 1)
