Send one series of parts per large answer of the backend server stand-in

A caller that stalled and resumed before the next part was due started a second series, and each further stall one more, so that the answer ran ahead of the caller.

--- a/src/cuminhatch_standins/backend_server.py
+++ b/src/cuminhatch_standins/backend_server.py
@@ -116,6 +116,9 @@
         self.remaining = size
         self.timer: int | None = None
         self.is_stalled = False
+        # At most one message for the next part is under way; a caller that
+        # stalls and resumes in between must not start a second series.
+        self.is_part_due = False
 
 
 class BackendServer(Service):
@@ -282,7 +285,7 @@
             part = self._make_part(work)
             started = ResponseStarted(request.request_id, head, work.size, part, False)
             self.send(LISTENER, started)
-            self.send(self.name, PartDue(request.request_id))
+            self._request_part(work)
 
     def _make_part(self, work: _Work) -> bytes:
         start = work.size - work.remaining
@@ -292,9 +295,17 @@
             return work.request.body[start : start + length]
         return b"x" * length
 
+    def _request_part(self, work: _Work) -> None:
+        if not work.is_part_due:
+            work.is_part_due = True
+            self.send(self.name, PartDue(work.request.request_id))
+
     def _on_part_due(self, message: PartDue) -> None:
         work = self._serving.get(message.request_id)
-        if work is None or work.is_stalled or self._faults["freeze"]:
+        if work is None:
+            return
+        work.is_part_due = False
+        if work.is_stalled or self._faults["freeze"]:
             return
         part = self._make_part(work)
         is_complete = work.remaining == 0
@@ -302,7 +313,7 @@
         if is_complete:
             self._leave_slot(message.request_id)
         else:
-            self.send(self.name, PartDue(message.request_id))
+            self._request_part(work)
 
     def _leave_slot(self, request_id: int) -> None:
         self._serving.pop(request_id, None)
@@ -335,7 +346,7 @@
         work = self._serving.get(message.request_id)
         if work is not None and work.is_stalled:
             work.is_stalled = False
-            self.send(self.name, PartDue(message.request_id))
+            self._request_part(work)
 
     # Reports
 
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -259,6 +259,24 @@
     assert bed.load(51)["in_flight"] == 0
 
 
+def test_caller_that_stalls_briefly_gets_one_series_of_parts(bed):
+    """Guards against parts that multiply with every stall of the caller."""
+    bed.request(1, bytes=1000 * PART_BYTES)
+    bed.kernel.clock.advance(10)
+    run_until(bed.kernel, lambda: bed.status(1))
+    for _ in range(10):
+        bed.kernel.send("backend_server", CallerStalled(1))
+        bed.kernel.send("backend_server", CallerResumed(1))
+    for _ in range(5):
+        bed.kernel.tick()
+    before = len(bed.recorder.bodies[1])
+    for _ in range(10):
+        bed.kernel.tick()
+    sent = len(bed.recorder.bodies[1]) - before
+    # One series hands over at most one part per tick.
+    assert 0 < sent <= 10 * PART_BYTES
+
+
 @pytest.mark.parametrize("query", [{"ms": "x"}, {"ms": "nan"}, {"bytes": -1}])
 def test_bad_query_is_refused(bed, query):
     """Guards against a handler that fails and never answers."""
