Bound a submission even if the platform does not reply

A submission waited for ever if a reply of the platform did not come, since its limit was checked only between steps. It now ends after 10 s with an unknown outcome that says whether a write is still open, and writes nothing afterwards. Run: python -m pytest tests/services -k silent_table.

--- a/src/cuminhatch/decisions/notes.py
+++ b/src/cuminhatch/decisions/notes.py
@@ -111,7 +111,7 @@
 
 
 class NoteRefused(NamedTuple):
-    """Sentinel: the note is not accepted, and never was."""
+    """Sentinel: no write of this submission took effect or ever can."""
 
     reason: str
 
--- a/src/cuminhatch/services/notes.py
+++ b/src/cuminhatch/services/notes.py
@@ -134,6 +134,8 @@
     def __init__(self, submitted: NoteSubmitted, submission: Submission) -> None:
         self.submitted = submitted
         self.submission = submission
+        self.is_append_in_flight = False
+        self.is_decided = False
 
 
 class _PollDue(NamedTuple):
@@ -512,11 +514,24 @@
             digest,
             self.kernel.clock.now_ms + SUBMISSION_LIMIT_MS,
         )
-        self._take_step(_Record(message, submission), HeadReadNeeded())
+        record = _Record(message, submission)
+        self._after(SUBMISSION_LIMIT_MS, lambda: self._expire(record))
+        self._take_step(record, HeadReadNeeded())
+
+    def _expire(self, record: _Record) -> None:
+        # Bounds the wait for a reply of the platform, too.
+        if not record.is_decided:
+            submission = record.submission
+            is_open = submission.is_append_open or record.is_append_in_flight
+            self._on_decided(
+                record, expire(submission._replace(is_append_open=is_open))
+            )
 
     def _advance(self, record: _Record, advanced: tuple[Submission, Step]) -> None:
-        record.submission, step = advanced
-        self._take_step(record, step)
+        # After the submitter was told, nothing more is written.
+        if not record.is_decided:
+            record.submission, step = advanced
+            self._take_step(record, step)
 
     def _take_step(self, record: _Record, step: Step) -> None:
         if isinstance(step, Decided):
@@ -524,17 +539,21 @@
         elif isinstance(step, CatchUpNeeded):
             self._catch_up(record, step)
         elif isinstance(step, AppendNeeded):
-            self._after(
-                step.delay_ms,
-                lambda: self._ask(
-                    TableTransactRequested,
-                    self._advance_by(record, self._decisions.after_append),
-                    step.transaction,
-                ),
-            )
+            self._after(step.delay_ms, lambda: self._append_for(record, step))
         else:
             self._after(step.delay_ms, lambda: self._read_for(record, step))
 
+    def _append_for(self, record: _Record, step: AppendNeeded) -> None:
+        def on_replied(result: Any) -> None:
+            record.is_append_in_flight = False
+            advance(result)
+
+        if record.is_decided:
+            return
+        advance = self._advance_by(record, self._decisions.after_append)
+        record.is_append_in_flight = True
+        self._ask(TableTransactRequested, on_replied, step.transaction)
+
     def _read_for(
         self, record: _Record, step: HeadReadNeeded | NoteIdReadNeeded
     ) -> None:
@@ -556,10 +575,7 @@
 
     def _catch_up(self, record: _Record, step: CatchUpNeeded) -> None:
         def retry() -> None:
-            if self.kernel.clock.now_ms >= record.submission.deadline_ms:
-                self._on_decided(record, expire(record.submission))
-            else:
-                self._after(CATCH_UP_RETRY_MS, lambda: self._catch_up(record, step))
+            self._after(CATCH_UP_RETRY_MS, lambda: self._catch_up(record, step))
 
         def finish(newer: Iterable[AcceptedNote]) -> None:
             note = record.submission.note
@@ -577,6 +593,8 @@
                 ),
             )
 
+        if record.is_decided:
+            return
         if self._configuration.sequence < step.sequence:
             self._learn(step.sequence)
             retry()
@@ -622,6 +640,7 @@
     def _on_decided(
         self, record: _Record, result: NoteAccepted | NoteRefused | NoteOutcomeUnknown
     ) -> None:
+        record.is_decided = True
         self._tell(record.submitted, result)
         if isinstance(result, NoteAccepted):
             # Applied at once, so that peers learn the note from here even if
--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -11,6 +11,7 @@
     Note,
     NoteAccepted,
     NoteItem,
+    NoteOutcomeUnknown,
     NoteRefused,
     plan_append,
 )
@@ -152,6 +153,29 @@
     assert setup.readiness == [(False, "no-note"), (True, "")]
 
 
+@pytest.mark.parametrize(
+    ("modes", "is_written"),
+    [(["slow-request"], False), (["up", "up", "slow-request"], True)],
+)
+def test_silent_table_is_reported_in_time(start, platform, modes, is_written):
+    """Guards against a submitter who waits for ever, or is told too much."""
+    setup = start()
+    setup.kernel.send("notes", NoteSubmitted("operators", 5, make_note(1)))
+    for mode in modes:
+        platform.table_mode = mode
+        for _ in range(2):
+            setup.kernel.tick()
+    setup.advance(*[1000.0] * 10)
+    [decided] = setup.operators.received
+    assert isinstance(decided.result, NoteOutcomeUnknown)
+    assert ("may still take effect" in decided.result.reason) == is_written
+    for reply in platform.held:
+        reply()
+    setup.advance(1000.0)
+    assert len([m for m in setup.operators.received if m.__class__ is NoteDecided]) == 1
+    assert ("head" in platform.table.rows) == is_written
+
+
 def test_malformed_note_is_refused_without_the_table(start, platform):
     """Guards against a typing error that is reported as an outage."""
     platform.table_mode = "down"
