Send the configuration to peers and pulls of notes to their own service

Peers drops load samples of withdrawn backend servers, so it follows the configuration; pulls over TCP belong to note_transfer. The tests of notes expect exactly these receivers now instead of the former ones.

--- a/src/cuminhatch/services/notes.py
+++ b/src/cuminhatch/services/notes.py
@@ -419,7 +419,7 @@
             return
         self._pull_until_ms = now_ms + PULL_RETRY_MS
         self.send(
-            "peers",
+            "note_transfer",
             NotesPullRequested(self._pull_address, self._configuration.sequence),
         )
 
--- a/tests/proofs/test_notes_never_revert.py
+++ b/tests/proofs/test_notes_never_revert.py
@@ -103,26 +103,36 @@
 
 
 class FakePeers(Recorder):
-    """Hands the messages of ``peers`` to the network of the test."""
+    """Keeps the head that heartbeats of this instance tell."""
+
+    def __init__(self, kernel):
+        super().__init__(kernel, "peers", ConfigurationChanged)
+        self.head = 0
+
+    def message_handlers(self):
+        table = super().message_handlers()
+        return {**table, HeadChanged: self._on_head_changed}
+
+    def _on_head_changed(self, message):
+        self.head = message.sequence
+
+
+class FakeTransfer(Recorder):
+    """Hands pulls of notes to the network of the test."""
 
     def __init__(self, kernel, index, network):
-        super().__init__(kernel, "peers")
+        super().__init__(kernel, "note_transfer")
         self._index = index
         self._network = network
-        self.head = 0
 
     def message_handlers(self):
         return {
-            HeadChanged: self._on_head_changed,
             NotesPullRequested: self._on_pull_requested,
             NotesReplied: self._on_replied,
         }
 
-    def _on_head_changed(self, message):
-        self.head = message.sequence
-
     def _on_pull_requested(self, message):
-        request = NotesRequested("peers", self._index, message.after, 2)
+        request = NotesRequested("note_transfer", self._index, message.after, 2)
         self._network.append((message.address.port, request))
 
     def _on_replied(self, message):
@@ -138,7 +148,8 @@
         self.kernel = Kernel(ManualClock(now_ms))
         register = self.kernel.register
         register(FakePlatform(self.kernel, platform))
-        self.peers = register(FakePeers(self.kernel, index, network))
+        self.peers = register(FakePeers(self.kernel))
+        register(FakeTransfer(self.kernel, index, network))
         self.dispatch = register(
             Recorder(self.kernel, "dispatch", ConfigurationChanged)
         )
--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -52,7 +52,7 @@
         register(FakePlatform(self.kernel, platform))
         self.followers = [
             register(Recorder(self.kernel, name, ConfigurationChanged))
-            for name in ("dispatch", "backends", "probes", "permits")
+            for name in ("dispatch", "probes", "permits")
         ]
         self.operators = register(
             Recorder(
@@ -64,9 +64,10 @@
             )
         )
         self.peers = register(
-            Recorder(
-                self.kernel, "peers", HeadChanged, NotesPullRequested, NotesReplied
-            )
+            Recorder(self.kernel, "peers", HeadChanged, ConfigurationChanged)
+        )
+        self.transfer = register(
+            Recorder(self.kernel, "note_transfer", NotesPullRequested, NotesReplied)
         )
         self.supervisor = register(
             Recorder(self.kernel, "supervisor", ReadinessChanged, HandlerFailed)
@@ -149,7 +150,8 @@
     assert NoteDecided(5, NoteAccepted(1, False)) in setup.operators.received
     for follower in setup.followers:
         assert [m.configuration.sequence for m in follower.received] == [1]
-    assert setup.peers.received == [HeadChanged(1)]
+    assert setup.peers.received[1:] == [HeadChanged(1)]
+    assert isinstance(setup.peers.received[0], ConfigurationChanged)
     assert setup.readiness == [(False, "no-note"), (True, "")]
 
 
@@ -259,11 +261,11 @@
     setup = start()
     for _ in range(3):
         setup.tell(HeadHeard(4, "i2", PEER))
-    assert setup.peers.received == [NotesPullRequested(PEER, 0)]
+    assert setup.transfer.received == [NotesPullRequested(PEER, 0)]
     setup.advance(600.0)
     setup.tell(HeadHeard(4, "i2", PEER))
     setup.tell(NotesOffered(accepted(1, 2)))
-    pulls = [m for m in setup.peers.received if isinstance(m, NotesPullRequested)]
+    pulls = [m for m in setup.transfer.received if isinstance(m, NotesPullRequested)]
     assert pulls == [NotesPullRequested(PEER, after) for after in (0, 0, 2)]
 
 
