Call the owners of ready sockets from the poller

Cause: circuits' EPoll fired one event per ready socket, searched lists of all sockets for each change of a watch, and wrote to its control pipe for each event fired while it handled the readiness.

SocketPoller keeps a callback per file descriptor, calls it directly, and writes to the control pipe only while it is inside the poll, which is when a signal handler has to wake it. Other circuits components keep the standard events.

Ruled out: a resume that does nothing at all. Python restarts the poll after a signal handler returns, so SIGTERM would not end an idle daemon.

--- a/src/cuminhatch/kernel/kernel.py
+++ b/src/cuminhatch/kernel/kernel.py
@@ -4,12 +4,12 @@
 
 from circuits.core.components import BaseComponent
 from circuits.core.events import Event
-from circuits.core.pollers import EPoll
 from loguru import logger
 
 from cuminhatch.clock import Clock
 from cuminhatch.errors import KernelError
 from cuminhatch.kernel._deadlines import DeadlineHeap
+from cuminhatch.kernel._poller import SocketPoller
 from cuminhatch.kernel.service import Service
 
 SUPERVISOR = "supervisor"
@@ -49,7 +49,7 @@
         # Registered before any socket: components that open sockets
         # otherwise start with the default poller, whose cost grows with
         # each idle connection.
-        self._poller = EPoll().register(self._root)
+        self._poller = SocketPoller(self.report_failure).register(self._root)
         self._deadlines = DeadlineHeap(self._clock, self.send).register(self._root)
         self._services: dict[str, Service] = {}
 
@@ -59,7 +59,7 @@
         return self._clock
 
     @property
-    def poller(self) -> EPoll:
+    def poller(self) -> SocketPoller:
         """Return the poller that watches the services' sockets."""
         return self._poller
 
--- a/src/cuminhatch/kernel/service.py
+++ b/src/cuminhatch/kernel/service.py
@@ -35,8 +35,6 @@
         super().__init__(channel=self.name)
         self.kernel = kernel
         self._message_handlers: MessageTable = {}
-        self._read_callbacks: dict[socket, Callable[[], None]] = {}
-        self._write_callbacks: dict[socket, Callable[[], None]] = {}
 
     def message_handlers(self) -> MessageTable:
         """
@@ -84,9 +82,7 @@
         :param sock: non-blocking socket owned by this service.
         :param callback: called without arguments.
         """
-        if sock not in self._read_callbacks:
-            self.kernel.poller.addReader(self, sock)
-        self._read_callbacks[sock] = callback
+        self.kernel.poller.set_reader(self.name, sock.fileno(), callback)
 
     def watch_write(self, sock: socket, callback: Callable[[], None]) -> None:
         """
@@ -95,9 +91,7 @@
         :param sock: non-blocking socket owned by this service.
         :param callback: called without arguments.
         """
-        if sock not in self._write_callbacks:
-            self.kernel.poller.addWriter(self, sock)
-        self._write_callbacks[sock] = callback
+        self.kernel.poller.set_writer(self.name, sock.fileno(), callback)
 
     def unwatch_read(self, sock: socket) -> None:
         """
@@ -105,8 +99,7 @@
 
         :param sock: socket given to :meth:`watch_read`.
         """
-        if self._read_callbacks.pop(sock, None) is not None:
-            self.kernel.poller.removeReader(sock)
+        self.kernel.poller.set_reader(self.name, sock.fileno(), None)
 
     def unwatch_write(self, sock: socket) -> None:
         """
@@ -114,8 +107,7 @@
 
         :param sock: socket given to :meth:`watch_write`.
         """
-        if self._write_callbacks.pop(sock, None) is not None:
-            self.kernel.poller.removeWriter(sock)
+        self.kernel.poller.set_writer(self.name, sock.fileno(), None)
 
     def close_socket(self, sock: socket) -> None:
         """
@@ -123,10 +115,8 @@
 
         :param sock: socket owned by this service.
         """
-        self._read_callbacks.pop(sock, None)
-        self._write_callbacks.pop(sock, None)
         if sock.fileno() >= 0:
-            self.kernel.poller.discard(sock)
+            self.kernel.poller.forget(sock.fileno())
         sock.close()
 
     @handler("message_sent")
@@ -139,32 +129,3 @@
             method(message)
         except Exception as error:
             self.kernel.report_failure(self.name, message, error)
-
-    @handler("_read")
-    def _on_read(self, sock: socket) -> None:
-        self._call_back(self._read_callbacks, sock)
-
-    @handler("_write")
-    def _on_write(self, sock: socket) -> None:
-        self._call_back(self._write_callbacks, sock)
-
-    @handler("_disconnect")
-    def _on_disconnect(self, sock: socket) -> None:
-        # The poller has dropped the socket. Reading reports the error or the
-        # end of the stream to the owner; a half-open connect is waiting to
-        # write.
-        if sock in self._read_callbacks:
-            self._call_back(self._read_callbacks, sock)
-        else:
-            self._call_back(self._write_callbacks, sock)
-
-    def _call_back(
-        self, callbacks: dict[socket, Callable[[], None]], sock: socket
-    ) -> None:
-        callback = callbacks.get(sock)
-        if callback is None:
-            return
-        try:
-            callback()
-        except Exception as error:
-            self.kernel.report_failure(self.name, None, error)
--- /dev/null
+++ b/tests/kernel/test_poller.py
@@ -0,0 +1,127 @@
+"""Tests of the way from ready sockets to their owners."""
+
+import signal
+import subprocess
+import sys
+import time
+from socket import socketpair
+
+import pytest
+from circuits.core.components import BaseComponent
+from circuits.core.handlers import handler
+
+from cuminhatch import ManualClock
+from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+
+WAIT_FOR_EVER = """
+from cuminhatch.kernel import Kernel
+kernel = Kernel()
+print("started", flush=True)
+kernel.run()
+"""
+
+
+class Supervisor(Service):
+    """Keeps the failures reported."""
+
+    name = SUPERVISOR
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.failures = []
+
+    def message_handlers(self):
+        return {HandlerFailed: self.failures.append}
+
+
+class CircuitsReader(BaseComponent):
+    """Stands for ``circuits.web``, which gets its sockets' events."""
+
+    channel = "circuits_reader"
+    received = b""
+
+    @handler("_read")
+    def _on_read(self, sock):
+        self.received += sock.recv(10)
+
+
+@pytest.fixture
+def kernel():
+    return Kernel(ManualClock())
+
+
+@pytest.fixture
+def pair():
+    sockets = socketpair()
+    for sock in sockets:
+        sock.setblocking(False)
+    yield sockets
+    for sock in sockets:
+        sock.close()
+
+
+def test_only_watched_readiness_is_reported(kernel, pair):
+    """Guards against reads from a connection that is held back."""
+    service = kernel.register(Service(kernel))
+    calls = []
+    service.watch_read(pair[0], lambda: calls.append(pair[0].recv(10)))
+    service.watch_write(pair[0], lambda: calls.append("writable"))
+    pair[1].send(b"a")
+    kernel.tick()
+    service.unwatch_write(pair[0])
+    pair[1].send(b"b")
+    kernel.tick()
+    service.unwatch_read(pair[0])
+    pair[1].send(b"c")
+    kernel.tick()
+    assert calls == [b"a", "writable", b"b"]
+
+
+def test_socket_closed_by_its_own_callback_is_not_called_again(kernel, pair):
+    """Guards against a write on a closed socket in the same batch."""
+    service = kernel.register(Service(kernel))
+    calls = []
+    service.watch_read(pair[0], lambda: service.close_socket(pair[0]))
+    service.watch_write(pair[0], lambda: calls.append("writable"))
+    pair[1].send(b"a")
+    kernel.tick()
+    kernel.tick()
+    assert calls == []
+
+
+def test_failed_callback_is_reported_and_others_run(kernel, pair):
+    """Guards against one bad connection that ends a daemon."""
+    supervisor = kernel.register(Supervisor(kernel))
+    service = kernel.register(Service(kernel))
+    calls = []
+    service.watch_write(pair[0], lambda: [][0])
+    service.watch_write(pair[1], lambda: calls.append("writable"))
+    kernel.tick()
+    kernel.tick()
+    assert calls
+    assert type(supervisor.failures[0].error) is IndexError
+
+
+def test_other_circuits_components_get_their_events(kernel, pair):
+    """Guards against an operators' port that never answers."""
+    component = CircuitsReader().register(kernel.root)
+    kernel.poller.addReader(component, pair[0])
+    pair[1].send(b"abc")
+    for _ in range(3):
+        kernel.tick()
+    assert component.received == b"abc"
+
+
+@pytest.mark.parametrize("number", [signal.SIGTERM, signal.SIGINT])
+def test_signal_ends_a_kernel_that_waits(number):
+    """Guards against a daemon that ignores SIGTERM while it is idle."""
+    command = [sys.executable, "-c", WAIT_FOR_EVER]
+    process = subprocess.Popen(command, stdout=subprocess.PIPE)
+    try:
+        assert process.stdout.readline() == b"started\n"
+        time.sleep(0.3)
+        process.send_signal(number)
+        assert process.wait(20) == 0
+    finally:
+        process.kill()
+        process.stdout.close()
