Deliver messages in batches, one circuits event each

Cause: each message between services was one circuits event, with its Value, a heap entry and a handler lookup; a request needs at least four.

Mailbox keeps the messages in the order of sending and fires one event per batch.

--- a/src/cuminhatch/kernel/kernel.py
+++ b/src/cuminhatch/kernel/kernel.py
@@ -3,12 +3,12 @@
 from typing import Any, NamedTuple
 
 from circuits.core.components import BaseComponent
-from circuits.core.events import Event
 from loguru import logger
 
 from cuminhatch.clock import Clock
 from cuminhatch.errors import KernelError
 from cuminhatch.kernel._deadlines import DeadlineHeap
+from cuminhatch.kernel._mailbox import Mailbox
 from cuminhatch.kernel._poller import SocketPoller
 from cuminhatch.kernel.service import Service
 
@@ -31,10 +31,6 @@
     error: Exception | None
 
 
-class message_sent(Event):  # noqa: N801 (circuits names events in lower case)
-    """Carries one message to one service."""
-
-
 class Kernel:
     """Runs the services of one process in one thread."""
 
@@ -51,6 +47,7 @@
         # each idle connection.
         self._poller = SocketPoller(self.report_failure).register(self._root)
         self._deadlines = DeadlineHeap(self._clock, self.send).register(self._root)
+        self._mailbox = Mailbox().register(self._root)
         self._services: dict[str, Service] = {}
 
     @property
@@ -103,8 +100,9 @@
             without a service is dropped, so optional parts may be missing.
         :param message: message to deliver.
         """
-        if name in self._services:
-            self._root.fire(message_sent(message), name)
+        service = self._services.get(name)
+        if service is not None:
+            self._mailbox.append(service, message)
 
     def call_at(self, at_ms: float, name: str, message: Any) -> int:
         """
--- a/src/cuminhatch/kernel/service.py
+++ b/src/cuminhatch/kernel/service.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from circuits.core.components import BaseComponent
-from circuits.core.handlers import handler
 
 if TYPE_CHECKING:
     from cuminhatch.kernel.kernel import Kernel
@@ -119,8 +118,12 @@
             self.kernel.poller.forget(sock.fileno())
         sock.close()
 
-    @handler("message_sent")
-    def _on_message_sent(self, message: Any) -> None:
+    def deliver(self, message: Any) -> None:
+        """
+        Handle a message; the kernel calls this for each message queued.
+
+        :param message: message sent to this service.
+        """
         method = self._message_handlers.get(type(message))
         if method is None:
             self.kernel.report_failure(self.name, message, None)
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -92,3 +92,19 @@
     service._queue = []
     with pytest.raises(KernelError):
         kernel.register(service)
+
+
+def test_endless_messages_leave_time_for_deadlines(kernel):
+    """Guards against two services that talk and starve everything else."""
+
+    class Talker(Recorder):
+        def _on_ping(self, message):
+            self.received.append(message)
+            self.send("talker", message)
+
+    kernel.register(Talker(kernel, "talker"))
+    recorder = kernel.register(Recorder(kernel))
+    kernel.send("talker", Ping(1))
+    kernel.call_at(0, "recorder", Ping(2))
+    run_ticks(kernel)
+    assert recorder.received == [Ping(2)]
