--- a/src/cuminhatch/codecs/http1.py
+++ b/src/cuminhatch/codecs/http1.py
@@ -19,6 +19,10 @@
 
 MAX_HEAD_BYTES = 16 * 1024
 MAX_HEADERS = 100
+# Bytes around each chunk of a body that are not counted as extensions:
+# 16 digits of its size and two line ends.
+CHUNK_FRAMING_BYTES = 20
+HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 # Headers that concern one connection only (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
@@ -125,80 +129,128 @@
     def __init__(self) -> None:
         self._events: list[ParserEvent] = []
         self._headers: list[Header] = []
-        self._head_bytes = 0
         self._is_in_head = True
+        self._is_between_messages = True
+        self._has_head_ended = False
+        self._has_message_ended = False
+        self._head_bytes = 0
+        # Bytes fed after the head, and how many of them were expected.
+        self._tail_bytes = 0
+        self._expected_tail_bytes = 0
         self._error: FramingError | None = None
 
+    @property
+    def error(self) -> FramingError | None:
+        """Return what was wrong with the bytes after the last event."""
+        return self._error
+
+    @property
+    def is_between_messages(self) -> bool:
+        """Tell whether no byte of an unfinished message has arrived."""
+        return self._is_between_messages
+
     def on_message_begin(self) -> None:
         self._headers = []
         self._is_in_head = True
+        self._is_between_messages = False
+        self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers arrive here as well, after the head; they are dropped.
         if not self._is_in_head:
             return
         if len(self._headers) >= MAX_HEADERS:
-            self._error = FramingError(431, "too many headers")
-            return
+            self._fail(431, "too many headers")
         self._headers.append(Header(name.lower(), value))
 
+    def on_chunk_header(self) -> None:
+        self._expected_tail_bytes += CHUNK_FRAMING_BYTES
+
     def on_body(self, data: bytes) -> None:
+        self._expected_tail_bytes += len(data)
         self._events.append(BodyParsed(data))
 
     def on_message_complete(self) -> None:
+        self._is_between_messages = self._has_message_ended = True
+        self._tail_bytes = self._expected_tail_bytes = 0
         self._events.append(MessageParsed())
-        self._head_bytes = 0
+
+    def _end_head(self, start_line_bytes: int) -> None:
+        self._is_in_head = False
+        self._has_head_ended = True
+        # Four bytes for the colon, the space and the line end.
+        size = start_line_bytes + sum(
+            len(header.name) + len(header.value) + 4 for header in self._headers
+        )
+        if size > MAX_HEAD_BYTES:
+            self._fail(431, "head too large")
+
+    def _fail(self, status: int, reason: str) -> None:
+        # Raising stops the parser within the bytes it was fed.
+        self._error = FramingError(status, reason)
+        raise self._error
+
+    def _values(self, name: bytes) -> list[bytes]:
+        return [header.value.strip() for header in self._headers if header.name == name]
 
     def _body_length(self) -> int | None:
-        length = find_header(tuple(self._headers), b"content-length")
-        return int(length) if length is not None else None
+        lengths = self._values(b"content-length")
+        return int(lengths[0]) if lengths else None
 
-    def _connection_tokens(self) -> set[bytes]:
-        return {
+    def _end_to_end_headers(self) -> tuple[Header, ...]:
+        dropped = {
             token.strip().lower()
-            for header in self._headers
-            if header.name == b"connection"
-            for token in header.value.split(b",")
+            for value in self._values(b"connection")
+            for token in value.split(b",")
         }
-
-    def _end_to_end_headers(self, tokens: set[bytes]) -> tuple[Header, ...]:
+        # Host is part of the target, whatever a sender declares.
+        dropped.discard(b"host")
+        dropped.add(b"content-length")
         return tuple(
             header
             for header in self._headers
-            if header.name not in HOP_BY_HOP
-            and header.name not in tokens
-            and header.name != b"content-length"
+            if header.name not in HOP_BY_HOP and header.name not in dropped
         )
 
-    @property
-    def error(self) -> FramingError | None:
-        """Return what was wrong with the bytes after the last event."""
-        return self._error
-
     def _feed(self, parser: Any, data: bytes) -> list[ParserEvent]:
         self._events = []
         if self._error is not None:
             return self._events
-        if self._is_in_head:
-            # The parser keeps an unfinished header in memory, so the bytes
-            # fed before the end of the head are bounded here.
-            self._head_bytes += len(data)
+        self._has_head_ended = self._has_message_ended = False
         try:
             parser.feed_data(data)
         except HttpParserUpgrade:
             pass
         except HttpParserError:
             self._error = self._error or FramingError(400, "malformed message")
-        if (
-            self._error is None
-            and self._is_in_head
-            and self._head_bytes > MAX_HEAD_BYTES
-        ):
-            self._error = FramingError(431, "head too large")
-        # Events before the fault belong to whole requests that were
-        # pipelined; they are served.
+        if self._error is None:
+            self._bound_framing(len(data))
+        # Events before the fault belong to messages that were complete, or
+        # to the body of the message that holds the fault.
         return self._events
 
+    def _bound_framing(self, size: int) -> None:
+        """
+        Bound what a peer may send that is not body.
+
+        The parser keeps an unfinished header in memory, and it accepts
+        chunk extensions, trailers and empty lines without end.
+        """
+        if self._is_in_head and not self._is_between_messages:
+            if not self._has_message_ended:
+                self._head_bytes += size
+            if self._head_bytes > MAX_HEAD_BYTES:
+                self._error = FramingError(431, "head too large")
+        elif self._has_head_ended or self._has_message_ended:
+            # Bytes of another part were fed as well; counting starts here.
+            self._tail_bytes = self._expected_tail_bytes = 0
+        else:
+            self._tail_bytes += size
+            if self._tail_bytes - self._expected_tail_bytes > MAX_HEAD_BYTES:
+                self._error = FramingError(
+                    431, "chunk extensions or trailers too large"
+                )
+
 
 class RequestParser(_MessageParser):
     """Parses the requests of one connection, pipelined ones included."""
@@ -216,6 +268,9 @@
         :param data: bytes as read from the connection.
         :returns: what they completed, in order; see ``error`` as well.
         """
+        if self._is_between_messages and data.startswith(b"\n"):
+            # The parser skips line feeds before a request line.
+            self._error = self._error or FramingError(400, "bare line feed")
         return self._feed(self._parser, data)
 
     def on_url(self, url: bytes) -> None:
@@ -225,42 +280,37 @@
     def on_headers_complete(self) -> None:
         """Check the head and pass it on."""
         method = self._parser.get_method()
-        is_http_1_0 = self._parser.get_http_version() == "1.0"
+        version = self._parser.get_http_version()
+        is_http_1_0 = version == "1.0"
+        is_upgrade = self._parser.should_upgrade()
         target, self._target = self._target, b""
-        self._is_in_head = False
-        if len(target) + sum(len(h.name) + len(h.value) for h in self._headers) > (
-            MAX_HEAD_BYTES
-        ):
-            self._fail(431, "head too large")
-            return
-        tokens = self._connection_tokens()
-        hosts = sum(1 for header in self._headers if header.name == b"host")
-        encoding = find_header(tuple(self._headers), b"transfer-encoding")
-        if hosts > 1 or (hosts == 0 and not is_http_1_0):
+        self._end_head(len(method) + len(target))
+        hosts = self._values(b"host")
+        encodings = self._values(b"transfer-encoding")
+        if version not in HTTP_VERSIONS:
+            self._fail(400, "HTTP version is not supported")
+        if len(hosts) > 1 or (not hosts and not is_http_1_0):
             self._fail(400, "exactly one Host header is needed")
-        elif method == b"CONNECT":
+        if method == b"CONNECT":
             self._fail(400, "CONNECT is not served")
-        elif encoding is not None and (
-            is_http_1_0 or encoding.strip().lower() != b"chunked"
-        ):
+        if encodings and (is_http_1_0 or _is_not_just_chunked(encodings)):
             self._fail(400, "transfer encoding is not supported")
-        else:
-            body_length = None if encoding is not None else self._body_length() or 0
-            expect = find_header(tuple(self._headers), b"expect")
-            self._events.append(
-                HeadParsed(
-                    RequestHead(method, target, self._end_to_end_headers(tokens)),
-                    body_length,
-                    self._parser.should_keep_alive()
-                    and not self._parser.should_upgrade(),
-                    expect is not None and expect.lower() == b"100-continue",
-                    is_http_1_0,
-                )
+        body_length = None if encodings else self._body_length() or 0
+        if is_upgrade and body_length != 0:
+            # The parser takes the body for the protocol upgraded to.
+            self._fail(400, "upgrade with a body is not served")
+        expects = [value.lower() for value in self._values(b"expect")]
+        self._events.append(
+            HeadParsed(
+                RequestHead(method, target, self._end_to_end_headers()),
+                body_length,
+                # HTTP/1.0 needs no persistent connections, and a server
+                # would have to announce them.
+                self._parser.should_keep_alive() and not is_upgrade and not is_http_1_0,
+                b"100-continue" in expects and not is_http_1_0,
+                is_http_1_0,
             )
-
-    def _fail(self, status: int, reason: str) -> None:
-        self._error = FramingError(status, reason)
-        raise self._error
+        )
 
 
 class ResponseParser(_MessageParser):
@@ -279,12 +329,22 @@
         self._is_head_request = is_head_request
         self._is_until_close = False
         self._is_done = False
+        self._has_surplus = False
 
     @property
     def is_until_close(self) -> bool:
         """Tell whether the end of the connection ends the body."""
         return self._is_until_close
 
+    @property
+    def has_surplus(self) -> bool:
+        """
+        Tell whether bytes followed the response.
+
+        The response stands; the connection cannot be used again.
+        """
+        return self._has_surplus
+
     def feed(self, data: bytes) -> list[ParserEvent]:
         """
         Parse the next bytes.
@@ -293,17 +353,34 @@
         :returns: what they completed, in order; see ``error`` as well.
         """
         if self._is_done:
-            self._error = FramingError(502, "bytes after the end of the response")
-        return self._feed(self._parser, data)
+            self._has_surplus = True
+            return []
+        events = self._feed(self._parser, data)
+        if self._is_done and self._error is not None:
+            self._error = None
+            self._has_surplus = True
+        return events
+
+    def on_message_begin(self) -> None:
+        """Start a response; a second one was not asked for."""
+        if self._is_done:
+            self._has_surplus = True
+        super().on_message_begin()
 
     def on_status(self, phrase: bytes) -> None:
         """Keep the reason phrase; it may come in parts."""
         self._phrase += phrase
 
+    def on_chunk_header(self) -> None:
+        """Count a chunk; after the end, it belongs to no response."""
+        if self._is_done:
+            self._has_surplus = True
+        super().on_chunk_header()
+
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body on."""
         if self._is_done:
-            self._error = FramingError(502, "bytes after the end of the response")
+            self._has_surplus = True
         else:
             super().on_body(data)
 
@@ -316,41 +393,49 @@
     def on_headers_complete(self) -> None:
         """Pass the head on, unless it belongs to an interim response."""
         status = self._parser.get_status_code()
+        version = self._parser.get_http_version()
         phrase, self._phrase = self._phrase, b""
         if self._is_done:
-            self._error = FramingError(502, "bytes after the end of the response")
-            raise self._error
+            self._fail(502, "bytes after the end of the response")
+        if version not in HTTP_VERSIONS:
+            self._fail(502, "HTTP version is not supported")
         if status == 101:
-            self._error = FramingError(502, "the connection was not to be upgraded")
-            raise self._error
+            self._fail(502, "the connection was not to be upgraded")
         if status < 200:
             return
-        self._is_in_head = False
-        tokens = self._connection_tokens()
-        headers = tuple(self._headers)
-        is_chunked = find_header(headers, b"transfer-encoding") is not None
+        self._end_head(len(phrase))
+        encodings = self._values(b"transfer-encoding")
         has_body = not self._is_head_request and status not in (204, 304)
         length = self._body_length()
         if not has_body:
             length = length if self._is_head_request else 0
-        elif is_chunked:
+        elif encodings:
+            if _is_not_just_chunked(encodings):
+                # The caller could not undo a coding that it is not told of.
+                self._fail(502, "transfer encoding is not supported")
             length = None
         elif length is None:
             self._is_until_close = True
         self._events.append(
             HeadParsed(
-                ResponseHead(status, phrase, self._end_to_end_headers(tokens)),
+                ResponseHead(status, phrase, self._end_to_end_headers()),
                 length,
-                self._parser.should_keep_alive() and not self._is_until_close,
+                self._parser.should_keep_alive()
+                and not self._is_until_close
+                and not (encodings and version == "1.0"),
                 False,
-                self._parser.get_http_version() == "1.0",
+                version == "1.0",
             )
         )
-        if not has_body and not self._is_done:
+        if not has_body:
             self._is_done = True
             self._events.append(MessageParsed())
 
 
+def _is_not_just_chunked(encodings: list[bytes]) -> bool:
+    return [encoding.lower() for encoding in encodings] != [b"chunked"]
+
+
 def _encode_headers(lines: list[bytes], headers: tuple[Header, ...]) -> None:
     for name, value in headers:
         lines.append(name + b": " + value)
--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -1,9 +1,12 @@
 """A non-blocking TCP socket with a write buffer."""
 
+import struct
 from collections.abc import Callable
 from socket import (
     IPPROTO_TCP,
+    SHUT_WR,
     SO_KEEPALIVE,
+    SO_LINGER,
     SOL_SOCKET,
     TCP_KEEPCNT,
     TCP_KEEPIDLE,
@@ -22,6 +25,10 @@
 # Unacknowledged data for this long means that something between the two
 # ends has lost track of the connection.
 USER_TIMEOUT_MS = 20_000
+CONNECTION_REFUSED = "connection refused"
+CONNECTION_FAILED = "connection failed"
+CONNECTION_CLOSED = "connection closed"
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def set_stream_options(sock: socket) -> None:
@@ -72,6 +79,7 @@
         self._on_drained = on_drained
         self._buffer = bytearray()
         self._is_open = True
+        self._is_reading = False
         self._sent_bytes = 0
 
     @property
@@ -84,6 +92,11 @@
         """Tell whether the socket is still in use."""
         return self._is_open
 
+    @property
+    def is_reading(self) -> bool:
+        """Tell whether bytes from the peer are read as they come."""
+        return self._is_reading
+
     @property
     def pending_bytes(self) -> int:
         """Return how many written bytes have not left yet."""
@@ -91,12 +104,14 @@
 
     def start_reading(self) -> None:
         """Read whenever there is something."""
-        if self._is_open:
-            self._service.watch_read(self._sock, self._read)
+        if self._is_open and not self._is_reading:
+            self._is_reading = True
+            self._service.watch_read(self._sock, self.read)
 
     def stop_reading(self) -> None:
         """Leave further bytes in the kernel, which holds the peer back."""
-        if self._is_open:
+        if self._is_open and self._is_reading:
+            self._is_reading = False
             self._service.unwatch_read(self._sock)
 
     def write(self, data: bytes) -> None:
@@ -113,8 +128,8 @@
                 sent = self._sock.send(data)
             except BlockingIOError:
                 pass
-            except OSError:
-                self._lose("connection failed")
+            except OSError as error:
+                self._fail_write(error)
                 return
             self._sent_bytes += sent
         if sent < len(data):
@@ -122,6 +137,14 @@
                 self._service.watch_write(self._sock, self._flush)
             self._buffer += data[sent:] if sent else data
 
+    def finish_writing(self) -> None:
+        """Tell the peer that nothing follows; it may still be sending."""
+        if self._is_open:
+            try:
+                self._sock.shutdown(SHUT_WR)
+            except OSError as error:
+                self._lose(_reason_of(error))
+
     def close(self) -> None:
         """Close without calling back; unsent bytes are dropped."""
         if self._is_open:
@@ -129,26 +152,35 @@
             self._service.close_socket(self._sock)
             self._buffer.clear()
 
-    def _read(self) -> None:
+    def abort(self) -> None:
+        """Close so that the peer cannot take what it got for the whole."""
+        if self._is_open:
+            self._sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
+            self.close()
+
+    def read(self) -> None:
+        """Read once; without data, the call has no effect."""
+        if not self._is_open:
+            return
         try:
             data = self._sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            self._lose("connection failed")
+        except OSError as error:
+            self._lose(_reason_of(error))
             return
         if data:
             self._on_data(data)
         else:
-            self._lose("connection closed")
+            self._lose(CONNECTION_CLOSED)
 
     def _flush(self) -> None:
         try:
             sent = self._sock.send(self._buffer)
         except BlockingIOError:
             return
-        except OSError:
-            self._lose("connection failed")
+        except OSError as error:
+            self._fail_write(error)
             return
         self._sent_bytes += sent
         del self._buffer[:sent]
@@ -156,7 +188,22 @@
             self._service.unwatch_write(self._sock)
             self._on_drained()
 
+    def _fail_write(self, error: OSError) -> None:
+        self._buffer.clear()
+        if not self._is_reading or isinstance(error, ConnectionRefusedError):
+            self._lose(_reason_of(error))
+            return
+        # An answer that the peer sent before it closed is still to be read;
+        # the end of the stream or an error follows it.
+        self._service.unwatch_write(self._sock)
+
     def _lose(self, reason: str) -> None:
         if self._is_open:
             self.close()
             self._on_lost(reason)
+
+
+def _reason_of(error: OSError) -> str:
+    if isinstance(error, ConnectionRefusedError):
+        return CONNECTION_REFUSED
+    return CONNECTION_FAILED
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -1,7 +1,9 @@
 """Connections to backend servers: pool, sending, reading, timeouts."""
 
-from collections import defaultdict
-from errno import EINPROGRESS
+from collections import Counter, defaultdict
+from collections.abc import Callable
+from errno import ECONNREFUSED, EINPROGRESS
+from math import inf
 from socket import socket
 from typing import NamedTuple
 
@@ -16,6 +18,7 @@
 )
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
+    Address,
     AttemptBody,
     AttemptBodySent,
     AttemptCancelled,
@@ -26,34 +29,50 @@
     AttemptResponse,
     AttemptResumed,
     AttemptStalled,
+    ConfigurationChanged,
+)
+from cuminhatch.services._stream import (
+    CONNECTION_CLOSED,
+    CONNECTION_FAILED,
+    CONNECTION_REFUSED,
+    Stream,
+    set_stream_options,
 )
-from cuminhatch.services._stream import Stream, set_stream_options
 
 WRITE_HIGH_BYTES = 256 * 1024
 # Shorter than the idle timeout that servers commonly have (60 s), so that a
 # request rarely meets a connection that the server is just closing.
 IDLE_AGE_MS = 20_000
 SWEEP_INTERVAL_MS = 500
+CONNECTION_LIMIT = "connection limit"
 
 
 class SweepDue(NamedTuple):
     """Old idle connections are to be closed."""
 
 
-class ResponseTimedOut(NamedTuple):
-    """A backend server made no progress in time."""
+class DeadlineDue(NamedTuple):
+    """An attempt may have passed its deadline."""
 
     attempt_id: int
 
 
+class _ServerKey(NamedTuple):
+    """A backend server keeps its id when a note changes its address."""
+
+    server_id: str
+    address: Address
+
+
 class _Connection:
     """State of one connection to a backend server."""
 
-    def __init__(self, server_id: str) -> None:
-        self.server_id = server_id
+    def __init__(self, key: _ServerKey) -> None:
+        self.key = key
         self.stream: Stream
         self.attempt: _Attempt | None = None
         self.is_reused = False
+        self.is_dropped = False
         self.idle_since_ms = 0.0
 
 
@@ -67,11 +86,12 @@
         self.is_request_complete = request.is_complete
         self.parser = ResponseParser(request.head.method == b"HEAD")
         self.is_keep_alive = True
-        self.is_head_parsed = False
         self.is_stalled = False
         self.is_read_paused = False
+        self.progress_ms = 0.0
         self.timer: int | None = None
         self.sent_before = 0
+        self.sent_bytes = 0
 
 
 class BackendConnections(Service):
@@ -84,6 +104,8 @@
         kernel: Kernel,
         target: str = "dispatch",
         name: str | None = None,
+        connection_limit: Callable[[str], float] = lambda server_id: inf,
+        idle_age_ms: float = IDLE_AGE_MS,
     ) -> None:
         """
         Create the service with an empty pool.
@@ -91,11 +113,17 @@
         :param kernel: kernel of the process.
         :param target: name of the service that asks for attempts.
         :param name: name of this service.
+        :param connection_limit: gives the most connections, busy and idle,
+            to the backend server of an id.
+        :param idle_age_ms: age at which an idle connection is closed.
         """
         super().__init__(kernel, name)
         self._target = target
-        self._idle: dict[str, list[_Connection]] = defaultdict(list)
+        self._connection_limit = connection_limit
+        self._idle_age_ms = idle_age_ms
+        self._idle: defaultdict[_ServerKey, list[_Connection]] = defaultdict(list)
         self._by_attempt: dict[int, _Connection] = {}
+        self._open_counts: Counter[str] = Counter()
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of the service that asks for attempts."""
@@ -105,7 +133,8 @@
             AttemptCancelled: self._on_attempt_cancelled,
             AttemptReadPaused: self._on_read_paused,
             AttemptReadResumed: self._on_read_resumed,
-            ResponseTimedOut: self._on_response_timed_out,
+            ConfigurationChanged: self._on_configuration_changed,
+            DeadlineDue: self._on_deadline_due,
             SweepDue: self._on_sweep_due,
         }
 
@@ -115,46 +144,54 @@
 
     def connection_count(self, server_id: str) -> int:
         """
-        Return the open connections to a backend server.
+        Return the open connections to a backend server, busy and idle.
 
         :param server_id: id of the backend server.
         """
-        busy = sum(c.server_id == server_id for c in self._by_attempt.values())
-        return busy + len(self._idle[server_id])
+        return self._open_counts[server_id]
 
     # Requests
 
     def _on_attempt_requested(self, message: AttemptRequested) -> None:
         connection = self._take_connection(message)
-        if connection is None:
+        if isinstance(connection, str):
             self.send(
                 self._target,
-                AttemptFailed(message.attempt_id, "connection refused", False, False),
+                AttemptFailed(message.attempt_id, connection, False, False),
             )
             return
         attempt = _Attempt(message)
-        attempt.sent_before = connection.stream.sent_bytes
+        attempt.sent_before = attempt.sent_bytes = connection.stream.sent_bytes
         connection.attempt = attempt
         self._by_attempt[message.attempt_id] = connection
-        self._restart_timer(attempt)
         head = encode_request_head(message.head, message.body_length)
         body = self._encode_body(attempt, message.data, message.is_complete)
+        self._start_timer(attempt)
         connection.stream.write(head + body)
         self._check_stalled(connection)
 
-    def _take_connection(self, message: AttemptRequested) -> _Connection | None:
-        idle = self._idle[message.server_id]
-        if idle and not message.is_fresh_wanted:
-            connection = idle.pop()
-            connection.is_reused = True
-            return connection
+    def _take_connection(self, message: AttemptRequested) -> _Connection | str:
+        """Return a connection to use, or the reason why there is none."""
+        key = _ServerKey(message.server_id, message.address)
+        idle = self._idle[key]
+        while idle and not message.is_fresh_wanted:
+            connection = idle[-1]
+            # A server that has closed, or that sent bytes nobody asked for,
+            # must not be noticed only after the request is sent.
+            connection.stream.read()
+            if not connection.is_dropped:
+                idle.pop()
+                connection.is_reused = True
+                return connection
+        if not self._make_room(message.server_id):
+            return CONNECTION_LIMIT
         sock = socket()
         set_stream_options(sock)
         error = sock.connect_ex(message.address)
         if error not in (0, EINPROGRESS):
             sock.close()
-            return None
-        connection = _Connection(message.server_id)
+            return CONNECTION_REFUSED if error == ECONNREFUSED else CONNECTION_FAILED
+        connection = _Connection(key)
         connection.stream = Stream(
             self,
             sock,
@@ -162,9 +199,22 @@
             on_lost=lambda reason: self._on_lost(connection, reason),
             on_drained=lambda: self._on_drained(connection),
         )
+        self._open_counts[key.server_id] += 1
         connection.stream.start_reading()
         return connection
 
+    def _make_room(self, server_id: str) -> bool:
+        """Close idle connections if a further one would exceed the limit."""
+        limit = self._connection_limit(server_id)
+        if self._open_counts[server_id] < limit:
+            return True
+        for key, idle in list(self._idle.items()):
+            while key.server_id == server_id and idle:
+                self._drop(idle[0])
+                if self._open_counts[server_id] < limit:
+                    return True
+        return False
+
     def _encode_body(self, attempt: _Attempt, data: bytes, is_complete: bool) -> bytes:
         if not attempt.is_chunked:
             return data
@@ -176,7 +226,7 @@
             return
         attempt = connection.attempt
         attempt.is_request_complete = message.is_complete
-        self._restart_timer(attempt)
+        attempt.progress_ms = self.kernel.clock.now_ms
         connection.stream.write(
             self._encode_body(attempt, message.data, message.is_complete)
         )
@@ -195,7 +245,7 @@
     def _on_drained(self, connection: _Connection) -> None:
         attempt = connection.attempt
         if attempt is not None:
-            self._restart_timer(attempt)
+            attempt.progress_ms = self.kernel.clock.now_ms
             if attempt.is_stalled:
                 attempt.is_stalled = False
                 self.send(self._target, AttemptResumed(attempt.attempt_id))
@@ -208,7 +258,7 @@
             # Bytes that no request asked for: the connection is unusable.
             self._drop(connection)
             return
-        self._restart_timer(attempt)
+        attempt.progress_ms = self.kernel.clock.now_ms
         events = attempt.parser.feed(data)
         if attempt.parser.error is not None:
             self._fail(connection, "malformed response")
@@ -226,7 +276,6 @@
                 parts.append(event.data)
             elif isinstance(event, HeadParsed):
                 parsed = event
-                attempt.is_head_parsed = True
                 attempt.is_keep_alive = event.is_keep_alive
             elif isinstance(event, MessageParsed):
                 is_complete = True
@@ -262,21 +311,21 @@
         if (
             not attempt.is_keep_alive
             or not attempt.is_request_complete
+            or attempt.parser.has_surplus
             or not connection.stream.is_open
             or connection.stream.pending_bytes
         ):
             self._drop(connection)
             return
-        if attempt.is_read_paused:
-            connection.stream.start_reading()
+        connection.stream.start_reading()
         connection.idle_since_ms = self.kernel.clock.now_ms
-        self._idle[connection.server_id].append(connection)
+        self._idle[connection.key].append(connection)
 
     def _on_lost(self, connection: _Connection, reason: str) -> None:
         attempt = connection.attempt
         if attempt is None:
             self._drop(connection)
-        elif attempt.parser.is_until_close and reason == "connection closed":
+        elif attempt.parser.is_until_close and reason == CONNECTION_CLOSED:
             self._report(attempt, None, b"", True)
             attempt.is_keep_alive = False
             self._finish(connection, attempt)
@@ -297,7 +346,14 @@
 
     def _drop(self, connection: _Connection) -> None:
         connection.stream.close()
-        idle = self._idle[connection.server_id]
+        if connection.is_dropped:
+            return
+        connection.is_dropped = True
+        counts, server_id = self._open_counts, connection.key.server_id
+        counts[server_id] -= 1
+        if not counts[server_id]:
+            del counts[server_id]
+        idle = self._idle.get(connection.key, ())
         if connection in idle:
             idle.remove(connection)
 
@@ -313,9 +369,6 @@
     def _on_read_paused(self, message: AttemptReadPaused) -> None:
         connection = self._by_attempt.get(message.attempt_id)
         if connection is not None:
-            # A slow caller must not look like a slow backend server.
-            self.kernel.cancel(connection.attempt.timer)
-            connection.attempt.timer = None
             connection.attempt.is_read_paused = True
             connection.stream.stop_reading()
 
@@ -323,23 +376,57 @@
         connection = self._by_attempt.get(message.attempt_id)
         if connection is not None:
             connection.attempt.is_read_paused = False
+            connection.attempt.progress_ms = self.kernel.clock.now_ms
             connection.stream.start_reading()
-            self._restart_timer(connection.attempt)
 
-    def _restart_timer(self, attempt: _Attempt) -> None:
-        self.kernel.cancel(attempt.timer)
+    def _start_timer(self, attempt: _Attempt) -> None:
+        # Progress only moves a time stamp; the timer looks at it when due.
+        attempt.progress_ms = self.kernel.clock.now_ms
         attempt.timer = self.call_after(
-            attempt.timeout_ms, ResponseTimedOut(attempt.attempt_id)
+            attempt.timeout_ms, DeadlineDue(attempt.attempt_id)
         )
 
-    def _on_response_timed_out(self, message: ResponseTimedOut) -> None:
+    def _on_deadline_due(self, message: DeadlineDue) -> None:
         connection = self._by_attempt.get(message.attempt_id)
-        if connection is not None:
+        if connection is None:
+            return
+        attempt = connection.attempt
+        now_ms = self.kernel.clock.now_ms
+        if self._is_waiting_for_caller(connection) or self._has_sent_more(connection):
+            attempt.progress_ms = now_ms
+        deadline_ms = attempt.progress_ms + attempt.timeout_ms
+        if deadline_ms <= now_ms:
             self._fail(connection, "timeout")
+        else:
+            attempt.timer = self.kernel.call_at(deadline_ms, self.name, message)
+
+    def _is_waiting_for_caller(self, connection: _Connection) -> bool:
+        """Tell whether a slow caller would look like a slow backend server."""
+        attempt = connection.attempt
+        return attempt.is_read_paused or (
+            not attempt.is_request_complete and not connection.stream.pending_bytes
+        )
+
+    def _has_sent_more(self, connection: _Connection) -> bool:
+        """Tell whether the backend server has taken bytes since last asked."""
+        attempt = connection.attempt
+        before, attempt.sent_bytes = attempt.sent_bytes, connection.stream.sent_bytes
+        # A connection that is not open yet has taken nothing.
+        return attempt.sent_bytes > before and connection.stream.pending_bytes > 0
+
+    def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
+        servers = message.configuration.servers
+        for key in list(self._idle):
+            server = servers.get(key.server_id)
+            if server is None or Address(server.host, server.port) != key.address:
+                for connection in self._idle.pop(key):
+                    self._drop(connection)
 
     def _on_sweep_due(self, message: SweepDue) -> None:
-        oldest_ms = self.kernel.clock.now_ms - IDLE_AGE_MS
-        for idle in self._idle.values():
+        oldest_ms = self.kernel.clock.now_ms - self._idle_age_ms
+        for key, idle in list(self._idle.items()):
             for connection in [c for c in idle if c.idle_since_ms < oldest_ms]:
                 self._drop(connection)
+            if not idle:
+                del self._idle[key]
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -6,6 +6,7 @@
 """
 
 from collections import deque
+from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from itertools import count
 from socket import SO_REUSEADDR, SOL_SOCKET, socket
 from typing import NamedTuple
@@ -30,6 +31,7 @@
     CallerLeft,
     CallerResumed,
     CallerStalled,
+    DrainStarted,
     RequestBody,
     RequestReadPaused,
     RequestReadResumed,
@@ -47,15 +49,19 @@
 MAX_CONNECTIONS = 4000
 # Above this the source of an answer is paused; the daemon's whole memory is
 # 256 MB.
-WRITE_HIGH_BYTES = 256 * 1024
+WRITE_HIGH_BYTES = 64 * 1024
 # Parsed parts of later requests kept per connection before reading stops.
 MAX_BACKLOG_EVENTS = 64
+MAX_BACKLOG_BYTES = 64 * 1024
+# A chunked body is kept until it is complete or has one of these sizes, so
+# that usual requests with a broken chunk are refused before they are passed
+# on.
+MAX_HELD_EVENTS = 1024
+MAX_HELD_BYTES = 16 * 1024
+# Body passed on before the answering service has asked for it.
+MAX_UNASKED_BYTES = 256 * 1024
 SWEEP_INTERVAL_MS = 1000
-# Time for a peer to make progress: idle between requests, in the middle of
-# sending a request, or taking an answer.
-IDLE_AGE_MS = 60_000
-REQUEST_PROGRESS_MS = 10_000
-ANSWER_PROGRESS_MS = 30_000
+NO_DESCRIPTORS = frozenset({EMFILE, ENFILE, ENOBUFS, ENOMEM})
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 PHRASES = {
@@ -74,6 +80,31 @@
 }
 
 
+class ListenerLimits(NamedTuple):
+    """
+    Bounds on connections and on the time for a peer to make progress.
+
+    ``idle_age_ms`` holds between requests, ``head_ms`` from the first byte
+    to the end of a head, ``body_progress_ms`` between parts of a body and
+    ``answer_progress_ms`` between parts of an answer that the peer takes.
+    ``linger_ms`` is how long bytes are still read from a peer that has got
+    its last answer; a close with unread bytes would destroy that answer.
+    ``drain_first_request_ms`` is the time for the first request of a caller
+    that connected just before the drain.
+    """
+
+    connections: int = MAX_CONNECTIONS
+    idle_age_ms: float = 60_000
+    head_ms: float = 10_000
+    body_progress_ms: float = 10_000
+    answer_progress_ms: float = 30_000
+    linger_ms: float = 2_000
+    drain_first_request_ms: float = 1_000
+
+
+DEFAULT_LIMITS = ListenerLimits()
+
+
 class SweepDue(NamedTuple):
     """Connections without progress are to be closed."""
 
@@ -90,6 +121,10 @@
         self.is_request_complete = False
         self.is_response_started = False
         self.is_chunked = False
+        self.is_read_paused = False
+        self.is_body_asked_for = False
+        self.passed_bytes = 0
+        self.is_stalled = False
 
 
 class _Connection:
@@ -99,12 +134,26 @@
         self.stream: Stream
         self.parser = RequestParser()
         self.backlog: deque[ParserEvent] = deque()
+        self.backlog_bytes = 0
+        # Messages whose end is in the backlog.
+        self.backlog_ends = 0
         self.exchange: _Exchange | None = None
-        self.is_read_paused = False
-        self.is_stalled = False
+        self.exchange_count = 0
+        self.is_held = False
         self.is_closing = False
-        self.is_request_begun = False
         self.progress_ms = now_ms
+        self.sent_bytes = 0
+        self.head_begun_ms: float | None = None
+        self.linger_begun_ms: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        return (
+            self.exchange is None
+            and self.head_begun_ms is None
+            and not self.is_held
+            and not self.is_closing
+        )
 
 
 class HttpListener(Service):
@@ -118,6 +167,7 @@
         address: Address,
         target: str,
         name: str | None = None,
+        limits: ListenerLimits = DEFAULT_LIMITS,
     ) -> None:
         """
         Create the port without opening it.
@@ -126,8 +176,10 @@
         :param address: address to listen on; port 0 takes any.
         :param target: name of the service that answers the requests.
         :param name: name of this service.
+        :param limits: bounds on connections and times.
         """
         super().__init__(kernel, name)
+        self._limits = limits
         self._address = address
         self._target = target
         self._sock: socket | None = None
@@ -145,14 +197,13 @@
             RequestRefused: self._on_request_refused,
             RequestReadPaused: self._on_read_paused,
             RequestReadResumed: self._on_read_resumed,
+            DrainStarted: self._on_drain_started,
             SweepDue: self._on_sweep_due,
         }
 
     @property
     def address(self) -> Address:
         """Return the address in use, with the real port once open."""
-        if self._sock is not None and self._sock.fileno() >= 0:
-            return Address(*self._sock.getsockname()[:2])
         return self._address
 
     @property
@@ -184,20 +235,31 @@
             ) from error
         sock.setblocking(False)
         self._sock = sock
+        self._address = Address(*sock.getsockname()[:2])
         self.watch_read(sock, self._accept)
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
 
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_EVENT):
-            if len(self._connections) >= MAX_CONNECTIONS:
+            if len(self._connections) >= self._limits.connections:
                 # Further callers wait in the listen queue until one leaves.
                 self.unwatch_read(self._sock)
                 return
             try:
                 sock, _ = self._sock.accept()
-            except OSError:
+            except BlockingIOError:
                 return
-            set_stream_options(sock)
+            except OSError as error:
+                if error.errno in NO_DESCRIPTORS:
+                    # The listen queue stays readable; the sweep resumes.
+                    self.unwatch_read(self._sock)
+                    return
+                continue
+            try:
+                set_stream_options(sock)
+            except OSError:
+                sock.close()
+                continue
             self._add_connection(sock)
 
     def _add_connection(self, sock: socket) -> None:
@@ -215,22 +277,31 @@
     # Requests
 
     def _on_data(self, connection: _Connection, data: bytes) -> None:
-        connection.progress_ms = self.kernel.clock.now_ms
-        connection.is_request_begun = True
         if connection.is_closing:
             return
-        connection.backlog.extend(connection.parser.feed(data))
+        connection.progress_ms = self.kernel.clock.now_ms
+        if connection.exchange is None and not connection.is_held:
+            if connection.head_begun_ms is None:
+                connection.head_begun_ms = connection.progress_ms
+        for event in connection.parser.feed(data):
+            connection.backlog.append(event)
+            if isinstance(event, BodyParsed):
+                connection.backlog_bytes += len(event.data)
+            elif isinstance(event, MessageParsed):
+                connection.backlog_ends += 1
         self._advance(connection)
-        if len(connection.backlog) > MAX_BACKLOG_EVENTS:
-            self._update_reading(connection)
+        self._update_reading(connection)
 
     def _advance(self, connection: _Connection) -> None:
         """Pass on what has been parsed, up to the end of one request."""
-        backlog = connection.backlog
-        while backlog and not connection.is_closing:
+        while connection.backlog and not connection.is_closing:
             exchange = connection.exchange
             if exchange is None:
-                self._start_exchange(connection, backlog.popleft())
+                if self._is_answer_pending(connection) or self._is_body_awaited(
+                    connection
+                ):
+                    break
+                self._start_exchange(connection)
             elif exchange.is_request_complete:
                 return
             else:
@@ -239,19 +310,42 @@
         if error is None or connection.is_closing:
             return
         if connection.exchange is None:
-            self._refuse_framing(connection, error)
+            if not connection.backlog_ends:
+                self._refuse_framing(connection, error)
         elif not connection.exchange.is_request_complete:
-            # The body of the current request is broken.
-            self._forget(connection)
+            self._refuse_framing(connection, error)
 
-    def _start_exchange(self, connection: _Connection, parsed: HeadParsed) -> None:
+    def _is_answer_pending(self, connection: _Connection) -> bool:
+        """Tell whether the caller must take earlier answers first."""
+        return connection.stream.pending_bytes > WRITE_HIGH_BYTES
+
+    def _is_body_awaited(self, connection: _Connection) -> bool:
+        """Tell whether the next request is kept until more of it is there."""
+        parsed = connection.backlog[0]
+        if connection.backlog_ends:
+            is_awaited = False
+        elif connection.parser.error is not None:
+            is_awaited = True
+        else:
+            is_awaited = (
+                parsed.body_length is None
+                and not parsed.is_continue_expected
+                and connection.backlog_bytes < MAX_HELD_BYTES
+                and len(connection.backlog) < MAX_HELD_EVENTS
+            )
+        connection.is_held = is_awaited
+        if is_awaited:
+            connection.head_begun_ms = None
+        return is_awaited
+
+    def _start_exchange(self, connection: _Connection) -> None:
+        parsed = connection.backlog.popleft()
         exchange = _Exchange(next(self._request_ids), parsed)
         connection.exchange = exchange
+        connection.exchange_count += 1
+        connection.head_begun_ms = None
         self._by_request[exchange.request_id] = connection
-        data, is_complete = self._take_body(connection)
-        exchange.is_request_complete = is_complete
-        if is_complete or data:
-            exchange.is_continue_due = False
+        data = self._take_body(connection, exchange)
         self.send(
             self._target,
             RequestReceived(
@@ -259,36 +353,52 @@
                 parsed.head,
                 parsed.body_length,
                 data,
-                is_complete,
+                exchange.is_request_complete,
                 connection.progress_ms,
             ),
         )
 
     def _pass_body(self, connection: _Connection, exchange: _Exchange) -> None:
-        data, is_complete = self._take_body(connection)
-        exchange.is_request_complete = is_complete
-        exchange.is_continue_due = False
-        self.send(self._target, RequestBody(exchange.request_id, data, is_complete))
+        data = self._take_body(connection, exchange)
+        self.send(
+            self._target,
+            RequestBody(exchange.request_id, data, exchange.is_request_complete),
+        )
 
-    def _take_body(self, connection: _Connection) -> tuple[bytes, bool]:
-        """Take the parsed parts of the body and whether it is complete."""
+    def _take_body(self, connection: _Connection, exchange: _Exchange) -> bytes:
+        """Take the parsed parts of the body and note its end."""
         parts = []
-        while connection.backlog:
+        while connection.backlog and not exchange.is_request_complete:
             event = connection.backlog.popleft()
             if isinstance(event, MessageParsed):
-                connection.is_request_begun = bool(connection.backlog)
-                return b"".join(parts), True
-            if isinstance(event, BodyParsed):
+                connection.backlog_ends -= 1
+                exchange.is_request_complete = True
+            else:
                 parts.append(event.data)
-        return b"".join(parts), False
+        data = b"".join(parts)
+        connection.backlog_bytes -= len(data)
+        exchange.passed_bytes += len(data)
+        if data or exchange.is_request_complete:
+            exchange.is_continue_due = False
+        return data
 
     def _refuse_framing(self, connection: _Connection, error: FramingError) -> None:
+        outcome = Outcome.NOT_RUN
+        exchange = connection.exchange
+        if exchange is not None:
+            # The answering service has part of the request already.
+            outcome = Outcome.UNKNOWN
+            self._end_exchange(connection)
+            self.send(self._target, CallerLeft(exchange.request_id))
+            if exchange.is_response_started:
+                self._abort(connection)
+                return
         body = f"{error}\n".encode()
         head = ResponseHead(
             error.status,
             PHRASES[error.status],
             (
-                Header(OUTCOME_HEADER, Outcome.NOT_RUN.encode()),
+                Header(OUTCOME_HEADER, outcome.encode()),
                 Header(REASON_HEADER, b"bad-framing"),
                 Header(b"content-type", b"text/plain"),
             ),
@@ -306,8 +416,10 @@
             return
         exchange = connection.exchange
         exchange.is_response_started = True
-        if not exchange.is_request_complete or self._is_draining:
-            # The rest of the request's body will not be read.
+        if not exchange.is_request_complete:
+            # The rest of the request's body may not be read.
+            exchange.is_keep_alive = False
+        elif self._is_draining and not connection.backlog:
             exchange.is_keep_alive = False
         exchange.is_chunked = message.body_length is None and not exchange.is_http_1_0
         if message.body_length is None and exchange.is_http_1_0:
@@ -335,7 +447,6 @@
         is_complete: bool,
         head: bytes = b"",
     ) -> None:
-        connection.progress_ms = self.kernel.clock.now_ms
         if exchange.is_head_request:
             connection.stream.write(head)
         elif exchange.is_chunked:
@@ -348,32 +459,41 @@
         if is_complete:
             self._finish_exchange(connection, exchange)
         elif connection.stream.pending_bytes > WRITE_HIGH_BYTES:
-            if not connection.is_stalled:
-                connection.is_stalled = True
+            if not exchange.is_stalled:
+                exchange.is_stalled = True
                 self.send(self._target, CallerStalled(exchange.request_id))
 
     def _finish_exchange(self, connection: _Connection, exchange: _Exchange) -> None:
-        del self._by_request[exchange.request_id]
-        connection.exchange = None
-        connection.is_read_paused = False
+        self._end_exchange(connection)
         if not exchange.is_keep_alive:
             self._close_when_drained(connection)
             return
+        self._start_next(connection)
+        if self._is_draining and connection.is_idle:
+            self._close_when_drained(connection)
+
+    def _start_next(self, connection: _Connection) -> None:
+        if connection.backlog or not connection.parser.is_between_messages:
+            connection.head_begun_ms = self.kernel.clock.now_ms
         self._advance(connection)
         self._update_reading(connection)
 
+    def _end_exchange(self, connection: _Connection) -> None:
+        del self._by_request[connection.exchange.request_id]
+        connection.exchange = None
+        connection.progress_ms = self.kernel.clock.now_ms
+
     def _on_response_aborted(self, message: ResponseAborted) -> None:
         connection = self._by_request.get(message.request_id)
         if connection is not None:
-            del self._by_request[message.request_id]
-            connection.exchange = None
-            self._forget(connection)
+            self._end_exchange(connection)
+            self._abort(connection)
 
     def _on_request_refused(self, message: RequestRefused) -> None:
         body = f"{message.reason}\n".encode()
         head = ResponseHead(
             message.status,
-            PHRASES[message.status],
+            PHRASES.get(message.status, b"Unknown"),
             (
                 Header(OUTCOME_HEADER, message.outcome.encode()),
                 Header(REASON_HEADER, message.reason.encode()),
@@ -389,7 +509,7 @@
     def _on_read_paused(self, message: RequestReadPaused) -> None:
         connection = self._by_request.get(message.request_id)
         if connection is not None:
-            connection.is_read_paused = True
+            connection.exchange.is_read_paused = True
             self._update_reading(connection)
 
     def _on_read_resumed(self, message: RequestReadResumed) -> None:
@@ -397,59 +517,123 @@
         if connection is None:
             return
         exchange = connection.exchange
+        exchange.is_read_paused = False
+        exchange.is_body_asked_for = True
+        if not exchange.is_request_complete:
+            # The time for the caller to go on starts here.
+            connection.progress_ms = self.kernel.clock.now_ms
         if exchange.is_continue_due and not exchange.is_response_started:
             exchange.is_continue_due = False
             connection.stream.write(CONTINUE)
-        connection.is_read_paused = False
         self._update_reading(connection)
 
     def _update_reading(self, connection: _Connection) -> None:
-        if connection.is_read_paused or len(connection.backlog) > MAX_BACKLOG_EVENTS:
-            connection.stream.stop_reading()
+        exchange = connection.exchange
+        if connection.is_closing:
+            is_wanted = True
+        elif exchange is not None and not exchange.is_request_complete:
+            is_wanted = not exchange.is_read_paused and (
+                exchange.is_body_asked_for or exchange.passed_bytes < MAX_UNASKED_BYTES
+            )
+        elif connection.is_held:
+            is_wanted = True
         else:
+            is_wanted = (
+                len(connection.backlog) <= MAX_BACKLOG_EVENTS
+                and connection.backlog_bytes <= MAX_BACKLOG_BYTES
+            )
+        if is_wanted:
             connection.stream.start_reading()
+        else:
+            connection.stream.stop_reading()
 
     def _on_drained(self, connection: _Connection) -> None:
         connection.progress_ms = self.kernel.clock.now_ms
+        exchange = connection.exchange
         if connection.is_closing:
-            self._forget(connection)
-        elif connection.is_stalled:
-            connection.is_stalled = False
-            if connection.exchange is not None:
-                self.send(self._target, CallerResumed(connection.exchange.request_id))
+            self._linger(connection)
+        elif exchange is None:
+            self._start_next(connection)
+        elif exchange.is_stalled:
+            exchange.is_stalled = False
+            self.send(self._target, CallerResumed(exchange.request_id))
 
     def _close_when_drained(self, connection: _Connection) -> None:
         connection.is_closing = True
         connection.backlog.clear()
+        connection.stream.start_reading()
         if connection.stream.pending_bytes == 0:
-            self._forget(connection)
+            self._linger(connection)
+
+    def _linger(self, connection: _Connection) -> None:
+        if connection.linger_begun_ms is None:
+            connection.linger_begun_ms = self.kernel.clock.now_ms
+            connection.stream.finish_writing()
+
+    def _abort(self, connection: _Connection) -> None:
+        connection.stream.abort()
+        self._forget(connection)
 
     def _forget(self, connection: _Connection) -> None:
         connection.stream.close()
         self._connections.discard(connection)
         exchange = connection.exchange
         if exchange is not None:
-            connection.exchange = None
-            self._by_request.pop(exchange.request_id, None)
+            self._end_exchange(connection)
             self.send(self._target, CallerLeft(exchange.request_id))
-        if self._sock is not None and len(self._connections) < MAX_CONNECTIONS:
+        self._resume_accepting()
+
+    def _resume_accepting(self) -> None:
+        if self._sock is not None and len(self._connections) < self._limits.connections:
             self.watch_read(self._sock, self._accept)
 
+    def _on_drain_started(self, message: DrainStarted) -> None:
+        if self._is_draining:
+            return
+        self._is_draining = True
+        if self._sock is not None:
+            # Connections in the listen queue would be reset with the socket.
+            for _ in range(LISTEN_BACKLOG // ACCEPTS_PER_EVENT + 1):
+                self._accept()
+            self.close_socket(self._sock)
+            self._sock = None
+        for connection in list(self._connections):
+            if connection.is_idle and connection.exchange_count:
+                # A request may have arrived since the last poll.
+                connection.stream.read()
+                if connection.stream.is_open and connection.is_idle:
+                    self._close_when_drained(connection)
+
     def _on_sweep_due(self, message: SweepDue) -> None:
         now_ms = self.kernel.clock.now_ms
         for connection in list(self._connections):
-            if now_ms - connection.progress_ms > self._progress_limit_ms(connection):
+            if connection.sent_bytes != connection.stream.sent_bytes:
+                connection.sent_bytes = connection.stream.sent_bytes
+                connection.progress_ms = now_ms
+            if self._is_overdue(connection, now_ms):
                 self._forget(connection)
+        self._resume_accepting()
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
 
-    def _progress_limit_ms(self, connection: _Connection) -> float:
+    def _is_overdue(self, connection: _Connection, now_ms: float) -> bool:
+        limits = self._limits
         exchange = connection.exchange
+        waited_ms = now_ms - connection.progress_ms
         if connection.stream.pending_bytes:
-            return ANSWER_PROGRESS_MS
+            return waited_ms > limits.answer_progress_ms
+        if connection.linger_begun_ms is not None:
+            return now_ms - connection.linger_begun_ms > limits.linger_ms
+        if connection.head_begun_ms is not None:
+            # From the first byte, so that a head sent byte by byte does not
+            # hold its connection for hours.
+            return now_ms - connection.head_begun_ms > limits.head_ms
+        if connection.is_held:
+            return waited_ms > limits.body_progress_ms
         if exchange is None:
-            is_begun = connection.is_request_begun
-            return REQUEST_PROGRESS_MS if is_begun else IDLE_AGE_MS
-        if not exchange.is_request_complete and not connection.is_read_paused:
-            return REQUEST_PROGRESS_MS
+            if self._is_draining:
+                return waited_ms > limits.drain_first_request_ms
+            return waited_ms > limits.idle_age_ms
+        if not exchange.is_request_complete and connection.stream.is_reading:
+            return waited_ms > limits.body_progress_ms
         # The answering service bounds its own time.
-        return float("inf")
+        return False
--- /dev/null
+++ b/tests/services/_loopback.py
@@ -0,0 +1,118 @@
+"""A peer over loopback and the ticks of the kernel between its steps."""
+
+import errno
+import socket
+
+from cuminhatch.codecs.http1 import Header, ResponseHead
+from cuminhatch.kernel import Service
+from cuminhatch.messages import (
+    CallerLeft,
+    CallerResumed,
+    CallerStalled,
+    RequestBody,
+    RequestReceived,
+    ResponseStarted,
+)
+
+MAX_TICKS = 3000
+TICK_S = 0.01
+
+
+class Peer:
+    """One end of a TCP connection, driven together with the kernel."""
+
+    def __init__(self, kernel, sock):
+        self.kernel = kernel
+        self.sock = sock
+        self.received = b""
+        self.is_closed = False
+        self.is_reset = False
+        sock.setblocking(False)
+
+    def read(self):
+        while not self.is_closed:
+            try:
+                data = self.sock.recv(1 << 20)
+            except BlockingIOError:
+                return
+            except ConnectionResetError:
+                self.is_closed = self.is_reset = True
+                return
+            self.received += data
+            self.is_closed = not data
+
+    def send(self, data, step=0):
+        for start in range(0, len(data), step or len(data) or 1):
+            rest = data[start : start + (step or len(data))]
+            while rest:
+                try:
+                    rest = rest[self.sock.send(rest) :]
+                except BlockingIOError:
+                    pass
+                except OSError as error:
+                    assert error.errno in (errno.EPIPE, errno.ECONNRESET)
+                    return
+                self.kernel.tick(0)
+
+    def run_until(self, condition):
+        run_until(self.kernel, lambda: self.read() or condition())
+
+
+def connect(kernel, address):
+    return Peer(kernel, socket.create_connection(address))
+
+
+def run_until(kernel, condition):
+    """Tick until the condition holds; without it, the test has failed."""
+    for _ in range(MAX_TICKS):
+        if condition():
+            return
+        kernel.tick(TICK_S)
+    raise AssertionError("the condition was never met")
+
+
+def settle(kernel, count=10):
+    for _ in range(count):
+        kernel.tick(0)
+
+
+class Answers(Service):
+    """Records what a listener passes on; echoes each complete request."""
+
+    name = "answers"
+    is_echoing = True
+
+    def __init__(self, kernel):
+        super().__init__(kernel)
+        self.messages = []
+        self.bodies = {}
+
+    def message_handlers(self):
+        return {
+            RequestReceived: self.on_request,
+            RequestBody: self.on_request,
+            CallerLeft: self.messages.append,
+            CallerStalled: self.messages.append,
+            CallerResumed: self.messages.append,
+        }
+
+    @property
+    def heads(self):
+        return [m.head for m in self.messages if type(m) is RequestReceived]
+
+    def count(self, kind):
+        return sum(type(message) is kind for message in self.messages)
+
+    def on_request(self, message):
+        self.messages.append(message)
+        body = self.bodies.setdefault(message.request_id, bytearray())
+        body += message.data
+        if message.is_complete and self.is_echoing:
+            self.answer(message.request_id, bytes(body))
+
+    def answer(self, request_id, body, status=200, is_complete=True, length=-1):
+        head = ResponseHead(status, b"OK", (Header(b"x-answer", b"%d" % request_id),))
+        length = len(body) if length == -1 else length
+        self.send(
+            "callers", ResponseStarted(request_id, head, length, body, is_complete)
+        )
--- /dev/null
+++ b/tests/services/test_http_listener.py
@@ -0,0 +1,470 @@
+"""Tests of the callers' port over loopback connections."""
+
+import re
+
+import h11
+import pytest
+
+from cuminhatch import ManualClock
+from cuminhatch.codecs.http1 import MAX_HEAD_BYTES
+from cuminhatch.kernel import Kernel
+from cuminhatch.messages import (
+    Address,
+    CallerLeft,
+    CallerResumed,
+    CallerStalled,
+    DrainStarted,
+    RequestBody,
+    RequestReadPaused,
+    RequestReadResumed,
+    RequestReceived,
+    RequestRefused,
+    ResponseAborted,
+    ResponseBody,
+)
+from cuminhatch.outcomes import Outcome
+from cuminhatch.services.http_listener import (
+    DEFAULT_LIMITS,
+    MAX_UNASKED_BYTES,
+    SWEEP_INTERVAL_MS,
+    WRITE_HIGH_BYTES,
+    HttpListener,
+    ListenerLimits,
+)
+from tests.services._loopback import Answers, connect, run_until, settle
+
+HOST = b"Host: a\r\n"
+GET = b"GET /%d HTTP/1.1\r\n" + HOST + b"\r\n"
+POST = b"POST / HTTP/1.1\r\n" + HOST
+CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
+SIZE = 16 << 20
+BIG = bytes(range(256)) * 16 * 1024
+
+
+class Port:
+    """A kernel with a listener and a service that records and echoes."""
+
+    def __init__(self, **limits):
+        self.kernel = Kernel(ManualClock())
+        self.answers = self.kernel.register(Answers(self.kernel))
+        self.listener = self.kernel.register(
+            HttpListener(
+                self.kernel,
+                Address("127.0.0.1", 0),
+                "answers",
+                limits=ListenerLimits(**limits),
+            )
+        )
+        self.kernel.open()
+
+    def connect(self):
+        return connect(self.kernel, self.listener.address)
+
+    def send(self, message):
+        self.kernel.send("callers", message)
+
+    def wait(self, ms):
+        """Let time pass in steps of the sweep."""
+        for _ in range(int(ms // SWEEP_INTERVAL_MS) + 1):
+            self.kernel.clock.advance(SWEEP_INTERVAL_MS)
+            settle(self.kernel, 4)
+
+
+@pytest.fixture
+def port():
+    return Port()
+
+
+def answers_in(data):
+    return [int(n) for n in re.findall(rb"x-answer: (\d+)", data)]
+
+
+@pytest.mark.parametrize("step", [0, 1])
+@pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
+@pytest.mark.parametrize("body", [None, b"", b"abc", BIG[:5000]])
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_independent_client_gets_its_answers(port, method, body, is_chunked, step):
+    """Guards against framing that only our own parser understands."""
+    client = h11.Connection(h11.CLIENT)
+    peer = port.connect()
+    for _ in range(2):
+        framing = ("Content-Length", str(len(body or b"")))
+        if is_chunked:
+            framing = ("Transfer-Encoding", "chunked")
+        headers = [("Host", "a"), ("Connection", "keep-alive, x-hop"), ("X-Hop", "1")]
+        headers += [framing] if body is not None else []
+        request = h11.Request(method=method, target="/p?q=1", headers=headers)
+        data = client.send(request)
+        if body:
+            data += client.send(h11.Data(body[:2])) + client.send(h11.Data(body[2:]))
+        data += client.send(h11.EndOfMessage())
+        peer.send(data, step)
+        events = []
+        while type(events[-1:][0] if events else None) is not h11.EndOfMessage:
+            event = client.next_event()
+            if event is h11.NEED_DATA:
+                peer.run_until(lambda: peer.received)
+                client.receive_data(peer.received)
+                peer.received = b""
+            else:
+                events.append(event)
+        got = b"".join(e.data for e in events if type(e) is h11.Data)
+        assert got == (b"" if method == "HEAD" else body or b"")
+        assert port.answers.heads[-1].headers == ((b"host", b"a"),)
+        client.start_next_cycle()
+    assert len(port.answers.heads) == 2
+
+
+BAD = [
+    (400, POST + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+    (400, POST + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n"),
+    (400, POST + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\na"),
+    (400, POST + b"Content-Length: 1, 1\r\n\r\na"),
+    (400, POST + b"Content-Length: +1\r\n\r\na"),
+    (400, POST + b"Content-Length: -1\r\n\r\na"),
+    (400, POST + b"Content-Length: 0x1\r\n\r\na"),
+    (400, POST + b"Content-Length: 1 1\r\n\r\na"),
+    (400, POST + b"Content-Length: 99999999999999999999999\r\n\r\na"),
+    (400, POST + b"Content-Length:\r\n\r\na"),
+    (400, POST + b"Content-Length : 1\r\n\r\na"),
+    (400, POST + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
+    (400, POST + b"Transfer-Encoding: gzip\r\n\r\na"),
+    (400, POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
+    (400, POST + b"Transfer-Encoding: identity\r\nContent-Length: 1\r\n\r\na"),
+    (
+        400,
+        POST + b"Transfer-Encoding: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ),
+    (
+        400,
+        POST.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    ),
+    (400, b"GET / HTTP/1.1\nHost: a\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\n\n"),
+    (400, b"\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\rY: b\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\x00b\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\n Host: a\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\n\r\n"),
+    (400, b"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n"),
+    (400, b"GET / HTTP/2.0\r\nHost: a\r\n\r\n"),
+    (400, b"GET / HTTP/0.9\r\nHost: a\r\n\r\n"),
+    (400, b"GET /\r\n\r\n"),
+    (400, b"get / HTTP/1.1\r\nHost: a\r\n\r\n"),
+    (400, b"GET /a b HTTP/1.1\r\nHost: a\r\n\r\n"),
+    (400, b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"),
+    (400, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+    (400, b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"),
+    (400, POST + b"Upgrade: x\r\nConnection: upgrade\r\nContent-Length: 1\r\n\r\na"),
+    (400, CHUNKED + b"3\nabc\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"3\r\nabc\n0\r\n\r\n"),
+    (400, CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"3 \r\nabc\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"-3\r\nabc\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"0x3\r\nabc\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"3;a\nb\r\nabc\r\n0\r\n\r\n"),
+    (400, CHUNKED + b"fffffffffffffffff\r\nabc"),
+    (400, CHUNKED + b"\r\n"),
+    (400, CHUNKED + b"0\r\nA : b\r\n\r\n"),
+    (400, CHUNKED + b"0\r\nA: b\nC: d\r\n\r\n"),
+    (400, CHUNKED + b"0\r\nContent-Length: 1\r\n\r\n"),
+    (431, POST + b"X: " + b"a" * 2 * MAX_HEAD_BYTES + b"\r\n\r\n"),
+    (431, POST + b"X" * 2 * MAX_HEAD_BYTES),
+    (431, POST + b"X: a\r\n" * 101 + b"\r\n"),
+    (431, b"GET /" + b"a" * 2 * MAX_HEAD_BYTES + b" HTTP/1.1\r\nHost: a\r\n\r\n"),
+    (431, CHUNKED + b"1;" + b"a" * 16 * MAX_HEAD_BYTES),
+    (431, CHUNKED + b"0\r\n" + b"X: a\r\n" * MAX_HEAD_BYTES),
+    (431, b"\r\n" * 16 * MAX_HEAD_BYTES),
+]
+
+
+@pytest.mark.parametrize("step", [0, 1])
+@pytest.mark.parametrize(("status", "data"), BAD)
+def test_broken_framing_is_refused_and_nothing_passed_on(port, status, data, step):
+    """Guards against requests that two parsers would split differently."""
+    if step and len(data) > 1000:
+        step = 1000
+    peer = port.connect()
+    peer.send(data, step)
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.received.startswith(b"HTTP/1.1 %d " % status)
+    assert b"cuminhatch-outcome: not-run\r\n" in peer.received
+    assert b"connection: close\r\n" in peer.received
+    assert not peer.is_reset
+    assert port.answers.messages == []
+
+
+def test_requests_before_a_broken_one_are_answered_in_order(port):
+    """Guards against a fault that takes the caller's other answers along."""
+    peer = port.connect()
+    port.answers.is_echoing = False
+    peer.send(GET % 1 + GET % 2 + b"GET / HTTP/1.1\nHost: a\r\n\r\n" + GET % 3)
+    settle(port.kernel)
+    for request_id in (1, 2):
+        port.answers.answer(request_id, b"body")
+        settle(port.kernel)
+    peer.run_until(lambda: peer.is_closed)
+    assert answers_in(peer.received) == [1, 2]
+    assert peer.received.count(b"HTTP/1.1 400 ") == 1
+    assert [head.target for head in port.answers.heads] == [b"/1", b"/2"]
+
+
+def test_broken_chunk_after_part_was_passed_on_is_reported_as_unknown(port):
+    """Guards against a "not run" for a request that may have run."""
+    peer = port.connect()
+    peer.send(CHUNKED + b"5000\r\n" + b"a" * 0x5000 + b"\r\n")
+    run_until(port.kernel, lambda: port.answers.messages)
+    peer.send(b"zz\r\n")
+    peer.run_until(lambda: peer.is_closed)
+    assert b"HTTP/1.1 400 " in peer.received
+    assert b"cuminhatch-outcome: unknown\r\n" in peer.received
+    run_until(port.kernel, lambda: port.answers.count(CallerLeft) == 1)
+    assert not any(getattr(m, "is_complete", False) for m in port.answers.messages)
+
+
+def test_many_pipelined_requests_are_answered_in_order(port):
+    """Guards against a backlog that stops reading for good."""
+    peer = port.connect()
+    peer.send(b"".join(GET % n for n in range(500)) + CHUNKED + b"1\r\na\r\n0\r\n\r\n")
+    peer.run_until(lambda: len(answers_in(peer.received)) == 501)
+    assert answers_in(peer.received) == list(range(1, 502))
+
+
+def test_continue_is_sent_when_the_body_is_asked_for(port):
+    """Guards against bodies sent for requests that are refused."""
+    head = POST + b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
+    peer = port.connect()
+    peer.send(head)
+    settle(port.kernel)
+    peer.read()
+    assert peer.received == b""
+    port.send(RequestReadResumed(1))
+    peer.run_until(lambda: peer.received == b"HTTP/1.1 100 Continue\r\n\r\n")
+    peer.send(b"abc")
+    peer.run_until(lambda: peer.received.endswith(b"\r\n\r\nabc"))
+    refused = port.connect()
+    refused.send(head)
+    settle(port.kernel)
+    port.send(RequestRefused(2, 503, Outcome.NOT_RUN, "no-capacity"))
+    refused.run_until(lambda: refused.is_closed)
+    assert refused.received.startswith(b"HTTP/1.1 503 ")
+    assert b"100 Continue" not in refused.received
+
+
+@pytest.mark.parametrize("is_paused", [False, True])
+def test_big_request_body_waits_for_its_receiver(port, is_paused):
+    """Guards against a body that fills the daemon's memory."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(POST + b"Content-Length: %d\r\n\r\n" % SIZE)
+    run_until(port.kernel, lambda: port.answers.messages)
+    if is_paused:
+        port.send(RequestReadResumed(1))
+        port.send(RequestReadPaused(1))
+        settle(port.kernel)
+    sent, idle = 0, 0
+    while sent < SIZE and idle < 50:
+        try:
+            sent += peer.sock.send(BIG[: SIZE - sent])
+            idle = 0
+        except BlockingIOError:
+            idle += 1
+        port.kernel.tick(0)
+    assert sent < SIZE
+    passed = len(port.answers.bodies[1])
+    assert passed <= (0 if is_paused else 2 * MAX_UNASKED_BYTES)
+    # A caller that is held back is not too slow.
+    port.wait(2 * DEFAULT_LIMITS.body_progress_ms)
+    port.send(RequestReadResumed(1))
+    peer.send(b"x" * (SIZE - sent))
+    run_until(port.kernel, lambda: port.answers.messages[-1].is_complete)
+    assert len(port.answers.bodies[1]) == SIZE
+
+
+def test_slow_reader_stalls_the_answer_and_gets_all_of_it(port):
+    """Guards against answers that pile up in memory or lose parts."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(GET % 1)
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.answers.answer(1, b"", is_complete=False, length=None)
+    parts = 0
+    while not port.answers.count(CallerStalled):
+        port.send(ResponseBody(1, BIG[:WRITE_HIGH_BYTES], False))
+        parts += 1
+        settle(port.kernel, 2)
+    peer.run_until(lambda: port.answers.count(CallerResumed))
+    port.send(ResponseBody(1, b"the end", True))
+    peer.run_until(lambda: peer.received.endswith(b"0\r\n\r\n"))
+    client = h11.Connection(h11.CLIENT)
+    client.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
+    client.send(h11.EndOfMessage())
+    client.receive_data(peer.received)
+    body = b""
+    while type(event := client.next_event()) is not h11.EndOfMessage:
+        body += getattr(event, "data", b"")
+    assert body == BIG[:WRITE_HIGH_BYTES] * parts + b"the end"
+
+
+def test_pipelining_caller_that_does_not_read_is_bounded(port):
+    """Guards against complete answers that pile up in memory."""
+    peer = port.connect()
+    request = POST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60000
+    sent, idle = 0, 0
+    while idle < 50:
+        try:
+            part = request[sent % len(request) :]
+            sent += peer.sock.send(part)
+            idle = 0
+        except BlockingIOError:
+            idle += 1
+        port.kernel.tick(0)
+        assert sent < SIZE
+    port.wait(DEFAULT_LIMITS.answer_progress_ms + 2 * SWEEP_INTERVAL_MS)
+    assert port.listener.connection_count == 0
+
+
+def test_caller_that_leaves_is_reported_once(port):
+    """Guards against work for nobody."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(GET % 1)
+    run_until(port.kernel, lambda: port.answers.messages)
+    assert port.listener.exchange_count == 1
+    peer.sock.close()
+    run_until(port.kernel, lambda: port.answers.count(CallerLeft))
+    port.answers.answer(1, b"late")
+    settle(port.kernel)
+    assert port.answers.count(CallerLeft) == 1
+    assert port.listener.connection_count == port.listener.exchange_count == 0
+
+
+@pytest.mark.parametrize("version", [b"1.0", b"1.1"])
+def test_answer_that_breaks_off_is_not_taken_for_whole(port, version):
+    """Guards against a truncated answer, above all one without a length."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(GET.replace(b"1.1", version) % 1)
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.answers.answer(1, b"part", is_complete=False, length=None)
+    peer.run_until(lambda: b"part" in peer.received)
+    port.send(ResponseAborted(1))
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.is_reset
+
+
+def test_answer_without_length_to_http_1_0_ends_with_the_connection(port):
+    """Guards against chunks sent to a caller that does not know them."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.answers.answer(1, b"part", is_complete=False, length=None)
+    port.send(ResponseBody(1, b"end", True))
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.received.endswith(b"connection: close\r\n\r\npartend")
+    assert not peer.is_reset
+
+
+def test_early_answer_reaches_a_caller_that_is_still_sending(port):
+    """Guards against a reset that destroys an answer in flight."""
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(POST + b"Content-Length: 10000000\r\n\r\n")
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.send(RequestRefused(1, 503, Outcome.NOT_RUN, "no-capacity"))
+    peer.send(b"x" * 3_000_000)
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.received.endswith(b"no-capacity\n")
+    assert not peer.is_reset
+    port.wait(DEFAULT_LIMITS.linger_ms)
+    assert port.listener.connection_count == 0
+
+
+@pytest.mark.parametrize(
+    ("data", "limit"),
+    [
+        (b"", "idle_age_ms"),
+        (b"GET / HT", "head_ms"),
+        (GET % 1 + b"GET / HT", "head_ms"),
+        (POST + b"Content-Length: 3\r\n\r\na", "body_progress_ms"),
+        (CHUNKED + b"3\r\na", "body_progress_ms"),
+    ],
+)
+def test_callers_without_progress_are_closed(port, data, limit):
+    """Guards against connections that are held for ever."""
+    peer = port.connect()
+    peer.send(data)
+    settle(port.kernel)
+    limit_ms = getattr(DEFAULT_LIMITS, limit)
+    port.wait(limit_ms - 2 * SWEEP_INTERVAL_MS)
+    assert port.listener.connection_count == 1
+    port.wait(2 * SWEEP_INTERVAL_MS)
+    assert port.listener.connection_count == port.listener.exchange_count == 0
+
+
+def test_head_sent_byte_by_byte_has_a_deadline(port):
+    """Guards against heads that keep a connection for hours."""
+    peer = port.connect()
+    for byte in b"GET / HTTP/1.1":
+        peer.send(bytes([byte]))
+        port.wait(0)
+    assert port.listener.connection_count == 0
+
+
+def test_callers_above_the_limit_wait_for_a_place():
+    """Guards against more connections than the memory is meant for."""
+    port = Port(connections=2)
+    peers = [port.connect() for _ in range(3)]
+    for peer in peers:
+        peer.send(GET % 1)
+    settle(port.kernel)
+    assert port.listener.connection_count == 2
+    assert port.answers.count(RequestReceived) == 2
+    peers[0].sock.close()
+    peers[2].run_until(lambda: peers[2].received)
+    assert port.listener.connection_count == 2
+
+
+def test_drain_cuts_off_nothing(port):
+    """Guards against requests lost when a daemon stops."""
+    port.answers.is_echoing = False
+    idle, busy, uploading, fresh = (port.connect() for _ in range(4))
+    idle.send(GET % 1)
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.answers.answer(1, b"first")
+    idle.run_until(lambda: idle.received)
+    busy.send(GET % 2)
+    uploading.send(POST + b"Content-Length: 3\r\n\r\na")
+    run_until(port.kernel, lambda: port.listener.exchange_count == 2)
+    queued = port.connect()
+    queued.sock.send(GET % 4)
+    port.send(DrainStarted())
+    idle.run_until(lambda: idle.is_closed)
+    with pytest.raises(ConnectionRefusedError):
+        port.connect()
+    fresh.send(GET % 5)
+    uploading.send(b"bc")
+    run_until(port.kernel, lambda: port.answers.count(RequestBody) == 1)
+    run_until(port.kernel, lambda: port.listener.exchange_count == 4)
+    for request_id in range(2, 6):
+        port.answers.answer(request_id, b"last")
+    for peer in (busy, uploading, fresh, queued):
+        peer.run_until(lambda peer=peer: peer.is_closed)
+        assert peer.received.endswith(b"\r\nconnection: close\r\n\r\nlast")
+        assert not peer.is_reset
+    port.wait(DEFAULT_LIMITS.linger_ms)
+    assert port.listener.connection_count == port.listener.exchange_count == 0
+
+
+def test_drain_closes_connections_that_never_send():
+    """Guards against a drain that waits for callers without a request."""
+    port = Port(drain_first_request_ms=1000)
+    port.connect()
+    run_until(port.kernel, lambda: port.listener.connection_count)
+    port.send(DrainStarted())
+    port.wait(1000)
+    assert port.listener.connection_count == 0
