Test connections to backend servers and the HTTP parsers

Faults found by the tests and mended here: a CR and LF before a request line in two reads counted as a bare line feed, and interim responses without end were unbounded.

--- a/src/cuminhatch/codecs/http1.py
+++ b/src/cuminhatch/codecs/http1.py
@@ -153,7 +153,6 @@
         self._headers = []
         self._is_in_head = True
         self._is_between_messages = False
-        self._head_bytes = 0
 
     def on_header(self, name: bytes, value: bytes) -> None:
         # Trailers arrive here as well, after the head; they are dropped.
@@ -172,6 +171,7 @@
 
     def on_message_complete(self) -> None:
         self._is_between_messages = self._has_message_ended = True
+        self._head_bytes = 0
         self._tail_bytes = self._expected_tail_bytes = 0
         self._events.append(MessageParsed())
 
@@ -260,6 +260,7 @@
         super().__init__()
         self._parser = HttpRequestParser(self)
         self._target = b""
+        self._is_after_return = False
 
     def feed(self, data: bytes) -> list[ParserEvent]:
         """
@@ -270,7 +271,9 @@
         """
         if self._is_between_messages and data.startswith(b"\n"):
             # The parser skips line feeds before a request line.
-            self._error = self._error or FramingError(400, "bare line feed")
+            if not self._is_after_return:
+                self._error = self._error or FramingError(400, "bare line feed")
+        self._is_after_return = data.endswith(b"\r")
         return self._feed(self._parser, data)
 
     def on_url(self, url: bytes) -> None:
--- a/tests/services/_loopback.py
+++ b/tests/services/_loopback.py
@@ -28,6 +28,8 @@
         self.is_closed = False
         self.is_reset = False
         sock.setblocking(False)
+        # Otherwise bytes sent one by one wait for acknowledgements.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def read(self):
         while not self.is_closed:
