--- a/src/cuminhatch/kernel/service.py
+++ b/src/cuminhatch/kernel/service.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING, Any
 
 from circuits.core.components import BaseComponent
-from circuits.core.handlers import handler
 
 if TYPE_CHECKING:
     from cuminhatch.kernel.kernel import Kernel
@@ -35,8 +34,6 @@
         super().__init__(channel=self.name)
         self.kernel = kernel
         self._message_handlers: MessageTable = {}
-        self._read_callbacks: dict[socket, Callable[[], None]] = {}
-        self._write_callbacks: dict[socket, Callable[[], None]] = {}
 
     def message_handlers(self) -> MessageTable:
         """
@@ -84,9 +81,7 @@
         :param sock: non-blocking socket owned by this service.
         :param callback: called without arguments.
         """
-        if sock not in self._read_callbacks:
-            self.kernel.poller.addReader(self, sock)
-        self._read_callbacks[sock] = callback
+        self.kernel.poller.set_reader(self.name, sock.fileno(), callback)
 
     def watch_write(self, sock: socket, callback: Callable[[], None]) -> None:
         """
@@ -95,9 +90,7 @@
         :param sock: non-blocking socket owned by this service.
         :param callback: called without arguments.
         """
-        if sock not in self._write_callbacks:
-            self.kernel.poller.addWriter(self, sock)
-        self._write_callbacks[sock] = callback
+        self.kernel.poller.set_writer(self.name, sock.fileno(), callback)
 
     def unwatch_read(self, sock: socket) -> None:
         """
@@ -105,8 +98,7 @@
 
         :param sock: socket given to :meth:`watch_read`.
         """
-        if self._read_callbacks.pop(sock, None) is not None:
-            self.kernel.poller.removeReader(sock)
+        self.kernel.poller.set_reader(self.name, sock.fileno(), None)
 
     def unwatch_write(self, sock: socket) -> None:
         """
@@ -114,8 +106,7 @@
 
         :param sock: socket given to :meth:`watch_write`.
         """
-        if self._write_callbacks.pop(sock, None) is not None:
-            self.kernel.poller.removeWriter(sock)
+        self.kernel.poller.set_writer(self.name, sock.fileno(), None)
 
     def close_socket(self, sock: socket) -> None:
         """
@@ -123,14 +114,16 @@
 
         :param sock: socket owned by this service.
         """
-        self._read_callbacks.pop(sock, None)
-        self._write_callbacks.pop(sock, None)
         if sock.fileno() >= 0:
-            self.kernel.poller.discard(sock)
+            self.kernel.poller.forget(sock.fileno())
         sock.close()
 
-    @handler("message_sent")
-    def _on_message_sent(self, message: Any) -> None:
+    def deliver(self, message: Any) -> None:
+        """
+        Handle a message; the kernel calls this for each message queued.
+
+        :param message: message sent to this service.
+        """
         method = self._message_handlers.get(type(message))
         if method is None:
             self.kernel.report_failure(self.name, message, None)
@@ -139,32 +132,3 @@
             method(message)
         except Exception as error:
             self.kernel.report_failure(self.name, message, error)
-
-    @handler("_read")
-    def _on_read(self, sock: socket) -> None:
-        self._call_back(self._read_callbacks, sock)
-
-    @handler("_write")
-    def _on_write(self, sock: socket) -> None:
-        self._call_back(self._write_callbacks, sock)
-
-    @handler("_disconnect")
-    def _on_disconnect(self, sock: socket) -> None:
-        # The poller has dropped the socket. Reading reports the error or the
-        # end of the stream to the owner; a half-open connect is waiting to
-        # write.
-        if sock in self._read_callbacks:
-            self._call_back(self._read_callbacks, sock)
-        else:
-            self._call_back(self._write_callbacks, sock)
-
-    def _call_back(
-        self, callbacks: dict[socket, Callable[[], None]], sock: socket
-    ) -> None:
-        callback = callbacks.get(sock)
-        if callback is None:
-            return
-        try:
-            callback()
-        except Exception as error:
-            self.kernel.report_failure(self.name, None, error)
