--- /dev/null
+++ b/tests/decisions/test_choice.py
@@ -0,0 +1,75 @@
+"""Tests of the choice of a backend server."""
+
+from collections import Counter
+from random import Random
+
+import pytest
+
+from cuminhatch.decisions.choice import (
+    NotChosen,
+    least_in_flight,
+    power_of_d,
+    random_choice,
+    round_robin,
+)
+from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.servers import LoadReport, ServerView, note_report
+
+POLICIES = {
+    "power_of_d": lambda: power_of_d(2, Random(1)),
+    "random": lambda: random_choice(Random(1)),
+    "round_robin": round_robin,
+    "least_in_flight": lambda: least_in_flight(Random(1)),
+}
+
+
+def make_views(count, near=()):
+    return [
+        ServerView(
+            BackendServer(f"b{n}", "s", "127.0.0.1", n, "a", 3, 200), 8, n in near
+        )
+        for n in range(count)
+    ]
+
+
+def count_choices(choose, views, total=600, now_ms=0.0):
+    return Counter(choose(views, now_ms).server.server_id for _ in range(total))
+
+
+@pytest.mark.parametrize("name", POLICIES)
+def test_no_candidates_is_a_sentinel(name):
+    """Guards against an exception where all servers are busy."""
+    assert isinstance(POLICIES[name]()([], 0.0), NotChosen)
+
+
+@pytest.mark.parametrize("name", POLICIES)
+def test_equal_servers_all_get_work(name):
+    """Guards against a choice that favours a place in the list."""
+    chosen = count_choices(POLICIES[name](), make_views(4))
+    assert len(chosen) == 4
+    assert min(chosen.values()) > 100
+
+
+def test_power_of_d_spreads_work_over_equally_stale_reports():
+    """Guards against a herd: all instances pick the server reported idle."""
+    views = make_views(10)
+    for view in views[1:]:
+        note_report(view, LoadReport(3, 1, 3, 0.0))
+    chosen = count_choices(power_of_d(2, Random(1)), views)
+    assert chosen["b0"] < 600 / 3
+    assert len(chosen) == 10
+
+
+def test_power_of_d_avoids_the_most_loaded():
+    """Guards against work for a server that is known to be full."""
+    views = make_views(6)
+    note_report(views[3], LoadReport(3, 9, 3, 0.0))
+    assert count_choices(power_of_d(2, Random(1)), views)["b3"] == 0
+
+
+def test_near_server_is_preferred_while_it_is_not_more_loaded():
+    """Guards against needless traffic between failure domains."""
+    views = make_views(2, near={0})
+    assert count_choices(power_of_d(2, Random(1)), views) == {"b0": 600}
+    views[0].in_flight = 1
+    assert count_choices(power_of_d(2, Random(1)), views) == {"b1": 600}
--- /dev/null
+++ b/tests/decisions/test_leaving.py
@@ -0,0 +1,64 @@
+"""Tests of the signs of leaving and of this daemon's drain."""
+
+import pytest
+
+from cuminhatch.decisions.leaving import (
+    NO_SIGNS,
+    DrainPhase,
+    DrainState,
+    after_observation,
+    after_pause,
+    drain_phase,
+    is_server_leaving,
+)
+
+
+@pytest.mark.parametrize(
+    "signs",
+    [
+        NO_SIGNS._replace(is_withdrawn=True),
+        NO_SIGNS._replace(is_listed=True),
+        NO_SIGNS._replace(reported_ms=5.0),
+        NO_SIGNS._replace(refused_count=2),
+    ],
+)
+def test_each_sign_is_enough(signs):
+    """Guards against new work for a server that one source says is leaving."""
+    assert is_server_leaving(signs)
+    assert not is_server_leaving(NO_SIGNS)
+
+
+def test_one_refused_connection_is_not_enough():
+    """Guards against giving up a server because of one full listen queue."""
+    assert not is_server_leaving(NO_SIGNS._replace(refused_count=1))
+
+
+def test_older_answer_does_not_take_leaving_back():
+    """Guards against new work because of a stale health answer."""
+    signs = after_observation(NO_SIGNS, True, 5000.0)
+    assert is_server_leaving(after_observation(signs, False, 5500.0))
+    assert not is_server_leaving(after_observation(signs, False, 6500.0))
+
+
+def test_answer_does_not_overrule_note_or_list():
+    """Guards against new work for a withdrawn server that still answers."""
+    signs = NO_SIGNS._replace(is_withdrawn=True, is_listed=True, reported_ms=1.0)
+    assert is_server_leaving(after_observation(signs, False, 9000.0))
+
+
+def test_refused_connections_age():
+    """Guards against a restarted server that never gets work again."""
+    signs = NO_SIGNS._replace(refused_count=2)
+    assert not is_server_leaving(after_pause(signs))
+
+
+def test_drain_phases():
+    """Guards against refusing callers while the list still names us."""
+    idle = DrainState(None, 2000.0, 10_000.0, 0)
+    assert drain_phase(idle, 99.0) is DrainPhase.SERVING
+    busy = DrainState(1000.0, 2000.0, 10_000.0, 3)
+    empty = busy._replace(in_flight=0)
+    assert drain_phase(empty, 2999.0) is DrainPhase.ANNOUNCING
+    assert drain_phase(busy, 3000.0) is DrainPhase.DRAINING
+    assert drain_phase(empty, 3000.0) is DrainPhase.ENDED
+    assert drain_phase(busy, 11_000.0) is DrainPhase.ENDED
