--- /dev/null
+++ b/src/cuminhatch/services/_answers.py
@@ -0,0 +1,76 @@
+"""Builds the answers that callers get from the answers of servers."""
+
+from cuminhatch.codecs.http1 import Header, ResponseHead
+from cuminhatch.decisions.idempotency import StoredAnswer
+from cuminhatch.messages import AttemptResponse, ResponseStarted
+from cuminhatch.outcomes import OUTCOME_HEADER, REASON_HEADER, Outcome
+from cuminhatch.services._request import RequestRecord
+from cuminhatch.services._response_facts import REQUEST_ID_HEADER
+
+_RAN = Header(OUTCOME_HEADER, Outcome.RAN.encode())
+_NOT_RUN = Header(OUTCOME_HEADER, Outcome.NOT_RUN.encode())
+_SHED = Header(REASON_HEADER, b"shed")
+
+
+def ran_answer(
+    record: RequestRecord,
+    message: AttemptResponse,
+    headers: tuple[Header, ...],
+    is_body_whole: bool,
+) -> ResponseStarted:
+    """
+    Return the start of the answer of a request that has run.
+
+    :param record: the request.
+    :param message: the response of the backend server.
+    :param headers: its headers that are to be forwarded.
+    :param is_body_whole: False holds back a body of the wrong length.
+    """
+    head = message.head
+    added = (_RAN, Header(REQUEST_ID_HEADER, record.trace_id))
+    return ResponseStarted(
+        record.request_id,
+        ResponseHead(head.status, head.phrase, headers + added),
+        message.body_length,
+        message.data if is_body_whole else b"",
+        message.is_complete and is_body_whole,
+    )
+
+
+def shed_answer(
+    record: RequestRecord, message: AttemptResponse, headers: tuple[Header, ...]
+) -> ResponseStarted:
+    """
+    Return the answer of a backend server that did not run the request.
+
+    :param record: the request.
+    :param message: the whole response of the backend server.
+    :param headers: its headers that are to be forwarded.
+    """
+    head = message.head
+    added = (_NOT_RUN, _SHED, Header(REQUEST_ID_HEADER, record.trace_id))
+    return ResponseStarted(
+        record.request_id,
+        ResponseHead(head.status, head.phrase, headers + added),
+        message.body_length,
+        message.data,
+        True,
+    )
+
+
+def stored_answer(record: RequestRecord, answer: StoredAnswer) -> ResponseStarted:
+    """
+    Return the answer of an earlier request of the same key.
+
+    :param record: the request.
+    :param answer: the answer as stored, with its body.
+    """
+    headers = tuple(Header(*pair) for pair in answer.headers)
+    added = (_RAN, Header(REQUEST_ID_HEADER, record.trace_id))
+    return ResponseStarted(
+        record.request_id,
+        ResponseHead(answer.status, b"", headers + added),
+        len(answer.body),
+        answer.body,
+        True,
+    )
--- /dev/null
+++ b/src/cuminhatch/services/_pool.py
@@ -0,0 +1,150 @@
+"""What dispatch keeps per service: views, open servers, queues, budget."""
+
+from cuminhatch.decisions.admission import EntryQueue
+from cuminhatch.decisions.configuration import BackendServer, ServiceSpec
+from cuminhatch.decisions.limits import connection_share
+from cuminhatch.decisions.retries import RetryBudget
+from cuminhatch.decisions.servers import ServerView, may_take_short
+
+# Long requests hold their bodies and records for long.
+LONG_QUEUE_MAX = 200
+
+
+class ServerPool:
+    """
+    State of one service.
+
+    ``open_views`` are the servers that may take a short request now. The
+    list is kept up to date as servers change, so a request costs the same
+    with 10 servers and with 1000.
+    """
+
+    def __init__(self, spec: ServiceSpec, now_ms: float) -> None:
+        """
+        Start without backend servers.
+
+        :param spec: limits of the service.
+        :param now_ms: current time.
+        """
+        self.spec = spec
+        self.views: dict[str, ServerView] = {}
+        self.open_views: list[ServerView] = []
+        self.ejected_ids: set[str] = set()
+        # Withdrawn servers with running work, in case a note brings them back.
+        self._retired: dict[str, ServerView] = {}
+        self.short_queue = EntryQueue()
+        self.long_queue = EntryQueue(LONG_QUEUE_MAX)
+        self.budget = RetryBudget(now_ms)
+        self.latency_ms = 0.0
+
+    def queue_of(self, work_class: str) -> EntryQueue:
+        """
+        Return the entry queue of a work class.
+
+        :param work_class: ``short`` or ``long``.
+        """
+        return self.long_queue if work_class == "long" else self.short_queue
+
+    def set_spec(self, spec: ServiceSpec, now_ms: float) -> None:
+        """
+        Take changed limits of the service.
+
+        :param spec: limits of the service.
+        :param now_ms: current time.
+        """
+        self.spec = spec
+        for view in self.views.values():
+            share = connection_share(view.server.connections, spec.instances_max)
+            view.window.set_share(share)
+            self.refresh(view, now_ms)
+
+    def add_server(
+        self, server: BackendServer, is_near: bool, is_new: bool, now_ms: float
+    ) -> ServerView:
+        """
+        Add or change a backend server.
+
+        :param server: the backend server.
+        :param is_near: whether it is in this instance's failure domain.
+        :param is_new: whether it has a slow start; at the start of this
+            daemon the servers are warm.
+        :param now_ms: current time.
+        """
+        server_id = server.server_id
+        share = connection_share(server.connections, self.spec.instances_max)
+        view = self.views.get(server_id) or self._retired.pop(server_id, None)
+        if view is None or view.server[2:4] != server[2:4]:
+            since_ms = now_ms if is_new else float("-inf")
+            view = ServerView(server, share, is_near, since_ms, self.spec.slow_start_ms)
+            if is_new:
+                # A cold server without samples must not look the fastest.
+                view.latency_ms = self.latency_ms
+                view.latency_at_ms = now_ms
+        else:
+            # Work that still runs there counts against the new limits.
+            view.server = server
+            view.is_near = is_near
+            view.signs = view.signs._replace(is_withdrawn=False)
+            view.window.set_share(share)
+        self.views[server_id] = view
+        self.refresh(view, now_ms)
+        return view
+
+    def remove_server(self, server_id: str, now_ms: float) -> None:
+        """
+        Withdraw a backend server; its running work goes on.
+
+        :param server_id: id of the backend server.
+        :param now_ms: current time.
+        """
+        view = self.views[server_id]
+        view.signs = view.signs._replace(is_withdrawn=True)
+        self.refresh(view, now_ms)
+        del self.views[server_id]
+        self.ejected_ids.discard(server_id)
+        self._retired = {k: v for k, v in self._retired.items() if v.in_flight}
+        if view.in_flight:
+            self._retired[server_id] = view
+
+    def refresh(self, view: ServerView, now_ms: float) -> None:
+        """
+        Keep the list of open servers true after a view has changed.
+
+        :param view: the backend server.
+        :param now_ms: current time.
+        """
+        if self.views.get(view.server.server_id) is not view:
+            return
+        is_open = may_take_short(view, now_ms)
+        if is_open == view.is_open:
+            return
+        view.is_open = is_open
+        views = self.open_views
+        if is_open:
+            view.place = len(views)
+            views.append(view)
+            return
+        last = views.pop()
+        if last is not view:
+            views[view.place] = last
+            last.place = view.place
+
+    def may_eject(self, server_id: str) -> bool:
+        """
+        Tell whether one more server may be ejected: never more than half.
+
+        :param server_id: id of the backend server.
+        """
+        if server_id in self.ejected_ids:
+            return True
+        return (len(self.ejected_ids) + 1) * 2 <= len(self.views)
+
+    def note_latency(self, latency_ms: float) -> None:
+        """
+        Add a sample to the average over all servers, for short work.
+
+        :param latency_ms: time from sending to the response head.
+        """
+        if self.latency_ms == 0.0:
+            self.latency_ms = latency_ms
+        self.latency_ms += (latency_ms - self.latency_ms) / 32
--- /dev/null
+++ b/src/cuminhatch/services/_server_table.py
@@ -0,0 +1,154 @@
+"""The pools of all services, kept in step with the configuration."""
+
+from collections.abc import Callable
+
+from cuminhatch.decisions.configuration import (
+    EMPTY_CONFIGURATION,
+    Configuration,
+    Rule,
+)
+from cuminhatch.decisions.routing import NoRoute, make_router
+from cuminhatch.decisions.servers import ServerView
+from cuminhatch.services._pool import ServerPool
+
+
+class ServerTable:
+    """State of what the configuration and the platform's list say."""
+
+    def __init__(self, failure_domain: str) -> None:
+        """
+        Start with an empty configuration.
+
+        :param failure_domain: where this instance runs.
+        """
+        self._failure_domain = failure_domain
+        self._configuration: Configuration = EMPTY_CONFIGURATION
+        self._match_rule = make_router(EMPTY_CONFIGURATION)
+        self._pools: dict[str, ServerPool] = {}
+        self._pool_by_server: dict[str, ServerPool] = {}
+        self._leaving_ids: frozenset[str] = frozenset()
+
+    @property
+    def match_rule(self) -> Callable[[str, str], Rule | NoRoute]:
+        """Return the function of method and path that finds the rule."""
+        return self._match_rule
+
+    def pool_of(self, service_id: str) -> ServerPool | None:
+        """
+        Return the pool of a service, None if there is no such service.
+
+        :param service_id: id of the service.
+        """
+        return self._pools.get(service_id)
+
+    def find(self, server_id: str) -> tuple[ServerPool, ServerView] | None:
+        """
+        Return pool and view of a backend server, None if it is unknown.
+
+        :param server_id: id of the backend server.
+        """
+        pool = self._pool_by_server.get(server_id)
+        return None if pool is None else (pool, pool.views[server_id])
+
+    def apply(
+        self, new: Configuration, now_ms: float
+    ) -> tuple[list[ServerPool], list[ServerPool]]:
+        """
+        Apply what differs; a note seldom touches more than a few items.
+
+        :param new: configuration in force; an older one is ignored.
+        :param now_ms: current time.
+        :returns: pools that have changed, and pools that are withdrawn.
+        """
+        old = self._configuration
+        if new.sequence < old.sequence:
+            return [], []
+        self._configuration = new
+        if new.rules is not old.rules:
+            self._match_rule = make_router(new)
+        changed: dict[str, ServerPool] = {}
+        withdrawn = self._apply_services(new, old, changed, now_ms)
+        self._apply_servers(new, old, changed, now_ms)
+        return list(changed.values()), withdrawn
+
+    def _apply_services(
+        self,
+        new: Configuration,
+        old: Configuration,
+        changed: dict[str, ServerPool],
+        now_ms: float,
+    ) -> list[ServerPool]:
+        for service_id, spec in new.services.items():
+            if old.services.get(service_id) is spec:
+                continue
+            pool = self._pools.get(service_id)
+            if pool is None:
+                pool = self._pools[service_id] = ServerPool(spec, now_ms)
+            else:
+                pool.set_spec(spec, now_ms)
+            changed[service_id] = pool
+        withdrawn = []
+        for service_id in old.services.keys() - new.services.keys():
+            pool = self._pools.pop(service_id)
+            withdrawn.append(pool)
+            for server_id in list(pool.views):
+                self._remove_server(server_id, now_ms)
+        return withdrawn
+
+    def _apply_servers(
+        self,
+        new: Configuration,
+        old: Configuration,
+        changed: dict[str, ServerPool],
+        now_ms: float,
+    ) -> None:
+        # At the start of this daemon the servers are warm.
+        is_new = bool(old.servers)
+        for server_id in old.servers.keys() - new.servers.keys():
+            self._remove_server(server_id, now_ms)
+        for server_id, server in new.servers.items():
+            before = old.servers.get(server_id)
+            if before is server and server.service_id not in changed:
+                continue
+            if before == server and server_id in self._pool_by_server:
+                continue
+            pool = self._pools.get(server.service_id)
+            is_moved = before is not None and before[1:4] != server[1:4]
+            if pool is None or is_moved:
+                self._remove_server(server_id, now_ms)
+            if pool is None:
+                continue
+            is_near = server.failure_domain == self._failure_domain
+            view = pool.add_server(server, is_near, is_new, now_ms)
+            self._pool_by_server[server_id] = pool
+            changed[server.service_id] = pool
+            if server_id in self._leaving_ids:
+                view.signs = view.signs._replace(is_listed=True)
+                pool.refresh(view, now_ms)
+
+    def _remove_server(self, server_id: str, now_ms: float) -> None:
+        pool = self._pool_by_server.pop(server_id, None)
+        if pool is not None:
+            pool.remove_server(server_id, now_ms)
+
+    def set_leaving(
+        self, leaving_ids: frozenset[str], now_ms: float
+    ) -> list[ServerPool]:
+        """
+        Take the platform's list of leaving servers.
+
+        :param leaving_ids: ids that the list names as leaving.
+        :param now_ms: current time.
+        :returns: pools that have changed.
+        """
+        changed = leaving_ids ^ self._leaving_ids
+        self._leaving_ids = leaving_ids
+        pools = []
+        for server_id in changed:
+            found = self.find(server_id)
+            if found is not None:
+                pool, view = found
+                view.signs = view.signs._replace(is_listed=server_id in leaving_ids)
+                pool.refresh(view, now_ms)
+                pools.append(pool)
+        return pools
--- /dev/null
+++ b/src/cuminhatch/services/_telemetry.py
@@ -0,0 +1,99 @@
+"""Events and samples of dispatch, skipped where nobody takes them."""
+
+from cuminhatch.kernel import Kernel
+from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
+from cuminhatch.services._request import RequestRecord
+
+PART = "dispatch"
+
+
+class Telemetry:
+    """Sends to ``timeline`` and ``metrics``; a request costs one event."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        """
+        Keep the kernel.
+
+        :param kernel: kernel of the process.
+        """
+        self._kernel = kernel
+
+    def count(self, name: str, labels: dict[str, str]) -> None:
+        """
+        Raise a counter by one.
+
+        :param name: name of the metric.
+        :param labels: its labels.
+        """
+        if self._kernel.has_service("metrics"):
+            self._kernel.send("metrics", CounterIncremented(name, labels))
+
+    def observe(self, name: str, labels: dict[str, str], value: float) -> None:
+        """
+        Add a sample to a histogram.
+
+        :param name: name of the metric.
+        :param labels: its labels.
+        :param value: the sample.
+        """
+        if self._kernel.has_service("metrics"):
+            self._kernel.send("metrics", ValueObserved(name, labels, value))
+
+    def record_attempt(self, record: RequestRecord) -> None:
+        """
+        Record an attempt beyond the first.
+
+        :param record: the request.
+        """
+        service_id = record.rule.service_id
+        self.count("retries_total", {"service": service_id})
+        if self._kernel.has_service("timeline"):
+            details = {
+                "number": record.attempts,
+                "server": record.view.server.server_id,
+            }
+            self._record("attempt", record.trace_id, details)
+
+    def record_refusal(self, trace_id: bytes, reason: str) -> None:
+        """
+        Record a request that was refused before it had a record.
+
+        :param trace_id: value of ``X-Request-Id``.
+        :param reason: short reason code.
+        """
+        if self._kernel.has_service("timeline"):
+            self._record("refused", trace_id, {"reason": reason})
+
+    def record_end(self, record: RequestRecord, reason: str) -> None:
+        """
+        Record the end of a request, with all that led to it.
+
+        :param record: the request.
+        :param reason: ``answered``, or why it was not.
+        """
+        service_id = record.rule.service_id
+        has_metrics = self._kernel.has_service("metrics")
+        has_timeline = self._kernel.has_service("timeline")
+        if not has_metrics and not has_timeline:
+            return
+        duration_ms = self._kernel.clock.now_ms - record.received_ms
+        if has_metrics:
+            labels = {"service": service_id, "end": reason}
+            self.count("requests_total", labels)
+            self.observe("request_duration_ms", {"service": service_id}, duration_ms)
+        if has_timeline:
+            view = record.view
+            details = {
+                "reason": reason,
+                "rule": record.rule.rule_id,
+                "received_ms": record.received_ms,
+                "duration_ms": duration_ms,
+                "attempts": record.attempts,
+                "server": view.server.server_id if view is not None else "",
+            }
+            name = "answered" if reason == "answered" else "refused"
+            self._record(name, record.trace_id, details)
+
+    def _record(self, name: str, trace_id: bytes, details: dict) -> None:
+        event = EventRecorded(PART, name, trace_id.decode("latin-1"), 0, details)
+        self._kernel.send("timeline", event)
--- a/src/cuminhatch/services/dispatch.py
+++ b/src/cuminhatch/services/dispatch.py
@@ -1,21 +1,29 @@
 """Moves each request from its caller to a backend server and back."""
 
-from collections.abc import Callable
 from itertools import count
+from random import Random
+from typing import NamedTuple
 
-from cuminhatch.codecs.http1 import (
-    Header,
-    RequestHead,
-    ResponseHead,
-    find_header,
+from cuminhatch.codecs.http1 import ResponseHead
+from cuminhatch.decisions.admission import NotAdmitted
+from cuminhatch.decisions.choice import Choose, NotChosen, power_of_d
+from cuminhatch.decisions.leaving import after_observation, after_pause
+from cuminhatch.decisions.retries import FailedAttempt, RetryAllowed, may_retry
+from cuminhatch.decisions.routing import NoRoute
+from cuminhatch.decisions.servers import (
+    LoadReport,
+    ServerView,
+    load_score,
+    may_take_long,
+    may_take_short,
+    note_answer,
+    note_failure,
+    note_latency,
+    note_observation,
+    note_refused_connection,
+    note_report,
+    note_shed,
 )
-from cuminhatch.decisions.configuration import (
-    EMPTY_CONFIGURATION,
-    BackendServer,
-    Rule,
-    servers_of,
-)
-from cuminhatch.decisions.routing import NoRoute, make_router
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     Address,
@@ -32,7 +40,22 @@
     CallerLeft,
     CallerResumed,
     CallerStalled,
+    ClaimAbandoned,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimLeftOpen,
+    ClaimRefused,
+    ClaimRequested,
+    ClaimVoided,
     ConfigurationChanged,
+    InstanceListChanged,
+    LoadObserved,
+    MembershipChanged,
+    PermitGranted,
+    PermitRefused,
+    PermitRequested,
+    PermitReturned,
+    ProbeFailed,
     RequestBody,
     RequestReadPaused,
     RequestReadResumed,
@@ -40,59 +63,118 @@
     RequestRefused,
     ResponseAborted,
     ResponseBody,
-    ResponseStarted,
 )
-from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
+from cuminhatch.outcomes import Outcome
+from cuminhatch.services._answers import ran_answer, shed_answer, stored_answer
+from cuminhatch.services._pool import ServerPool
+from cuminhatch.services._request import (
+    KEPT_BODY_BYTES,
+    KEY_BYTES_MAX,
+    KEYED_BODY_BYTES,
+    Phase,
+    RequestRecord,
+    find_trace_id,
+    forwarded_head,
+    request_digest,
+)
+from cuminhatch.services._response_facts import ResponseFacts, read_facts
+from cuminhatch.services._server_table import ServerTable
+from cuminhatch.services._telemetry import Telemetry
+
+# Two random choices already avoid most of the load of the fullest server;
+# the third makes it likely that one is in the own failure domain.
+CHOICES = 3
+# Servers named in one request for a permit.
+PERMIT_CANDIDATES = 8
+# A granted permit can be useless by the time it arrives.
+PERMIT_REQUESTS_MAX = 3
+# After a deadline, time for ``claims`` to tell how the claim ended.
+CLAIM_GRACE_MS = 5.0
+# Servers without probes are tried again; a refused attempt was not sent.
+REFUSAL_KEPT_MS = 1000.0
+# A server that answers errors at once would look idle.
+SERVER_ERROR = 500
+# Reason of an attempt that made no progress; others without a byte sent mean
+# that the connection was refused.
+TIMEOUT = "timeout"
+# A missed deadline counts as a failure of the server if it had this many times
+# its usual latency, and not less than the time given.
+LATE_FACTOR = 10.0
+LATE_MIN_MS = 100.0
+
+
+class RequestDue(NamedTuple):
+    """The time of a request is over."""
 
-DEADLINE_HEADER = b"request-deadline-ms"
-REQUEST_ID_HEADER = b"x-request-id"
+    request_id: int
 
 
-class _Request:
-    """State of one request of a caller."""
+class EjectionEnded(NamedTuple):
+    """An ejected server may be tried by one request."""
 
-    def __init__(self, received: RequestReceived, rule: Rule) -> None:
-        self.received = received
-        self.rule = rule
-        self.attempt_id = 0
-        self.server: BackendServer | None = None
-        self.deadline_ms = received.received_ms + rule.deadline_ms
-        self.trace_id = b""
-        self.is_response_started = False
+    server_id: str
+
+
+class RefusalAged(NamedTuple):
+    """A refused connection is too old to tell whether a server leaves."""
+
+    server_id: str
 
 
 class Dispatch(Service):
-    """Owns one record per request in progress."""
+    """Owns one record per request, and a view of each backend server."""
 
     name = "dispatch"
 
-    def __init__(self, kernel: Kernel, instance_id: str) -> None:
+    def __init__(
+        self,
+        kernel: Kernel,
+        instance_id: str,
+        failure_domain: str = "",
+        rng: Random | None = None,
+        choose: Choose | None = None,
+    ) -> None:
         """
         Start without a configuration; requests are refused until one comes.
 
         :param kernel: kernel of the process.
         :param instance_id: id of this instance, part of request ids.
+        :param failure_domain: where this instance runs.
+        :param rng: source of randomness for the choice of servers.
+        :param choose: another choice than power-of-d, for comparisons.
         """
         super().__init__(kernel)
         self._instance_id = instance_id
-        self._configuration = EMPTY_CONFIGURATION
-        self._match_rule: Callable[[str, str], Rule | NoRoute] = make_router(
-            EMPTY_CONFIGURATION
-        )
-        self._requests: dict[int, _Request] = {}
-        self._by_attempt: dict[int, _Request] = {}
+        self._choose = choose or power_of_d(CHOICES, rng or Random())
+        self._table = ServerTable(failure_domain)
+        self._requests: dict[int, RequestRecord] = {}
+        self._by_attempt: dict[int, RequestRecord] = {}
+        # Requests that ended before ``claims`` answered for them.
+        self._unanswered_claims: set[int] = set()
         self._attempt_ids = count(1)
-        self._turn = count()
+        self._telemetry = Telemetry(kernel)
 
     def message_handlers(self) -> MessageTable:
-        """Return the messages of listener, backends and notes."""
+        """Return the messages of all services that dispatch works with."""
         return {
             ConfigurationChanged: self._on_configuration_changed,
+            InstanceListChanged: self._on_instance_list_changed,
+            MembershipChanged: self._on_membership_changed,
+            LoadObserved: self._on_load_observed,
+            ProbeFailed: self._on_probe_failed,
+            EjectionEnded: self._on_ejection_ended,
+            RefusalAged: self._on_refusal_aged,
             RequestReceived: self._on_request_received,
             RequestBody: self._on_request_body,
+            RequestDue: self._on_request_due,
             CallerLeft: self._on_caller_left,
             CallerStalled: self._on_caller_stalled,
             CallerResumed: self._on_caller_resumed,
+            ClaimGranted: self._on_claim_granted,
+            ClaimRefused: self._on_claim_refused,
+            ClaimVoided: self._on_claim_voided,
+            PermitGranted: self._on_permit_granted,
+            PermitRefused: self._on_permit_refused,
             AttemptResponse: self._on_attempt_response,
             AttemptBody: self._on_attempt_body,
             AttemptFailed: self._on_attempt_failed,
@@ -100,164 +182,734 @@
             AttemptResumed: self._on_attempt_resumed,
         }
 
+    @property
+    def request_count(self) -> int:
+        """Return the requests in progress, for the drain of the daemon."""
+        return len(self._requests)
+
+    def in_flight_of(self, server_id: str) -> int:
+        """
+        Return the own requests in flight to a backend server.
+
+        :param server_id: id of the backend server.
+        :returns: the count, 0 for a server that is not known.
+        """
+        found = self._table.find(server_id)
+        return 0 if found is None else found[1].in_flight
+
+    # Configuration and observations
+
     def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
-        self._configuration = message.configuration
-        self._match_rule = make_router(message.configuration)
+        now_ms = self.kernel.clock.now_ms
+        changed, withdrawn = self._table.apply(message.configuration, now_ms)
+        for pool in withdrawn:
+            for queue in (pool.short_queue, pool.long_queue):
+                for request_id in queue.request_ids:
+                    record = self._requests[request_id]
+                    self._refuse_waiting(record, "service-withdrawn")
+        for pool in changed:
+            self._drain_queues(pool)
+
+    def _on_instance_list_changed(self, message: InstanceListChanged) -> None:
+        now_ms = self.kernel.clock.now_ms
+        for pool in self._table.set_leaving(message.leaving_ids, now_ms):
+            self._drain_queues(pool)
+
+    def _on_membership_changed(self, message: MembershipChanged) -> None:
+        # Limits and choices hold without any view of the other instances.
+        self._telemetry.observe("members", {}, float(len(message.members)))
+
+    def _on_load_observed(self, message: LoadObserved) -> None:
+        found = self._table.find(message.server_id)
+        if found is None:
+            return
+        pool, view = found
+        report = LoadReport(
+            message.in_flight, message.queued, message.slots, message.observed_ms
+        )
+        note_observation(view, report, message.is_leaving)
+        self._refresh(pool, view)
+
+    def _on_probe_failed(self, message: ProbeFailed) -> None:
+        found = self._table.find(message.server_id)
+        if found is not None:
+            self._note_failure(*found)
+
+    def _on_ejection_ended(self, message: EjectionEnded) -> None:
+        found = self._table.find(message.server_id)
+        if found is not None:
+            self._refresh(*found)
+
+    def _on_refusal_aged(self, message: RefusalAged) -> None:
+        found = self._table.find(message.server_id)
+        if found is not None:
+            pool, view = found
+            view.signs = after_pause(view.signs)
+            self._refresh(pool, view)
+
+    def _note_failure(self, pool: ServerPool, view: ServerView) -> None:
+        server_id = view.server.server_id
+        now_ms = self.kernel.clock.now_ms
+        if note_failure(view, pool.may_eject(server_id), now_ms):
+            pool.ejected_ids.add(server_id)
+            delay_ms = view.ejected_until_ms - now_ms
+            self.call_after(delay_ms, EjectionEnded(server_id))
+            self._telemetry.count("ejections_total", {"server": server_id})
+        self._refresh(pool, view)
+
+    def _refresh(self, pool: ServerPool, view: ServerView) -> None:
+        pool.refresh(view, self.kernel.clock.now_ms)
+        self._drain_queues(pool)
 
     # From the callers
 
     def _on_request_received(self, message: RequestReceived) -> None:
         head = message.head
         path = head.target.partition(b"?")[0].decode("latin-1")
-        rule = self._match_rule(head.method.decode("latin-1"), path)
+        rule = self._table.match_rule(head.method.decode("latin-1"), path)
         if isinstance(rule, NoRoute):
-            self._refuse(message.request_id, 404, rule.reason)
+            self._refuse_early(message, 404, rule.reason)
             return
-        request = _Request(message, rule)
-        request.trace_id = self._trace_id(message)
-        self._requests[message.request_id] = request
-        servers = servers_of(self._configuration, rule.service_id)
-        if not servers:
-            self._requests.pop(message.request_id)
-            self._refuse(message.request_id, 503, "no-backend-server")
+        pool = self._table.pool_of(rule.service_id)
+        if pool is None or not pool.views:
+            self._refuse_early(message, 503, "no-backend-server")
             return
-        self._start_attempt(request, servers[next(self._turn) % len(servers)])
+        record = RequestRecord(message, rule, pool, self._trace_id(message))
+        self._requests[message.request_id] = record
+        pool.budget.on_request()
+        if record.due_ms <= self.kernel.clock.now_ms:
+            self._refuse(record, 503, "deadline-passed")
+            return
+        self._arm(record, record.due_ms)
+        if record.is_keyed:
+            self._start_keyed(record)
+        else:
+            self._admit(record)
 
     def _trace_id(self, message: RequestReceived) -> bytes:
-        given = find_header(message.head.headers, REQUEST_ID_HEADER)
+        given = find_trace_id(message.head)
         return given or f"{self._instance_id}-{message.request_id}".encode()
 
-    def _refuse(self, request_id: int, status: int, reason: str) -> None:
+    def _refuse_early(self, message: RequestReceived, status: int, reason: str) -> None:
         self.send(
-            "callers", RequestRefused(request_id, status, Outcome.NOT_RUN, reason)
-        )
-
-    def _start_attempt(self, request: _Request, server: BackendServer) -> None:
-        received = request.received
-        request.server = server
-        request.attempt_id = next(self._attempt_ids)
-        self._by_attempt[request.attempt_id] = request
-        self.send(
-            "backends",
-            AttemptRequested(
-                request.attempt_id,
-                server.server_id,
-                Address(server.host, server.port),
-                self._request_head(request),
-                received.body_length,
-                received.data,
-                received.is_complete,
-                request.rule.response_timeout_ms,
-                False,
-            ),
-        )
-        if not received.is_complete:
-            self.send("callers", RequestReadResumed(received.request_id))
-
-    def _request_head(self, request: _Request) -> RequestHead:
-        head = request.received.head
-        left_ms = max(0, int(request.deadline_ms - self.kernel.clock.now_ms))
-        kept = tuple(
-            header
-            for header in head.headers
-            if header.name not in (DEADLINE_HEADER, REQUEST_ID_HEADER, b"expect")
-        )
-        added = (
-            Header(DEADLINE_HEADER, b"%d" % left_ms),
-            Header(REQUEST_ID_HEADER, request.trace_id),
+            "callers",
+            RequestRefused(message.request_id, status, Outcome.NOT_RUN, reason),
         )
-        return RequestHead(head.method, head.target, kept + added)
+        self._telemetry.record_refusal(self._trace_id(message), reason)
 
     def _on_request_body(self, message: RequestBody) -> None:
-        request = self._requests.get(message.request_id)
-        if request is not None:
+        record = self._requests.get(message.request_id)
+        if record is None or record.is_body_complete:
+            return
+        record.is_body_complete = message.is_complete
+        if record.phase is Phase.COLLECTING:
+            self._collect_body(record, message.data)
+            return
+        is_running = record.attempt_id != 0
+        if record.is_body_kept:
+            record.body += message.data
+            if is_running and len(record.body) > KEPT_BODY_BYTES:
+                record.is_body_kept = False
+                record.body = b""
+        if is_running:
             self.send(
                 "backends",
-                AttemptBodySent(request.attempt_id, message.data, message.is_complete),
+                AttemptBodySent(record.attempt_id, message.data, message.is_complete),
             )
+        elif len(record.body) > KEPT_BODY_BYTES and not record.is_body_complete:
+            record.is_read_paused = True
+            self.send("callers", RequestReadPaused(record.request_id))
 
     def _on_caller_left(self, message: CallerLeft) -> None:
-        request = self._requests.pop(message.request_id, None)
-        if request is not None:
-            self._by_attempt.pop(request.attempt_id, None)
-            self.send("backends", AttemptCancelled(request.attempt_id))
+        record = self._requests.get(message.request_id)
+        if record is None or record.is_caller_gone:
+            return
+        if record.attempt_id == 0:
+            self._drop_waiting(record)
+        elif record.is_keyed:
+            # It was sent, so it is left to run: its answer is for the next
+            # request of the key.
+            self._detach(record)
+        else:
+            self._cancel_attempt(record)
+            self._finish(record, "caller-left")
+            self._drain_queues(record.pool)
+
+    def _detach(self, record: RequestRecord) -> None:
+        record.is_caller_gone = True
+        self._disarm(record)
+        self.send("backends", AttemptReadResumed(record.attempt_id))
+
+    def _drop_waiting(self, record: RequestRecord) -> None:
+        """Forget a request that no attempt runs for and nobody waits for."""
+        if record.phase is Phase.CLAIMING:
+            self._unanswered_claims.add(record.request_id)
+        elif record.claim_id is not None and record.phase is not Phase.VOIDING:
+            self.send("claims", ClaimAbandoned(record.claim_id))
+        self._leave_queue(record)
+        self._finish(record, "caller-left")
 
     def _on_caller_stalled(self, message: CallerStalled) -> None:
-        request = self._requests.get(message.request_id)
-        if request is not None:
-            self.send("backends", AttemptReadPaused(request.attempt_id))
+        record = self._requests.get(message.request_id)
+        if record is not None and record.attempt_id and not record.is_caller_gone:
+            self.send("backends", AttemptReadPaused(record.attempt_id))
 
     def _on_caller_resumed(self, message: CallerResumed) -> None:
-        request = self._requests.get(message.request_id)
-        if request is not None:
-            self.send("backends", AttemptReadResumed(request.attempt_id))
+        record = self._requests.get(message.request_id)
+        if record is not None and record.attempt_id and not record.is_caller_gone:
+            self.send("backends", AttemptReadResumed(record.attempt_id))
 
-    # From the backend servers
+    # Time
 
-    def _on_attempt_response(self, message: AttemptResponse) -> None:
-        request = self._by_attempt.get(message.attempt_id)
-        if request is None:
-            return
-        request.is_response_started = True
-        head = message.head
-        added = (
-            Header(OUTCOME_HEADER, Outcome.RAN.encode()),
-            Header(REQUEST_ID_HEADER, request.trace_id),
+    def _arm(self, record: RequestRecord, at_ms: float) -> None:
+        self.kernel.cancel(record.timer)
+        record.timer = self.kernel.call_at(
+            at_ms, self.name, RequestDue(record.request_id)
         )
+
+    def _disarm(self, record: RequestRecord) -> None:
+        self.kernel.cancel(record.timer)
+        record.timer = None
+
+    def _on_request_due(self, message: RequestDue) -> None:
+        record = self._requests.get(message.request_id)
+        if record is None or record.timer is None:
+            return
+        record.timer = None
+        now_ms = self.kernel.clock.now_ms
+        if record.phase is Phase.CLAIMING:
+            if now_ms < record.deadline_ms:
+                self._arm(record, record.deadline_ms + CLAIM_GRACE_MS)
+                return
+            self._unanswered_claims.add(record.request_id)
+            self._end_unknown(record, "claim-unknown")
+        elif record.phase is Phase.VOIDING:
+            self._end_unknown(record, "void-unconfirmed")
+        elif record.phase is Phase.RUNNING:
+            if now_ms < record.deadline_ms:
+                # The margin is for work that has not started; an answer may
+                # still come in time.
+                self._arm(record, record.deadline_ms)
+                return
+            self._on_deadline_running(record, now_ms)
+        elif record.phase is not Phase.RESPONDING:
+            self._refuse_waiting(record, "deadline-passed")
+
+    def _on_deadline_running(self, record: RequestRecord, now_ms: float) -> None:
+        waited_ms = now_ms - record.sent_ms
+        usual_ms = record.pool.latency_ms
+        if waited_ms >= max(LATE_MIN_MS, LATE_FACTOR * usual_ms):
+            self._note_failure(record.pool, record.view)
+        else:
+            note_latency(record.view, waited_ms, now_ms)
+        if record.is_keyed:
+            self._tell_unknown(record, "deadline-passed")
+            self._detach(record)
+            return
+        self._cancel_attempt(record)
+        self._end_unknown(record, "deadline-passed")
+        self._drain_queues(record.pool)
+
+    # Claims
+
+    def _start_keyed(self, record: RequestRecord) -> None:
+        if not self.kernel.has_service("claims"):
+            self._refuse(record, 503, "no-claims")
+        elif not 0 < len(record.key) <= KEY_BYTES_MAX:
+            self._refuse(record, 400, "bad-idempotency-key")
+        elif (record.body_length or 0) > KEYED_BODY_BYTES:
+            self._refuse(record, 413, "keyed-body-too-large")
+        elif record.is_body_complete:
+            self._request_claim(record)
+        else:
+            record.phase = Phase.COLLECTING
+            self.send("callers", RequestReadResumed(record.request_id))
+
+    def _collect_body(self, record: RequestRecord, data: bytes) -> None:
+        record.body += data
+        if len(record.body) > KEYED_BODY_BYTES:
+            self._refuse(record, 413, "keyed-body-too-large")
+        elif record.is_body_complete:
+            self._request_claim(record)
+
+    def _request_claim(self, record: RequestRecord) -> None:
+        # Overload is found out before the claim: a refusal then costs no
+        # write and is certain.
+        refusal = self._check_admission(record)
+        if refusal is not None:
+            self._refuse(record, 503, refusal.reason)
+            return
+        record.phase = Phase.CLAIMING
         self.send(
-            "callers",
-            ResponseStarted(
-                request.received.request_id,
-                ResponseHead(head.status, head.phrase, head.headers + added),
-                message.body_length,
-                message.data,
-                message.is_complete,
+            "claims",
+            ClaimRequested(
+                record.request_id,
+                record.rule.service_id,
+                record.key.decode("latin-1"),
+                request_digest(record),
+                record.due_ms,
             ),
         )
-        if message.is_complete:
-            self._finish(request)
 
-    def _on_attempt_body(self, message: AttemptBody) -> None:
-        request = self._by_attempt.get(message.attempt_id)
-        if request is None:
+    def _on_claim_granted(self, message: ClaimGranted) -> None:
+        record = self._requests.get(message.request_id)
+        if record is not None and record.phase is Phase.CLAIMING:
+            record.claim_id = message.claim_id
+            self._admit(record)
+        elif message.request_id in self._unanswered_claims:
+            self._unanswered_claims.discard(message.request_id)
+            self.send("claims", ClaimAbandoned(message.claim_id))
+
+    def _on_claim_refused(self, message: ClaimRefused) -> None:
+        self._unanswered_claims.discard(message.request_id)
+        record = self._requests.get(message.request_id)
+        if record is None or record.phase is not Phase.CLAIMING:
+            return
+        if message.answer is None:
+            self._tell_refused(record, message.status, message.outcome, message.reason)
+        elif message.answer.is_body_kept:
+            self.send("callers", stored_answer(record, message.answer))
+        else:
+            self._tell_refused(record, 409, Outcome.RAN, "answer-not-kept")
+        self._finish(record, message.reason)
+
+    def _on_claim_voided(self, message: ClaimVoided) -> None:
+        record = self._requests.get(message.request_id)
+        if record is None or record.phase is not Phase.VOIDING:
+            return
+        if message.is_confirmed:
+            status, reason = record.refusal
+            self._tell_refused(record, status, Outcome.NOT_RUN, reason)
+            self._finish(record, reason)
+        else:
+            self._end_unknown(record, "void-unconfirmed")
+
+    # Admission
+
+    def _check_admission(self, record: RequestRecord) -> NotAdmitted | None:
+        pool = record.pool
+        queue = pool.queue_of(record.rule.work_class)
+        if not record.is_long and pool.open_views and not queue.length:
+            return None
+        service_ms = 0.0 if record.is_long else pool.latency_ms
+        return queue.check(record.due_ms, service_ms, self.kernel.clock.now_ms)
+
+    def _admit(self, record: RequestRecord) -> None:
+        """Start a request, or let it wait, or refuse it."""
+        pool = record.pool
+        if not pool.views:
+            self._refuse_waiting(record, "no-backend-server")
             return
+        now_ms = self.kernel.clock.now_ms
+        queue = pool.queue_of(record.rule.work_class)
+        if not record.is_long and not queue.length:
+            chosen = self._choose_for(record)
+            if not isinstance(chosen, NotChosen):
+                self._start_attempt(record, chosen)
+                return
+        service_ms = 0.0 if record.is_long else pool.latency_ms
+        admitted = queue.offer(record.request_id, record.due_ms, service_ms, now_ms)
+        if isinstance(admitted, NotAdmitted):
+            self._refuse_waiting(record, admitted.reason)
+            return
+        record.phase = Phase.QUEUED
+        if not record.is_long:
+            return
+        if self.kernel.has_service("permits"):
+            record.phase = Phase.AWAITING_PERMIT
+            self._request_permit(record)
+        else:
+            self._drain_long(pool)
+
+    def _choose_for(self, record: RequestRecord) -> ServerView | NotChosen:
+        now_ms = self.kernel.clock.now_ms
+        candidates = record.pool.open_views
+        if record.attempts and len(candidates) > 1:
+            # A retry goes elsewhere if it can.
+            candidates = [view for view in candidates if view is not record.view]
+        return self._choose(candidates, now_ms)
+
+    def _drain_queues(self, pool: ServerPool) -> None:
+        """Start what waits, as far as servers are open."""
+        queue = pool.short_queue
+        while queue.length and pool.open_views:
+            record = self._requests[queue.take()]
+            chosen = self._choose_for(record)
+            if isinstance(chosen, NotChosen):
+                self._admit(record)
+                break
+            self._start_attempt(record, chosen)
+        if pool.long_queue.length and not self.kernel.has_service("permits"):
+            self._drain_long(pool)
+
+    def _drain_long(self, pool: ServerPool) -> None:
+        queue = pool.long_queue
+        while queue.length:
+            chosen = self._choose(self._long_candidates(pool), self.kernel.clock.now_ms)
+            if isinstance(chosen, NotChosen):
+                return
+            self._start_attempt(self._requests[queue.take()], chosen)
+
+    def _long_candidates(self, pool: ServerPool) -> list[ServerView]:
+        now_ms = self.kernel.clock.now_ms
+        limit = pool.spec.long_slots
+        return [v for v in pool.views.values() if may_take_long(v, now_ms, limit)]
+
+    def _leave_queue(self, record: RequestRecord) -> None:
+        record.pool.queue_of(record.rule.work_class).remove(record.request_id)
+
+    # Permits
+
+    def _request_permit(self, record: RequestRecord) -> None:
+        now_ms = self.kernel.clock.now_ms
+        views = self._long_candidates(record.pool) or [
+            view for view in record.pool.views.values() if not view.is_leaving
+        ]
+        views.sort(key=lambda view: (view is record.view, load_score(view, now_ms)))
+        record.permit_requests += 1
+        ids = tuple(view.server.server_id for view in views[:PERMIT_CANDIDATES])
         self.send(
-            "callers",
-            ResponseBody(
-                request.received.request_id, message.data, message.is_complete
+            "permits",
+            PermitRequested(self.name, record.request_id, "long", ids, record.due_ms),
+        )
+
+    def _on_permit_granted(self, message: PermitGranted) -> None:
+        record = self._requests.get(message.token)
+        if record is None or record.phase is not Phase.AWAITING_PERMIT:
+            self.send("permits", PermitReturned(message.permit))
+            return
+        view = record.pool.views.get(message.permit.server_id)
+        now_ms = self.kernel.clock.now_ms
+        # The permit is the bound on long work; without it the local bound
+        # would apply.
+        is_usable = view is not None and may_take_long(view, now_ms, view.server.slots)
+        if is_usable:
+            self._leave_queue(record)
+            record.permit = message.permit
+            self._start_attempt(record, view)
+            return
+        self.send("permits", PermitReturned(message.permit))
+        if record.permit_requests < PERMIT_REQUESTS_MAX:
+            self._request_permit(record)
+        else:
+            self._refuse_waiting(record, "no-server-for-permit")
+
+    def _on_permit_refused(self, message: PermitRefused) -> None:
+        record = self._requests.get(message.token)
+        if record is not None and record.phase is Phase.AWAITING_PERMIT:
+            self._refuse_waiting(record, message.reason.replace(" ", "-"))
+
+    # Attempts
+
+    def _start_attempt(
+        self, record: RequestRecord, view: ServerView, is_fresh: bool = False
+    ) -> None:
+        now_ms = self.kernel.clock.now_ms
+        if not record.is_long and record.due_ms <= now_ms:
+            self._refuse_waiting(record, "deadline-passed")
+            return
+        record.view = view
+        record.attempts += 1
+        record.attempt_id = attempt_id = next(self._attempt_ids)
+        record.phase = Phase.RUNNING
+        record.sent_ms = now_ms
+        self._by_attempt[attempt_id] = record
+        view.in_flight += 1
+        view.long_in_flight += record.is_long
+        record.pool.refresh(view, now_ms)
+        server = view.server
+        self.send(
+            "backends",
+            AttemptRequested(
+                attempt_id,
+                server.server_id,
+                Address(server.host, server.port),
+                forwarded_head(record, now_ms),
+                record.body_length,
+                bytes(record.body),
+                record.is_body_complete,
+                record.rule.response_timeout_ms,
+                is_fresh,
             ),
         )
+        if len(record.body) > KEPT_BODY_BYTES and not record.is_keyed:
+            record.is_body_kept = False
+            record.body = b""
+        if not record.is_body_complete:
+            record.is_read_paused = False
+            self.send("callers", RequestReadResumed(record.request_id))
+        if record.attempts > 1:
+            self._telemetry.record_attempt(record)
+
+    def _cancel_attempt(self, record: RequestRecord) -> None:
+        self.send("backends", AttemptCancelled(record.attempt_id))
+        self._end_attempt(record)
+
+    def _end_attempt(self, record: RequestRecord) -> None:
+        """Give back what the attempt holds; later messages of it are late."""
+        self._by_attempt.pop(record.attempt_id, None)
+        record.attempt_id = 0
+        view = record.view
+        view.in_flight -= 1
+        view.long_in_flight -= record.is_long
+        if record.permit is not None:
+            self.send("permits", PermitReturned(record.permit))
+            record.permit = None
+        now_ms = self.kernel.clock.now_ms
+        record.pool.queue_of(record.rule.work_class).on_end(now_ms)
+        record.pool.refresh(view, now_ms)
+
+    def _on_attempt_response(self, message: AttemptResponse) -> None:
+        record = self._by_attempt.get(message.attempt_id)
+        if record is None or record.phase is not Phase.RUNNING:
+            return
+        now_ms = self.kernel.clock.now_ms
+        facts = read_facts(message.head)
+        self._note_response(record, facts, message.head.status, now_ms)
+        if facts.is_shed:
+            self._on_shed(record, facts, message)
+            return
+        self._disarm(record)
+        record.phase = Phase.RESPONDING
+        self._forward_head(record, facts, message)
+        self._pass_data(record, message.data, message.is_complete)
+
+    def _note_response(
+        self, record: RequestRecord, facts: ResponseFacts, status: int, now_ms: float
+    ) -> None:
+        pool, view = record.pool, record.view
+        if facts.load is not None:
+            note_report(view, LoadReport(*facts.load, now_ms))
+        if facts.is_draining:
+            view.signs = after_observation(view.signs, True, now_ms)
+        if facts.is_shed:
+            note_shed(view, now_ms)
+            self._telemetry.count("shed_total", {"server": view.server.server_id})
+            return
+        if status >= SERVER_ERROR:
+            self._note_failure(pool, view)
+            return
+        latency_ms = now_ms - record.sent_ms
+        if not record.is_long:
+            pool.note_latency(latency_ms)
+        pool.ejected_ids.discard(view.server.server_id)
+        note_answer(view, latency_ms, not record.is_long, now_ms)
+        # A stream may go on for long; what its head says holds from now on.
+        self._refresh(pool, view)
+
+    def _forward_head(
+        self, record: RequestRecord, facts: ResponseFacts, message: AttemptResponse
+    ) -> None:
+        head = message.head
+        is_bodiless = record.head.method == b"HEAD" or head.status in (204, 304)
+        record.response_left = None if is_bodiless else message.body_length
+        if record.is_keyed:
+            record.answer_head = ResponseHead(head.status, head.phrase, facts.headers)
+        if not record.is_caller_gone:
+            is_whole = record.is_part_whole(message.data, message.is_complete)
+            answer = ran_answer(record, message, facts.headers, is_whole)
+            self.send("callers", answer)
+
+    def _pass_data(self, record: RequestRecord, data: bytes, is_complete: bool) -> None:
+        """Account for a part of the answer, and end it if it is whole."""
+        if not record.is_part_whole(data, is_complete):
+            self._cancel_attempt(record)
+            self._break_off(record, "body-length-mismatch")
+            self._drain_queues(record.pool)
+            return
+        if record.response_left is not None:
+            record.response_left -= len(data)
+        if record.is_keyed:
+            record.keep_answer(data)
+        if is_complete:
+            self._end_attempt(record)
+            if record.claim_id is not None:
+                answer = ClaimAnswered(record.claim_id, record.stored_answer())
+                self.send("claims", answer)
+            self._finish(record, "answered")
+            self._drain_queues(record.pool)
+
+    def _on_attempt_body(self, message: AttemptBody) -> None:
+        record = self._by_attempt.get(message.attempt_id)
+        if record is None:
+            return
+        if record.phase is not Phase.RESPONDING:
+            # A body without its head can only be a part of the answer.
+            self._cancel_attempt(record)
+            self._give_up(record, True, "body-before-head")
+            self._drain_queues(record.pool)
+            return
+        data, is_complete = message.data, message.is_complete
+        if not record.is_caller_gone and record.is_part_whole(data, is_complete):
+            self.send("callers", ResponseBody(record.request_id, data, is_complete))
+        self._pass_data(record, data, is_complete)
+
+    # Failures
+
+    def _on_shed(
+        self, record: RequestRecord, facts: ResponseFacts, message: AttemptResponse
+    ) -> None:
         if message.is_complete:
-            self._finish(request)
+            self._end_attempt(record)
+        else:
+            self._cancel_attempt(record)
+        if self._retry(record, is_sent=True, is_shed=True, is_reused=False):
+            pass
+        elif record.is_keyed or record.is_maybe_run or not message.is_complete:
+            self._give_up(record, False, "shed")
+        else:
+            self.send("callers", shed_answer(record, message, facts.headers))
+            self._finish(record, "shed")
+        self._drain_queues(record.pool)
 
     def _on_attempt_failed(self, message: AttemptFailed) -> None:
-        request = self._by_attempt.get(message.attempt_id)
-        if request is None:
+        record = self._by_attempt.get(message.attempt_id)
+        if record is None:
             return
-        self._finish(request)
-        request_id = request.received.request_id
-        if request.is_response_started:
-            self.send("callers", ResponseAborted(request_id))
-        elif message.is_sent:
-            self.send(
-                "callers",
-                RequestRefused(
-                    request_id, 504, Outcome.UNKNOWN, message.reason.replace(" ", "-")
-                ),
-            )
+        self._end_attempt(record)
+        self._judge(record, message)
+        reason = message.reason.replace(" ", "-")
+        if record.is_response_started:
+            self._break_off(record, reason)
+        elif not self._retry(record, message.is_sent, False, message.is_reused):
+            self._give_up(record, message.is_sent, reason)
+        self._drain_queues(record.pool)
+
+    def _judge(self, record: RequestRecord, message: AttemptFailed) -> None:
+        """Hold a failure against the server, unless the connection is old."""
+        if message.is_reused and not record.is_response_started:
+            return
+        view = record.view
+        if not message.is_sent and message.reason != TIMEOUT:
+            note_refused_connection(view)
+            refusal = RefusalAged(view.server.server_id)
+            self.call_after(REFUSAL_KEPT_MS, refusal)
+        self._note_failure(record.pool, view)
+
+    def _retry(
+        self, record: RequestRecord, is_sent: bool, is_shed: bool, is_reused: bool
+    ) -> bool:
+        """Try again if that is safe and paid for."""
+        now_ms = self.kernel.clock.now_ms
+        record.is_maybe_run |= is_sent and not is_shed
+        if record.is_caller_gone:
+            return False
+        attempt = FailedAttempt(
+            record.rule.is_idempotent,
+            record.is_keyed,
+            is_sent,
+            is_shed,
+            is_reused,
+            record.is_body_kept,
+            record.attempts,
+            record.due_ms - now_ms,
+        )
+        decision = may_retry(attempt, record.pool.budget, now_ms)
+        if not isinstance(decision, RetryAllowed):
+            return False
+        if decision.is_fresh and self._may_take_again(record, now_ms):
+            self._start_attempt(record, record.view, is_fresh=True)
         else:
-            self._refuse(request_id, 503, "no-connection")
+            self._admit(record)
+        return True
+
+    def _may_take_again(self, record: RequestRecord, now_ms: float) -> bool:
+        # Long work has given its permit back.
+        return not record.is_long and may_take_short(record.view, now_ms)
+
+    def _give_up(self, record: RequestRecord, is_sent: bool, reason: str) -> None:
+        """End a request that no attempt has answered."""
+        record.is_maybe_run |= is_sent
+        if not record.is_maybe_run:
+            self._refuse_waiting(record, reason)
+            return
+        if record.claim_id is not None:
+            self.send("claims", ClaimLeftOpen(record.claim_id))
+        self._end_unknown(record, reason)
+
+    def _break_off(self, record: RequestRecord, reason: str) -> None:
+        """End a request whose answer is not whole."""
+        if record.claim_id is not None:
+            self.send("claims", ClaimLeftOpen(record.claim_id))
+        if not record.is_caller_gone:
+            self.send("callers", ResponseAborted(record.request_id))
+        self._finish(record, reason)
 
     def _on_attempt_stalled(self, message: AttemptStalled) -> None:
-        request = self._by_attempt.get(message.attempt_id)
-        if request is not None:
-            self.send("callers", RequestReadPaused(request.received.request_id))
+        record = self._by_attempt.get(message.attempt_id)
+        if record is not None:
+            self.send("callers", RequestReadPaused(record.request_id))
 
     def _on_attempt_resumed(self, message: AttemptResumed) -> None:
-        request = self._by_attempt.get(message.attempt_id)
-        if request is not None:
-            self.send("callers", RequestReadResumed(request.received.request_id))
+        record = self._by_attempt.get(message.attempt_id)
+        if record is not None:
+            self.send("callers", RequestReadResumed(record.request_id))
+
+    # Ends
+
+    def fail_request(self, request_id: int, reason: str) -> None:
+        """
+        End a request whose handler failed.
+
+        :param request_id: the request; one that has ended is ignored.
+        :param reason: short reason code for the caller.
+        """
+        record = self._requests.get(request_id)
+        if record is None:
+            return
+        was_sent = record.attempt_id != 0
+        if was_sent:
+            self._cancel_attempt(record)
+        self._leave_queue(record)
+        if record.phase is Phase.RESPONDING:
+            self._break_off(record, reason)
+        elif record.phase is Phase.CLAIMING:
+            self._unanswered_claims.add(request_id)
+            self._end_unknown(record, reason)
+        elif record.phase is Phase.VOIDING:
+            self._end_unknown(record, reason)
+        else:
+            self._give_up(record, was_sent, reason)
+        self._drain_queues(record.pool)
+
+    def _refuse_waiting(self, record: RequestRecord, reason: str) -> None:
+        """End a request that is not running; a claim is given up first."""
+        self._leave_queue(record)
+        if record.is_maybe_run:
+            self._give_up(record, True, reason)
+        elif record.claim_id is None:
+            self._refuse(record, 503, reason)
+        elif record.is_caller_gone:
+            self.send("claims", ClaimAbandoned(record.claim_id))
+            self._finish(record, reason)
+        else:
+            record.phase = Phase.VOIDING
+            record.refusal = (503, reason)
+            now_ms = self.kernel.clock.now_ms
+            self._arm(record, max(record.deadline_ms, now_ms + CLAIM_GRACE_MS))
+            self.send("claims", ClaimAbandoned(record.claim_id))
+
+    def _refuse(self, record: RequestRecord, status: int, reason: str) -> None:
+        """End a request that truly did not run."""
+        self._tell_refused(record, status, Outcome.NOT_RUN, reason)
+        self._finish(record, reason)
+
+    def _end_unknown(self, record: RequestRecord, reason: str) -> None:
+        self._tell_unknown(record, reason)
+        self._finish(record, reason)
+
+    def _tell_unknown(self, record: RequestRecord, reason: str) -> None:
+        self._tell_refused(record, 504, Outcome.UNKNOWN, reason)
+
+    def _tell_refused(
+        self, record: RequestRecord, status: int, outcome: Outcome, reason: str
+    ) -> None:
+        if not record.is_caller_gone:
+            self.send(
+                "callers", RequestRefused(record.request_id, status, outcome, reason)
+            )
 
-    def _finish(self, request: _Request) -> None:
-        self._requests.pop(request.received.request_id, None)
-        self._by_attempt.pop(request.attempt_id, None)
+    def _finish(self, record: RequestRecord, reason: str) -> None:
+        self._disarm(record)
+        del self._requests[record.request_id]
+        self._telemetry.record_end(record, reason)
--- /dev/null
+++ b/tests/proofs/test_whole_answers.py
@@ -0,0 +1,295 @@
+"""Each request gets one whole answer of its own, or an error that is true."""
+
+from random import Random
+
+import pytest
+from hypothesis import HealthCheck, Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cuminhatch.messages import InstanceListChanged, LoadObserved, RequestBody
+from cuminhatch.services.dispatch import Dispatch
+from tests.proofs.dispatch_world import Oracle
+
+FULL = settings(
+    max_examples=150,
+    stateful_step_count=40,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+# A broken version only has to be caught; the example is not made small.
+SEARCH = settings(
+    FULL, max_examples=300, phases=(Phase.generate,), report_multiple_bugs=False
+)
+
+
+class MatchesLateAnswers(Dispatch):
+    """Takes a late answer for that of the attempt started last."""
+
+    def _on_attempt_response(self, message):
+        if message.attempt_id not in self._by_attempt and self._by_attempt:
+            message = message._replace(attempt_id=max(self._by_attempt))
+        super()._on_attempt_response(message)
+
+
+class RetriesWhatWasSent(Dispatch):
+    """Retries every failure as if no byte had left."""
+
+    def _retry(self, record, is_sent, is_shed, is_reused):
+        record.is_maybe_run |= is_sent and not is_shed
+        return super()._retry(record, False, is_shed, is_reused)
+
+
+class TellsNotRunAfterSending(Dispatch):
+    """Tells not-run for any failed attempt."""
+
+    def _give_up(self, record, is_sent, reason):
+        record.is_maybe_run = False
+        super()._give_up(record, False, reason)
+
+
+class ForgetsEarlierAttempts(Dispatch):
+    """Judges a request by its last attempt only."""
+
+    def _give_up(self, record, is_sent, reason):
+        record.is_maybe_run = is_sent
+        super()._give_up(record, is_sent, reason)
+
+    def _refuse_waiting(self, record, reason):
+        record.is_maybe_run = False
+        super()._refuse_waiting(record, reason)
+
+
+class TellsNotRunBeforeVoid(Dispatch):
+    """Does not wait until a claim is given up."""
+
+    def _refuse_waiting(self, record, reason):
+        if record.is_maybe_run:
+            super()._refuse_waiting(record, reason)
+        else:
+            self._leave_queue(record)
+            self._refuse(record, 503, reason)
+
+
+class SendsBeforeClaim(Dispatch):
+    """Sends a keyed request without its claim."""
+
+    def _start_keyed(self, record):
+        self._admit(record)
+
+
+class ForwardsShortAnswers(Dispatch):
+    """Does not count the bytes of an answer."""
+
+    def _forward_head(self, record, facts, message):
+        super()._forward_head(record, facts, message)
+        record.response_left = None
+
+
+class LosesInFlight(Dispatch):
+    """Counts a cancelled attempt as in flight for good."""
+
+    def _cancel_attempt(self, record):
+        super()._cancel_attempt(record)
+        record.view.in_flight += 1
+
+
+class LosesPermits(Dispatch):
+    """Does not return a permit after a cancelled attempt."""
+
+    def _cancel_attempt(self, record):
+        record.permit = None
+        super()._cancel_attempt(record)
+
+
+class IgnoresTheList(Dispatch):
+    """Sends new work to servers that the list names as leaving."""
+
+    def _on_instance_list_changed(self, message):
+        pass
+
+
+class ForgetsWaitingRequests(Dispatch):
+    """Never refuses a request whose time is over."""
+
+    def _on_request_due(self, message):
+        pass
+
+
+BROKEN = [
+    MatchesLateAnswers,
+    RetriesWhatWasSent,
+    TellsNotRunAfterSending,
+    ForgetsEarlierAttempts,
+    TellsNotRunBeforeVoid,
+    SendsBeforeClaim,
+    ForwardsShortAnswers,
+    LosesInFlight,
+    LosesPermits,
+    IgnoresTheList,
+    ForgetsWaitingRequests,
+]
+
+PICK = st.integers(0, 30)
+
+
+def has_attempts(machine):
+    return bool(machine.oracle.attempts)
+
+
+def has_open_callers(machine):
+    return any(not caller.is_ended for caller in machine.oracle.callers.values())
+
+
+def has_wanted_claims(machine):
+    return any(c.claim == "wanted" for c in machine.oracle.callers.values())
+
+
+def has_wanted_permits(machine):
+    return bool(machine.oracle.waiting_permits)
+
+
+def has_voids(machine):
+    return bool(machine.oracle.void_waiting)
+
+
+def make_machine(dispatch_class):
+    """Build the state machine for one version of dispatch."""
+
+    class Machine(RuleBasedStateMachine):
+        """Callers, backend servers, claims and permits do anything."""
+
+        @initialize(has_permits=st.booleans(), seed=st.integers(0, 3))
+        def start(self, has_permits, seed):
+            names = ["callers", "backends", "claims"]
+            if has_permits:
+                names.append("permits")
+            self.oracle = Oracle(
+                lambda kernel: dispatch_class(kernel, "i", "a", Random(seed)), names
+            )
+
+        def _attempt(self, pick):
+            attempts = self.oracle.attempts
+            # Mostly one that is open, at times one that has ended.
+            ids = [a for a in attempts if attempts[a].is_open]
+            ids = ids if ids and pick % 4 else list(attempts)
+            return ids[pick % len(ids)]
+
+        @rule(
+            kind=st.sampled_from(["put", "write", "write"]),
+            is_keyed=st.booleans(),
+            is_complete=st.booleans(),
+            size=st.sampled_from([0, 10, 70_000]),
+        )
+        def caller_posts(self, kind, is_keyed, is_complete, size):
+            self.oracle.open_request(kind, is_keyed, b"x" * size, is_complete)
+
+        @rule(kind=st.sampled_from(["read", "pull"]))
+        def caller_asks(self, kind):
+            self.oracle.open_request(kind, False, b"", True)
+
+        @precondition(lambda machine: machine.oracle.callers)
+        @rule(pick=PICK, size=st.sampled_from([1, 40_000]), is_last=st.booleans())
+        def caller_sends_body(self, pick, size, is_last):
+            ids = list(self.oracle.callers)
+            request_id = ids[-1 - pick % len(ids)]
+            self.oracle.tell(RequestBody(request_id, b"x" * size, is_last))
+
+        @precondition(has_open_callers)
+        @rule(pick=PICK)
+        def caller_leaves(self, pick):
+            callers = self.oracle.callers
+            ids = [i for i in callers if not callers[i].is_ended]
+            self.oracle.leave(ids[pick % len(ids)])
+
+        @precondition(has_attempts)
+        @rule(pick=PICK, part=st.integers(1, 4), is_last=st.booleans())
+        def server_responds(self, pick, part, is_last):
+            attempt_id = self._attempt(pick)
+            self.oracle.respond(attempt_id, part, is_last)
+
+        @precondition(has_attempts)
+        @rule(pick=PICK)
+        def server_cuts_answer(self, pick):
+            attempt_id = self._attempt(pick)
+            self.oracle.cut(attempt_id)
+
+        @precondition(has_attempts)
+        @rule(pick=PICK, is_sent=st.booleans(), is_reused=st.booleans())
+        def attempt_fails(self, pick, is_sent, is_reused):
+            attempt_id = self._attempt(pick)
+            self.oracle.fail(attempt_id, is_sent, is_reused)
+
+        @precondition(has_attempts)
+        @rule(pick=PICK)
+        def server_sheds(self, pick):
+            attempt_id = self._attempt(pick)
+            self.oracle.shed(attempt_id)
+
+        @precondition(has_wanted_claims)
+        @rule(pick=PICK, is_granted=st.sampled_from([True, True, False]))
+        def claim_is_decided(self, pick, is_granted):
+            callers = self.oracle.callers
+            ids = [i for i in callers if callers[i].claim == "wanted"]
+            self.oracle.decide_claim(ids[pick % len(ids)], is_granted)
+
+        @precondition(has_voids)
+        @rule(is_confirmed=st.booleans())
+        def void_is_decided(self, is_confirmed):
+            self.oracle.decide_void(is_confirmed)
+
+        @precondition(has_wanted_permits)
+        @rule(is_granted=st.sampled_from([True, True, False]))
+        def permit_is_decided(self, is_granted):
+            self.oracle.decide_permit(is_granted)
+
+        @rule(numbers=st.sets(st.integers(0, 4), max_size=4))
+        def configuration_changes(self, numbers):
+            self.oracle.configure(sorted(numbers))
+
+        @rule(numbers=st.sets(st.integers(0, 4), max_size=2))
+        def list_changes(self, numbers):
+            leaving = frozenset(f"b{number}" for number in numbers)
+            self.oracle.leaving = leaving
+            self.oracle.tell(InstanceListChanged(leaving))
+
+        @rule(number=st.integers(0, 4), in_flight=st.integers(0, 9))
+        def load_is_observed(self, number, in_flight):
+            now_ms = self.oracle.world.clock.now_ms
+            self.oracle.tell(
+                LoadObserved(f"b{number}", in_flight, 0, 3, 1.0, False, now_ms, "probe")
+            )
+
+        @rule(ms=st.sampled_from([1.0, 30.0, 400.0, 1500.0]))
+        def time_passes(self, ms):
+            self.oracle.world.advance(ms)
+            self.oracle.check()
+
+        def teardown(self):
+            if hasattr(self, "oracle"):
+                try:
+                    if not self.oracle.is_broken:
+                        self.oracle.settle()
+                finally:
+                    self.oracle.world.close()
+
+    return Machine
+
+
+def test_every_request_gets_one_whole_answer_or_a_true_error():
+    """Guards against mixed, cut or double answers and a false not-run."""
+    run_state_machine_as_test(make_machine(Dispatch), settings=FULL)
+
+
+@pytest.mark.parametrize("broken", BROKEN, ids=lambda broken: broken.__name__)
+def test_broken_version_is_caught(broken):
+    """Guards against a state machine that would pass anything."""
+    with pytest.raises(AssertionError):
+        run_state_machine_as_test(make_machine(broken), settings=SEARCH)
