--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -66,7 +66,7 @@
         ),
         NoteTransfer(kernel, settings.peers.address, settings.peers.key),
         Probes(kernel, instance.instance_id),
-        Dispatch(kernel, instance.instance_id),
+        Dispatch(kernel, instance.instance_id, instance.failure_domain),
         BackendConnections(kernel),
         Operators(
             kernel,
--- a/src/cuminhatch/kernel/_poller.py
+++ b/src/cuminhatch/kernel/_poller.py
@@ -1,5 +1,6 @@
 """The ``circuits`` poller, with a direct way to the services' sockets."""
 
+import os
 from collections.abc import Callable
 from select import EPOLLIN, EPOLLOUT
 from typing import Any
@@ -72,6 +73,14 @@
         watch.on_writable = callback
         self._update(fileno, watch, before)
 
+    def close(self) -> None:
+        """Give back the descriptors of the poller itself."""
+        if self._poller.closed:
+            return
+        self._poller.close()
+        os.close(self._ctrl_recv)
+        os.close(self._ctrl_send)
+
     def forget(self, fileno: int) -> None:
         """
         End all watches of a socket; to be called before it is closed.
--- a/src/cuminhatch/kernel/kernel.py
+++ b/src/cuminhatch/kernel/kernel.py
@@ -168,3 +168,11 @@
     def stop(self) -> None:
         """End :meth:`run`."""
         self._root.stop()
+
+    def close(self) -> None:
+        """
+        Give back the descriptors of a kernel that will not run again.
+
+        Tests and fuzzing make thousands of kernels in one process.
+        """
+        self._poller.close()
--- a/tests/proofs/dispatch_world.py
+++ b/tests/proofs/dispatch_world.py
@@ -99,8 +99,8 @@
         return handle
 
     def close(self):
-        """Close the poller, of which each kernel has one."""
-        self.kernel.poller._poller.close()
+        """Give back the descriptors of the kernel."""
+        self.kernel.close()
 
     def tell(self, message):
         """Deliver a message to dispatch and all that follows from it."""
--- a/tests/proofs/fakes.py
+++ b/tests/proofs/fakes.py
@@ -1,6 +1,5 @@
 """Fakes at the interfaces of services: table, objects, messages of peers."""
 
-import os
 from typing import Any
 
 from cuminhatch.decisions.platform import (
@@ -182,11 +181,3 @@
     while idle < 2:
         kernel.tick()
         idle = 0 if len(kernel.root) else idle + 1
-
-
-def close_kernel(kernel: Kernel) -> None:
-    """Close the descriptors that a kernel keeps, since tests make many."""
-    poller = kernel.poller
-    for fd in (poller._ctrl_recv, poller._ctrl_send):
-        os.close(fd)
-    poller._poller.close()
--- a/tests/proofs/test_notes_never_revert.py
+++ b/tests/proofs/test_notes_never_revert.py
@@ -51,7 +51,6 @@
     FakePlatform,
     PlatformState,
     Recorder,
-    close_kernel,
     run_until_idle,
 )
 
@@ -402,7 +401,7 @@
 
         @rule(index=st.integers(0, INSTANCES - 1))
         def restart(self, index):
-            close_kernel(self.instances[index].kernel)
+            self.instances[index].kernel.close()
             self.instances[index] = self.start(index)
 
         # Oracle
@@ -465,7 +464,7 @@
                 self.assert_all_reached_head()
             finally:
                 for instance in self.instances:
-                    close_kernel(instance.kernel)
+                    instance.kernel.close()
 
         def end_faults(self):
             self.platform.table_mode = self.platform.object_mode = "up"
--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -35,7 +35,6 @@
     FakePlatform,
     PlatformState,
     Recorder,
-    close_kernel,
     run_until_idle,
 )
 
@@ -115,7 +114,7 @@
     yield start_one
     for setup in setups:
         failed = [m for m in setup.supervisor.received if isinstance(m, HandlerFailed)]
-        close_kernel(setup.kernel)
+        setup.kernel.close()
         assert not failed
 
 
