Deliver messages while circuits collects events

Cause: the profile of a request shows two dispatched circuits events for each readiness, one to collect events and one to deliver the batch; each costs about 12 microseconds under the profiler.

The mailbox now delivers in its own handler of generate_events, before the deadlines and the poller, so that neither misses what a handler starts.

Ruled out: nothing else was tried for this cost.

--- a/src/cuminhatch/kernel/_mailbox.py
+++ b/src/cuminhatch/kernel/_mailbox.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 from circuits.core.components import BaseComponent
-from circuits.core.events import Event
 from circuits.core.handlers import handler
 
 from cuminhatch.kernel.service import Service
@@ -14,16 +13,13 @@
 MAX_BATCH = 1000
 
 
-class messages_queued(Event):  # noqa: N801 (circuits names events in lower case)
-    """At least one message waits for delivery."""
-
-
 class Mailbox(BaseComponent):
     """
     Delivers messages in the order of sending.
 
-    One ``circuits`` event stands for a whole batch, since an event costs
-    more than the handling of a typical message.
+    The messages are delivered when ``circuits`` asks its components for
+    events, which it does once on each tick. An event per message costs more
+    than the handling of a typical message.
     """
 
     channel = "mailbox"
@@ -32,7 +28,6 @@
         """Create an empty queue."""
         super().__init__()
         self._messages: deque[tuple[Service, Any]] = deque()
-        self._is_event_fired = False
 
     def append(self, service: Service, message: Any) -> None:
         """
@@ -42,21 +37,20 @@
         :param message: message to deliver.
         """
         self._messages.append((service, message))
-        if not self._is_event_fired:
-            self._is_event_fired = True
-            self.fire(messages_queued(), self.channel)
 
-    @handler("messages_queued")
-    def _on_messages_queued(self) -> None:
+    # Before the deadlines, since handlers add deadlines, and before the
+    # poller, which waits.
+    @handler("generate_events", priority=1)
+    def _on_generate_events(self, event: Any) -> None:
         messages = self._messages
-        try:
-            # Messages sent by the handlers join the batch.
-            for _ in range(MAX_BATCH):
-                if not messages:
-                    break
-                service, message = messages.popleft()
-                service.deliver(message)
-        finally:
-            self._is_event_fired = bool(messages)
-            if messages:
-                self.fire(messages_queued(), self.channel)
+        if not messages:
+            return
+        # Messages sent by the handlers join the batch.
+        for _ in range(MAX_BATCH):
+            service, message = messages.popleft()
+            service.deliver(message)
+            if not messages:
+                break
+        if messages or len(self.root):
+            # Other messages, or circuits events fired by the handlers, wait.
+            event.reduce_time_left(0)
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -1,8 +1,12 @@
 """Tests of message delivery, deadlines and failures."""
 
+from threading import Thread
 from typing import NamedTuple
 
 import pytest
+from circuits.core.components import BaseComponent
+from circuits.core.events import Event
+from circuits.core.handlers import handler
 
 from cuminhatch import KernelError, ManualClock
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
@@ -108,3 +112,69 @@
     kernel.call_at(0, "recorder", Ping(2))
     run_ticks(kernel)
     assert recorder.received == [Ping(2)]
+
+
+class WaitRecorder(BaseComponent):
+    """Keeps how long the poller after it may wait."""
+
+    channel = "wait_recorder"
+    has_event_arrived = False
+
+    def __init__(self):
+        super().__init__()
+        self.waits_s = []
+
+    @handler("generate_events", priority=-5)
+    def _on_generate_events(self, event):
+        self.waits_s.append(event.time_left)
+        event.reduce_time_left(0)
+
+    @handler("fired_by_service")
+    def _on_fired_by_service(self):
+        self.has_event_arrived = True
+
+
+class fired_by_service(Event):  # noqa: N801
+    """Test event."""
+
+
+@pytest.mark.parametrize(
+    ("act", "wait_s"),
+    [
+        (lambda service: None, 5.0),
+        (lambda service: service.fire(fired_by_service(), "wait_recorder"), 0),
+        (lambda service: service.call_after(2000, Ping(1)), 2.0),
+    ],
+)
+def test_poller_does_not_wait_past_what_a_handler_started(kernel, act, wait_s):
+    """Guards against events and deadlines that wait for the next socket."""
+
+    class Actor(Recorder):
+        def _on_ping(self, message):
+            act(self)
+
+    kernel.register(Actor(kernel))
+    recorder = WaitRecorder().register(kernel.root)
+    kernel.tick()
+    recorder.waits_s.clear()
+    kernel.send("recorder", Ping(1))
+    kernel.tick(5.0)
+    assert recorder.waits_s[0] == wait_s
+    kernel.tick()
+    assert recorder.has_event_arrived == (wait_s == 0)
+
+
+def test_handler_can_stop_the_kernel(kernel):
+    """Guards against a daemon that has drained and never ends."""
+
+    class Stopper(Recorder):
+        def _on_ping(self, message):
+            self.kernel.stop()
+
+    kernel.register(Stopper(kernel))
+    kernel.send("recorder", Ping(1))
+    # Outside the main thread the kernel leaves the signal handlers alone.
+    thread = Thread(target=kernel.run, daemon=True)
+    thread.start()
+    thread.join(20)
+    assert not thread.is_alive()
