--- a/tests/proofs/test_notes_never_revert.py
+++ b/tests/proofs/test_notes_never_revert.py
@@ -22,6 +22,7 @@
 from cuminhatch.decisions import notes as note_decisions
 from cuminhatch.decisions.configuration import apply_note, entries_of
 from cuminhatch.decisions.notes import (
+    AcceptedNote,
     Decided,
     Note,
     NoteAccepted,
@@ -57,7 +58,7 @@
 
 INSTANCES = 3
 SETTINGS = settings(
-    max_examples=150,
+    max_examples=100,
     stateful_step_count=40,
     derandomize=True,
     database=None,
@@ -241,13 +242,20 @@
         @rule(
             index=st.integers(0, INSTANCES - 1),
             item=st.sampled_from(ITEMS),
-            choice=st.integers(0, 3),
+            choice=st.integers(0, 4),
             base_age=st.sampled_from([None, None, 0, 1, 2]),
         )
         def submit(self, index, item, choice, base_age):
             notes = self.table_notes()
             kind, item_id, values = item
-            if (kind, item_id) not in fold(notes):
+            is_present = (kind, item_id) in fold(notes)
+            if choice == 4:
+                # Valid only if another note comes first.
+                if is_present:
+                    change = NoteItem("add", kind, item_id, values)
+                else:
+                    change = NoteItem("withdraw", kind, item_id, {})
+            elif not is_present:
                 change = NoteItem("add", kind, item_id, values)
             elif choice == 3:
                 change = NoteItem("withdraw", kind, item_id, {})
@@ -259,10 +267,26 @@
             note = Note(self.name_note(), "rhea", "", (change,), base)
             self.submit_to(index, note)
 
-        @rule(first=st.integers(0, INSTANCES - 1), item=st.sampled_from(ITEMS))
-        def race(self, first, item):
+        @rule(
+            first=st.integers(0, INSTANCES - 1),
+            item=st.sampled_from(ITEMS),
+            is_same_id=st.booleans(),
+        )
+        def race(self, first, item, is_same_id):
+            second = (first + 1) % INSTANCES
             self.submit(first, item, 1, 0)
-            self.submit((first + 1) % INSTANCES, item, 0, 0)
+            if is_same_id:
+                self.submit_other_text(second)
+            else:
+                self.submit(second, item, 0, 0)
+            for _ in range(6):
+                for index in (first, second):
+                    self.run_some(index, 1)
+
+        @rule(index=st.integers(0, INSTANCES - 1), item=st.sampled_from(ITEMS))
+        def submit_invalid(self, index, item):
+            self.submit(index, item, 4, None)
+            self.advance(100.0)
 
         @rule(
             index=st.integers(0, INSTANCES - 1),
@@ -282,7 +306,7 @@
 
         @rule(mode=st.sampled_from(OBJECT_MODES), index=st.integers(0, INSTANCES - 1))
         def reach_snapshot(self, mode, index):
-            """Accept notes until a snapshot is written."""
+            """Accept notes until a snapshot is written, and start from it."""
             self.platform.table_mode = "up"
             self.platform.object_mode = mode
             for item in ITEMS:
@@ -290,6 +314,33 @@
                 self.advance(1000.0)
             self.advance(31_000.0)
             self.advance(1000.0)
+            self.restart((index + 1) % INSTANCES)
+            self.advance(1000.0)
+
+        @rule(index=st.integers(0, INSTANCES - 1), item=st.sampled_from(ITEMS))
+        def lose_table_after_acceptance(self, index, item):
+            """Reach all instances through peers, within the target of 4 s."""
+            self.platform.table_mode = "up"
+            self.is_network_up = True
+            for _ in range(2):
+                self.advance(1000.0)
+            before = len(self.table_notes())
+            self.submit(index, item, 0, None)
+            if not self.instances[index].is_frozen:
+                run_until_idle(self.instances[index].kernel)
+            self.platform.table_mode = "down"
+            head = len(self.table_notes())
+            current = [
+                instance
+                for instance in self.instances
+                if instance.notes.configuration.sequence >= before
+            ]
+            for _ in range(4):
+                self.advance(1000.0)
+            # The note is known to nobody if its writer is frozen.
+            if not any(instance.is_frozen for instance in self.instances):
+                for instance in current:
+                    assert instance.notes.configuration.sequence == head, "behind"
 
         @rule(index=st.integers(0, INSTANCES - 1), age=st.integers(1, 4))
         def submit_again(self, index, age):
@@ -340,6 +391,36 @@
             if late:
                 self.platform.table.transact(late.pop(place % len(late)))
 
+        @rule(
+            sender=st.integers(0, INSTANCES - 1),
+            to=st.integers(0, INSTANCES - 1),
+            after=st.integers(0, 6),
+        )
+        def offer_to_earlier_life(self, sender, to, after):
+            """Send what the receiver asked for before it was restarted."""
+            sequence = self.instances[sender].notes.configuration.sequence
+            known = self.table_notes()[:sequence]
+            offered = tuple(
+                AcceptedNote(number, note)
+                for number, note in enumerate(known, 1)
+                if number > after
+            )
+            self.network.append((to, NotesOffered(offered)))
+
+        @rule(
+            index=st.integers(0, INSTANCES - 1),
+            sender=st.integers(0, INSTANCES - 1),
+            after=st.integers(0, 6),
+        )
+        def restart_before_offer(self, index, sender, after):
+            self.platform.table_mode = "down"
+            self.restart(index)
+            self.offer_to_earlier_life(sender, index, after)
+            to, message = self.network.pop()
+            self.instances[to].kernel.send("notes", message)
+            self.advance(100.0)
+            self.platform.table_mode = "up"
+
         @rule(is_up=st.booleans())
         def set_network(self, is_up):
             self.is_network_up = is_up
