--- a/src/cuminhatch/decisions/permits.py
+++ b/src/cuminhatch/decisions/permits.py
@@ -177,15 +177,20 @@
     return {"holder": holder.instance_id, "incarnation": holder.incarnation}
 
 
-def may_take(view: PermitView, me: Holder, incarnations: Mapping[str, int]) -> bool:
+def may_take(
+    view: PermitView, me: Holder, incarnations: Mapping[str, int], is_listed: bool
+) -> bool:
     """
     Tell whether a take may be tried on the version seen.
 
     :param view: what is known of the permit.
     :param me: this process.
     :param incarnations: highest incarnation known of each instance.
+    :param is_listed: the platform's list has named this instance. Others
+        judge it by the list, so that a permit taken before that could be
+        taken away while it is used.
     """
-    if view.phase != UNHELD:
+    if view.phase != UNHELD or not is_listed:
         return False
     holder = view.holder
     if holder is None:
--- a/src/cuminhatch/services/permits.py
+++ b/src/cuminhatch/services/permits.py
@@ -180,8 +180,6 @@
         if asked_ms is None or not isinstance(message.result, InstanceList):
             return
         listed_ids = {entry.instance_id for entry in message.result.instances}
-        # Others judge this instance by the list, so that a permit taken
-        # before the list names it could be taken away while it is used.
         self._is_listed = self._is_listed or self._me.instance_id in listed_ids
         now_ms = self.kernel.clock.now_ms
         for permit, view in self._views.items():
@@ -246,10 +244,12 @@
                 return
         if pending.taking is not None:
             return
-        if self._is_listed and not pending.is_retry_due:
+        if not pending.is_retry_due:
             for permit in permits:
                 view = self._views.get(permit) or PermitView(permit)
-                if self._decisions.may_take(view, self._me, self._incarnations):
+                if self._decisions.may_take(
+                    view, self._me, self._incarnations, self._is_listed
+                ):
                     pending.taking = permit
                     self._take_step(self._decisions.begin_take(view, self._me))
                     return
--- /dev/null
+++ b/tests/decisions/test_idempotency.py
@@ -0,0 +1,193 @@
+"""Tests of the claim state machine and of its rows in JSON."""
+
+import pytest
+
+from cuminhatch.codecs.claim_json import decode_claim_row, encode_claim_row
+from cuminhatch.decisions.idempotency import (
+    CLAIMED,
+    CLAIMING,
+    ENDED,
+    HELD,
+    INLINE_BODY_BYTES,
+    KEPT_BODY_BYTES,
+    RAN,
+    SETTLING,
+    UNREADABLE,
+    VOID,
+    VOIDING,
+    AnswerReference,
+    ClaimRow,
+    ClaimRowFound,
+    ClaimRowWritten,
+    FetchObject,
+    Grant,
+    PutObject,
+    ReadRow,
+    Refuse,
+    ReportVoid,
+    StoredAnswer,
+    WriteRow,
+    begin_claim,
+    give_up,
+    on_answered,
+    on_deadline,
+    on_object_fetched,
+    on_object_put,
+    on_read_result,
+    on_transact_result,
+)
+from cuminhatch.decisions.platform import (
+    ObjectAbsent,
+    ObjectUnavailable,
+    TableUnavailable,
+)
+from cuminhatch.outcomes import Outcome
+
+LOST = TableUnavailable("no reply", True)
+UNSENT = TableUnavailable("outage", False)
+ANSWER = StoredAnswer(200, ((b"a", b"b"),), b"released")
+OWN = ClaimRow(CLAIMED, "c", "d")
+OWN_VOID = ClaimRow(VOID, "c", "d")
+OTHER = ClaimRow(CLAIMED, "x", "d")
+
+
+def claiming():
+    return begin_claim("c", "d", 100.0, 0.0).claim
+
+
+def held():
+    return on_transact_result(claiming(), ClaimRowWritten(1), 0.0).claim
+
+
+def found(state, answer=None, digest="d"):
+    return ClaimRowFound(4, ClaimRow(state, "x", digest, answer))
+
+
+def test_claim_is_written_on_absence_without_a_read():
+    """Guards against a read, or an unconditional write, per request."""
+    assert begin_claim("c", "d", 100.0, 0.0).actions == (WriteRow(0, OWN),)
+
+
+@pytest.mark.parametrize(
+    ("row", "action"),
+    [
+        (found(RAN, ANSWER), Refuse(Outcome.RAN, 200, "stored-answer", ANSWER)),
+        (
+            found(RAN, ANSWER._replace(is_body_kept=False)),
+            Refuse(Outcome.RAN, 504, "answer-not-kept"),
+        ),
+        (found(RAN, AnswerReference(200, (), "answer/x", "")), FetchObject("answer/x")),
+        (found(RAN, ANSWER, "e"), Refuse(Outcome.NOT_RUN, 422, "key-reused")),
+        (found(CLAIMED), ReadRow(50.0)),
+        (ClaimRowFound(4, ClaimRow(UNREADABLE, "", "")), ReadRow(50.0)),
+        (found(VOID), WriteRow(4, OWN)),
+    ],
+)
+def test_row_found_decides(row, action):
+    """Guards against a second run or a lost answer for a key in use."""
+    assert on_transact_result(claiming(), row, 0.0).actions == (action,)
+
+
+def test_reads_back_off_until_the_deadline():
+    """Guards against reads that crowd out the writes of a busy store."""
+    claim, delays = claiming(), []
+    step = on_transact_result(claim, ClaimRowFound(1, OTHER), 0.0)
+    for _ in range(4):
+        delays += [action.delay_ms for action in step.actions]
+        step = on_read_result(step.claim, ClaimRowFound(1, OTHER), 0.0)
+    assert delays == [50.0, 100.0, 200.0, 400.0]
+    refusal = Refuse(Outcome.UNKNOWN, 504, "claimed-by-another")
+    assert on_deadline(step.claim).actions == (refusal,)
+
+
+def test_unsent_claim_is_refused_as_not_run():
+    """Guards against callers kept waiting in a known outage."""
+    step = on_transact_result(claiming(), UNSENT, 0.0)
+    assert step.actions == (Refuse(Outcome.NOT_RUN, 503, "store-outage"),)
+
+
+@pytest.mark.parametrize(
+    ("result", "phase", "action"),
+    [
+        (ClaimRowWritten(1), ENDED, Refuse(Outcome.NOT_RUN, 503, "store-outage")),
+        (
+            ClaimRowFound(1, OWN_VOID),
+            ENDED,
+            Refuse(Outcome.NOT_RUN, 503, "store-outage"),
+        ),
+        (ClaimRowFound(1, OWN), HELD, Grant()),
+        (LOST, SETTLING, WriteRow(0, OWN_VOID, 50.0)),
+        (UNSENT, SETTLING, WriteRow(0, OWN_VOID, 50.0)),
+    ],
+)
+def test_lost_claim_is_settled_by_a_void_on_its_version(result, phase, action):
+    """Guards against ``not-run`` while the claim write may still arrive."""
+    step = on_transact_result(claiming(), LOST, 0.0)
+    assert step.actions == (WriteRow(0, OWN_VOID),)
+    step = on_transact_result(step.claim, result, 0.0)
+    assert (step.claim.phase, step.actions) == (phase, (action,))
+
+
+def test_grant_past_the_deadline_is_voided():
+    """Guards against a run after the caller was told ``unknown``."""
+    step = on_transact_result(claiming(), ClaimRowWritten(1), 100.0)
+    assert step.claim.phase == VOIDING
+    assert step.actions == (WriteRow(1, OWN_VOID),)
+
+
+def test_void_is_confirmed_only_by_the_table():
+    """Guards against ``not-run`` told before the void is written."""
+    step = give_up(held())
+    assert step.actions == (WriteRow(1, OWN_VOID),)
+    lost = on_transact_result(step.claim, LOST, 0.0)
+    assert lost.actions == (WriteRow(1, OWN_VOID, 50.0),)
+    assert on_deadline(lost.claim).actions == (ReportVoid(False),)
+    done = on_transact_result(lost.claim, ClaimRowFound(2, OWN_VOID), 0.0)
+    assert done.actions == (ReportVoid(True),)
+
+
+def test_deadline_in_mid_claim_is_unknown_and_goes_on():
+    """Guards against a claim that blocks its key after its request ended."""
+    step = on_deadline(claiming())
+    assert step.actions == (Refuse(Outcome.UNKNOWN, 504, "claim-unsettled"),)
+    assert step.claim.phase == CLAIMING
+    step = on_transact_result(step.claim, ClaimRowWritten(1), 50.0)
+    assert step.actions == (WriteRow(1, OWN_VOID),)
+
+
+def test_answers_are_kept_by_size():
+    """Guards against rows or objects above the bounds of the design."""
+    small = on_answered(held(), ANSWER, 0.0)
+    assert small.actions == (WriteRow(1, ClaimRow(RAN, "c", "d", ANSWER)),)
+    large = ANSWER._replace(body=bytes(INLINE_BODY_BYTES + 1))
+    step = on_answered(held(), large, 0.0)
+    assert step.actions == (PutObject("answer/c", large.body),)
+    failed = on_object_put(step.claim, ObjectUnavailable("outage")).actions[0]
+    assert failed.row.answer == StoredAnswer(200, ANSWER.headers, b"", False)
+    huge = ANSWER._replace(body=bytes(KEPT_BODY_BYTES + 1))
+    written = on_answered(held(), huge, 0.0).actions[0]
+    assert written.row.answer == StoredAnswer(200, ANSWER.headers, b"", False)
+
+
+def test_answer_without_its_body_is_not_cut_short():
+    """Guards against a stored answer given without its body."""
+    row = found(RAN, AnswerReference(200, (), "answer/x", ""))
+    claim = on_transact_result(claiming(), row, 0.0).claim
+    step = on_object_fetched(claim, ObjectAbsent())
+    assert step.actions == (Refuse(Outcome.RAN, 504, "answer-unavailable"),)
+
+
+@pytest.mark.parametrize(
+    "row",
+    [OWN, ClaimRow(RAN, "c", "d", ANSWER), OWN_VOID]
+    + [ClaimRow(RAN, "c", "d", AnswerReference(200, ((b"\xff", b""),), "o", "e"))],
+)
+def test_rows_survive_json(row):
+    """Guards against answers changed by their encoding."""
+    assert decode_claim_row(encode_claim_row(row)) == row
+
+
+@pytest.mark.parametrize("value", [{}, {"state": "x"}, {"state": RAN}, None])
+def test_foreign_row_blocks_the_key(value):
+    """Guards against a damaged row that is taken for a free key."""
+    assert decode_claim_row(value).state == UNREADABLE
--- /dev/null
+++ b/tests/decisions/test_permits.py
@@ -0,0 +1,164 @@
+"""Tests of the permit state machine and of the shares."""
+
+import pytest
+
+from cuminhatch.decisions.configuration import BackendServer, ServiceSpec
+from cuminhatch.decisions.permits import (
+    HELD,
+    LONG,
+    RELEASING,
+    TAKING,
+    UNHELD,
+    Holder,
+    Permit,
+    PermitView,
+    begin_release,
+    begin_take,
+    fair_share,
+    is_idle,
+    long_slot_count,
+    may_take,
+    on_list_read,
+    on_row_read,
+    on_write_result,
+    permit_row_key,
+    permit_row_value,
+    preferred_servers,
+)
+from cuminhatch.decisions.platform import (
+    Committed,
+    Mismatched,
+    Row,
+    RowAbsent,
+    TableUnavailable,
+)
+
+PERMIT = Permit(LONG, "b", 0)
+KEY = permit_row_key(PERMIT)
+ME = Holder("me", 2)
+OTHER = Holder("other", 1)
+LOST = TableUnavailable("no reply", True)
+UNSENT = TableUnavailable("outage", False)
+LAG_MS = 3000.0
+
+
+def row(version, holder):
+    return Row(KEY, version, permit_row_value(holder))
+
+
+def mismatch(version, holder):
+    return Mismatched({KEY: row(version, holder)})
+
+
+def seen(holder, version=3, now_ms=0.0):
+    return on_row_read(PermitView(PERMIT), row(version, holder), now_ms)
+
+
+@pytest.mark.parametrize(
+    ("slots", "long_slots", "count"),
+    [(3, 0, 1), (6, 0, 2), (1, 0, 1), (2, 0, 1), (3, 9, 2), (1, 5, 1), (6, 3, 3)],
+)
+def test_long_work_never_gets_all_slots(slots, long_slots, count):
+    """Guards against short work that waits behind overnight pulls."""
+    server = BackendServer("b", "s", "127.0.0.1", 1, "leith", slots, 200)
+    assert long_slot_count(ServiceSpec("s", long_slots=long_slots), server) == count
+
+
+@pytest.mark.parametrize(
+    ("holder", "incarnations", "is_listed", "is_allowed"),
+    [
+        (None, {}, True, True),
+        (None, {}, False, False),
+        (OTHER, {"other": 1}, True, False),
+        (OTHER, {"other": 2}, True, True),
+        (Holder("me", 1), {}, True, True),
+        (Holder("me", 2), {}, True, False),
+    ],
+)
+def test_take_needs_a_free_row_or_an_ended_holder(
+    holder, incarnations, is_listed, is_allowed
+):
+    """Guards against a permit taken from a holder that still uses it."""
+    assert may_take(seen(holder), ME, incarnations, is_listed) is is_allowed
+
+
+@pytest.mark.parametrize(
+    ("readings", "is_proven"),
+    [
+        ([(0.0, 0.0, [])], False),
+        ([(0.0, 0.0, []), (2999.0, 2999.0, [])], False),
+        ([(0.0, 0.0, []), (3000.0, 3000.0, [])], True),
+        ([(0.0, 0.0, []), (1.0, 1.0, ["other"]), (3000.0, 3000.0, [])], False),
+        ([(0.0, 0.0, []), (3000.0, 63_001.0, [])], False),
+        ([(-1.0, 0.0, []), (2999.0, 2999.0, [])], False),
+    ],
+)
+def test_absence_counts_after_two_readings(readings, is_proven):
+    """Guards against a holder declared ended by a list that lags."""
+    view = seen(OTHER)
+    for asked_ms, now_ms, ids in readings:
+        view = on_list_read(view, ids, asked_ms, now_ms, LAG_MS)
+    assert view.is_holder_absent is is_proven
+
+
+def test_proof_of_absence_ends_with_the_row_it_was_about():
+    """Guards against proof about one holder that frees the next one's."""
+    view = seen(OTHER)
+    for asked_ms in (0.0, 3000.0):
+        view = on_list_read(view, [], asked_ms, asked_ms, LAG_MS)
+    view = on_row_read(view, row(4, Holder("third", 1)), 3001.0)
+    assert not may_take(view, ME, {}, True)
+
+
+def test_lost_take_is_sent_again_on_its_version():
+    """Guards against a permit that is used, or lost, by a guess."""
+    view = begin_take(PermitView(PERMIT), ME).view
+    step = on_write_result(view, LOST, ME, 0.0)
+    assert (step.view.phase, step.write.version) == (TAKING, 0)
+    step = on_write_result(step.view, UNSENT, ME, 0.0)
+    assert step.view.phase == TAKING
+    own = on_write_result(step.view, mismatch(1, ME), ME, 0.0).view
+    assert (own.phase, own.version, is_idle(own)) == (HELD, 1, True)
+    lost = on_write_result(step.view, mismatch(1, OTHER), ME, 0.0).view
+    assert (lost.phase, lost.holder) == (UNHELD, OTHER)
+
+
+def test_lost_release_stays_unused_until_settled():
+    """Guards against use of a permit whose release may have taken effect."""
+    held = PermitView(PERMIT, HELD, 1)
+    releasing = begin_release(held).view
+    step = on_write_result(releasing, LOST, ME, 0.0)
+    assert (step.view.phase, step.write.version) == (RELEASING, 1)
+    step = on_write_result(step.view, UNSENT, ME, 0.0)
+    assert step.view.phase == RELEASING
+    done = on_write_result(step.view, Committed({KEY: 2}), ME, 0.0).view
+    assert (done.phase, done.holder, done.version) == (UNHELD, None, 2)
+
+
+def test_permit_is_kept_in_an_outage():
+    """Guards against permits lost to a release that was never sent."""
+    releasing = begin_release(PermitView(PERMIT, HELD, 1)).view
+    view = on_write_result(releasing, UNSENT, ME, 0.0).view
+    assert (view.phase, view.version) == (HELD, 1)
+
+
+def test_used_permit_is_not_released():
+    """Guards against long work that runs without its permit."""
+    view = PermitView(PERMIT, HELD, 1, is_used=True)
+    assert begin_release(view) == (view, None)
+
+
+def test_old_read_does_not_undo_newer_knowledge():
+    """Guards against a late read reply that shows a permit as free."""
+    view = seen(OTHER, version=5)
+    assert on_row_read(view, row(4, None), 1.0) == view
+    assert on_row_read(view, RowAbsent(), 1.0) == view
+
+
+def test_instances_begin_with_different_servers():
+    """Guards against instances that compete for the same probe permits."""
+    ids = [f"i{n}" for n in range(4)]
+    servers = [f"b{n}" for n in range(40)]
+    # The first choice of an instance is a server for which it ranks first.
+    assert len({preferred_servers(id_, ids, servers)[0] for id_ in ids}) == 4
+    assert fair_share(41, 4) == 11
