Drop the deadline of a permit request that has ended

The timer of a granted request stayed scheduled. It would have refused a later request with the same token, and it kept the request in the deadline heap until its time. test_deadline_of_a_granted_request_is_dropped fails without the change.

--- a/src/cuminhatch/services/permits.py
+++ b/src/cuminhatch/services/permits.py
@@ -83,8 +83,9 @@
 class _Pending:
     """A request for a permit that waits."""
 
-    def __init__(self, request: PermitRequested) -> None:
+    def __init__(self, request: PermitRequested, deadline_timer: int) -> None:
         self.request = request
+        self.deadline_timer = deadline_timer
         self.taking: Permit | None = None
         self.tries = 0
         self.read_offset = 0
@@ -192,10 +193,10 @@
 
     def _on_permit_requested(self, message: PermitRequested) -> None:
         request_key = (message.reply_to, message.token)
-        self._pending[request_key] = _Pending(message)
-        self.kernel.call_at(
+        timer = self.kernel.call_at(
             message.deadline_ms, self.name, _DeadlinePassed(request_key)
         )
+        self._pending[request_key] = _Pending(message, timer)
         self._serve(request_key)
 
     def _on_permit_returned(self, message: PermitReturned) -> None:
@@ -239,7 +240,7 @@
             view = self._views.get(permit)
             if view is not None and is_idle(view):
                 self._views[permit] = use_permit(view)
-                del self._pending[request_key]
+                self._end(request_key)
                 self.send(request.reply_to, PermitGranted(request.token, permit))
                 return
         if pending.taking is not None:
@@ -313,8 +314,13 @@
         if message.request_key in self._pending:
             self._refuse(message.request_key)
 
-    def _refuse(self, request_key: _RequestKey) -> None:
+    def _end(self, request_key: _RequestKey) -> _Pending:
         pending = self._pending.pop(request_key)
+        self.kernel.cancel(pending.deadline_timer)
+        return pending
+
+    def _refuse(self, request_key: _RequestKey) -> None:
+        pending = self._end(request_key)
         if pending.has_outage:
             reason = "store-outage"
         else:
--- a/tests/services/test_permits.py
+++ b/tests/services/test_permits.py
@@ -117,6 +117,14 @@
     assert pair.nodes[1].heard == [PermitRefused(2, "no-permit-free")]
 
 
+def test_deadline_of_a_granted_request_is_dropped(pair):
+    """Guards against a refusal by the deadline of an earlier request."""
+    pair.request(0, 1, deadline_ms=300.0)
+    pair.request(0, 1)
+    pair.advance(300)
+    assert pair.nodes[0].heard == [PermitGranted(1, Permit(LONG, "b", 0))]
+
+
 def test_outage_is_named_in_the_refusal(pair):
     """Guards against an outage reported as work of others."""
     message = PermitRequested("user", 1, LONG, ("b",), 300.0)
