Test dispatch by the failures it is meant for

Each test names the failure. The fake of the neighbours takes messages by type: named tuples of different types with equal fields are equal, so a comparison by value took a resumed read for a cancelled attempt.

--- a/tests/proofs/dispatch_world.py
+++ b/tests/proofs/dispatch_world.py
@@ -124,17 +124,18 @@
         """Put a configuration into force."""
         self.tell(ConfigurationChanged(make_configuration(sequence, servers, spec)))
 
-    def request(self, kind, body=b"", is_complete=True, headers=()):
+    def request(self, kind, body=b"", is_complete=True, headers=(), trace_headers=None):
         """Send a request and return its id."""
         self.request_ids += 1
+        if trace_headers is None:
+            trace_headers = ((b"x-request-id", b"%d" % self.request_ids),)
         rule = RULES[kind]
         head = RequestHead(
             rule.method.encode(),
             rule.path_prefix.encode(),
             (
                 Header(b"host", b"test"),
-                Header(b"x-request-id", b"%d" % self.request_ids),
-                *(Header(*header) for header in headers),
+                *(Header(*header) for header in (*trace_headers, *headers)),
             ),
         )
         length = len(body) if is_complete else None
@@ -147,9 +148,10 @@
 
     def take(self, name, kind=None):
         """Return and forget what a neighbour got, of one type or all."""
-        taken = [m for m in self.received[name] if kind is None or type(m) is kind]
-        self.received[name] = [m for m in self.received[name] if m not in taken]
-        return taken
+        # By type: messages of different types with equal fields are equal.
+        received = self.received[name]
+        self.received[name] = [m for m in received if kind and type(m) is not kind]
+        return [m for m in received if kind is None or type(m) is kind]
 
     def attempts(self):
         """Return and forget the attempts that dispatch asked for."""
--- /dev/null
+++ b/tests/services/test_dispatch.py
@@ -0,0 +1,631 @@
+"""Tests of dispatch with fakes of its neighbours."""
+
+from random import Random
+
+import pytest
+
+from cuminhatch.codecs.http1 import Header, ResponseHead, find_header
+from cuminhatch.decisions.idempotency import StoredAnswer
+from cuminhatch.decisions.permits import Permit
+from cuminhatch.messages import (
+    AttemptBodySent,
+    AttemptCancelled,
+    AttemptReadPaused,
+    AttemptReadResumed,
+    AttemptResponse,
+    CallerLeft,
+    CallerResumed,
+    CallerStalled,
+    ClaimAbandoned,
+    ClaimAnswered,
+    ClaimGranted,
+    ClaimLeftOpen,
+    ClaimRefused,
+    ClaimRequested,
+    ClaimVoided,
+    EventRecorded,
+    InstanceListChanged,
+    LoadObserved,
+    PermitGranted,
+    PermitRefused,
+    PermitRequested,
+    PermitReturned,
+    ProbeFailed,
+    RequestBody,
+    RequestReadPaused,
+    RequestRefused,
+    ResponseAborted,
+    ResponseStarted,
+)
+from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
+from cuminhatch.services.dispatch import Dispatch
+from tests.proofs.dispatch_world import World, make_server
+
+KEY = (b"idempotency-key", b"k1")
+
+
+@pytest.fixture
+def make_world():
+    worlds = []
+
+    def make(*names, servers=3, slots=3):
+        world = World(
+            lambda kernel: Dispatch(kernel, "i1", "a", Random(7)),
+            ("callers", "backends", *names),
+        )
+        worlds.append(world)
+        world.configure(*(make_server(n, slots) for n in range(servers)))
+        return world
+
+    yield make
+    for world in worlds:
+        assert not world.received["supervisor"]
+        world.close()
+
+
+def refusal_of(world):
+    """The only refusal that the callers got."""
+    (refused,) = world.take("callers", RequestRefused)
+    return refused
+
+
+def outcome_of(world):
+    """The outcome header of the only answer."""
+    (started,) = world.take("callers", ResponseStarted)
+    return find_header(started.head.headers, OUTCOME_HEADER)
+
+
+def grant(world, request_id):
+    world.tell(ClaimGranted(request_id, f"c{request_id}"))
+
+
+# Outcomes, deadlines, ids
+
+
+def test_answer_carries_outcome_and_request_id(make_world):
+    """Guards against callers that cannot tell what became of a request."""
+    world = make_world()
+    world.request("read", headers=((b"request-deadline-ms", b"700"),))
+    (attempt,) = world.attempts()
+    assert find_header(attempt.head.headers, b"request-deadline-ms") == b"700"
+    spoofed = ((b"cuminhatch-outcome", b"not-run"), (b"etag", b"1"))
+    world.answer(attempt, headers=spoofed)
+    (started,) = world.take("callers", ResponseStarted)
+    assert sorted(started.head.headers) == [
+        (b"cuminhatch-outcome", b"ran"),
+        (b"etag", b"1"),
+        (b"x-request-id", b"1"),
+    ]
+
+
+@pytest.mark.parametrize("given", [b"a b", b"x" * 129, b"", b"a\xff"])
+def test_unsafe_request_id_is_replaced(make_world, given):
+    """Guards against request ids that forge log lines or fill memory."""
+    world = make_world("timeline")
+    rule_headers = ((b"x-request-id", given),)
+    message_id = world.request("read", trace_headers=rule_headers)
+    (attempt,) = world.attempts()
+    assert find_header(attempt.head.headers, b"x-request-id") == (b"i1-%d" % message_id)
+
+
+def test_passed_deadline_is_refused_without_an_attempt(make_world):
+    """Guards against work that nobody waits for."""
+    world = make_world()
+    world.request("read", headers=((b"request-deadline-ms", b"0"),))
+    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "deadline-passed")
+    assert world.attempts() == []
+
+
+def test_deadline_of_a_running_request_is_unknown(make_world):
+    """Guards against not-run for a request that a server may be running."""
+    world = make_world()
+    world.request("write")
+    (attempt,) = world.attempts()
+    world.advance(2000.0)
+    assert refusal_of(world)[1:3] == (504, Outcome.UNKNOWN)
+    (cancelled,) = world.take("backends", AttemptCancelled)
+    assert cancelled.attempt_id == attempt.attempt_id
+    world.answer(attempt)
+    assert world.take("callers") == []
+    assert world.dispatch.in_flight_of(attempt.server_id) == 0
+
+
+# Queue
+
+
+def test_full_windows_make_requests_wait_for_the_earliest_deadline(make_world):
+    """Guards against a flood of servers, and urgent work behind patient."""
+    world = make_world(servers=1)
+    for _ in range(3):
+        world.request("read")
+    running = world.attempts()
+    assert len(running) == 3
+    world.request("read", headers=((b"request-deadline-ms", b"1900"),))
+    urgent = world.request("read", headers=((b"request-deadline-ms", b"500"),))
+    assert world.attempts() == []
+    world.answer(running[0])
+    (attempt,) = world.attempts()
+    assert find_header(attempt.head.headers, b"x-request-id") == b"%d" % urgent
+
+
+def test_request_that_expires_in_the_queue_did_not_run(make_world):
+    """Guards against refusals after the deadline, and late starts."""
+    world = make_world(servers=1)
+    for _ in range(3):
+        world.request("put")
+    running = world.attempts()
+    world.request("read", headers=((b"request-deadline-ms", b"100"),))
+    world.advance(96.0)
+    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "deadline-passed")
+    world.answer(running[0])
+    assert world.attempts() == []
+
+
+def test_queue_is_bounded(make_world):
+    """Guards against memory that grows with a storm of requests."""
+    world = make_world(servers=1)
+    for _ in range(1004):
+        world.request("read")
+    assert refusal_of(world).reason == "queue-full"
+
+
+def test_caller_that_leaves_the_queue_is_not_served(make_world):
+    """Guards against work for callers that have gone."""
+    world = make_world(servers=1)
+    for _ in range(4):
+        world.request("read")
+    running = world.attempts()
+    world.tell(CallerLeft(4))
+    world.answer(running[0])
+    assert world.attempts() == []
+    assert world.dispatch.request_count == 2
+
+
+# Retries
+
+
+def test_failed_read_goes_to_another_server_with_its_body(make_world):
+    """Guards against errors for what another server can answer."""
+    world = make_world()
+    world.request("put", b"abc", is_complete=False)
+    (first,) = world.attempts()
+    world.tell(RequestBody(1, b"def", True))
+    world.fail(first)
+    (second,) = world.attempts()
+    assert second.server_id != first.server_id
+    assert (second.data, second.is_complete) == (b"abcdef", True)
+    world.answer(second)
+    assert outcome_of(world) == b"ran"
+
+
+def test_large_body_is_streamed_and_not_sent_twice(make_world):
+    """Guards against a retry with a part of the body."""
+    world = make_world()
+    world.request("put", b"x" * 60_000, is_complete=False)
+    (first,) = world.attempts()
+    world.tell(RequestBody(1, b"y" * 9000, True))
+    assert world.take("backends", AttemptBodySent) == [
+        AttemptBodySent(first.attempt_id, b"y" * 9000, True)
+    ]
+    world.fail(first)
+    assert world.attempts() == []
+    assert refusal_of(world)[1:3] == (504, Outcome.UNKNOWN)
+
+
+def test_body_of_a_waiting_request_is_bounded(make_world):
+    """Guards against memory filled by uploads that wait."""
+    world = make_world(servers=1)
+    for _ in range(3):
+        world.request("read")
+    running = world.attempts()
+    world.request("put", b"x" * 60_000, is_complete=False)
+    world.tell(RequestBody(4, b"y" * 9000, False))
+    assert world.take("callers", RequestReadPaused) == [RequestReadPaused(4)]
+    world.answer(running[0])
+    (attempt,) = world.attempts()
+    assert len(attempt.data) == 69_000
+
+
+def test_unkeyed_write_is_sent_at_most_once(make_world):
+    """Guards against a second truck or a second payment."""
+    world = make_world()
+    world.request("write")
+    world.fail(*world.attempts(), is_sent=False)
+    (second,) = world.attempts()
+    world.fail(second, is_sent=True)
+    assert world.attempts() == []
+    assert refusal_of(world)[1:3] == (504, Outcome.UNKNOWN)
+
+
+def test_shed_read_goes_elsewhere_and_the_last_shed_is_told(make_world):
+    """Guards against shed answers for callers while other servers are free."""
+    world = make_world()
+    for _ in range(20):
+        world.request("read")
+        world.answer(*world.attempts())
+    world.take("callers")
+    world.request("read")
+    seen = []
+    for _ in range(3):
+        (attempt,) = world.attempts()
+        seen.append(attempt.server_id)
+        assert world.take("callers") == []
+        world.shed(attempt)
+    assert seen[0] != seen[1]
+    assert outcome_of(world) == b"not-run"
+
+
+def test_shed_after_a_failure_is_unknown(make_world):
+    """Guards against not-run when an earlier attempt may have run."""
+    world = make_world()
+    for _ in range(20):
+        world.request("read")
+        world.answer(*world.attempts())
+    world.take("callers")
+    world.request("read")
+    world.fail(*world.attempts())
+    world.shed(*world.attempts())
+    world.shed(*world.attempts())
+    assert refusal_of(world)[1:3] == (504, Outcome.UNKNOWN)
+
+
+def test_retry_storm_is_bounded(make_world):
+    """Guards against retries that multiply the load of a broken service."""
+    world = make_world()
+    sent = 0
+    for _ in range(100):
+        world.request("read")
+        while attempts := world.attempts():
+            sent += 1
+            world.fail(*attempts)
+    assert sent <= 112
+
+
+def test_silent_reused_connection_is_not_held_against_the_server(make_world):
+    """Guards against ejecting a server whose old connections went silent."""
+    world = make_world()
+    world.request("read")
+    (first,) = world.attempts()
+    world.fail(first, is_reused=True, reason="timeout")
+    (second,) = world.attempts()
+    assert (second.server_id, second.is_fresh_wanted) == (first.server_id, True)
+    view = world.dispatch._table.find(first.server_id)[1]
+    assert view.failures == 0
+
+
+# Backend servers that fail, return, leave
+
+
+def fail_all(world, rounds, status=None):
+    for _ in range(rounds):
+        world.request("write")
+        for attempt in world.attempts():
+            if status is None:
+                world.fail(attempt)
+            else:
+                world.answer(attempt, status)
+
+
+@pytest.mark.parametrize("status", [None, 500])
+def test_at_most_half_of_the_servers_are_ejected(make_world, status):
+    """Guards against a service without servers after a common failure."""
+    world = make_world(servers=4)
+    fail_all(world, 60, status)
+    pool = world.dispatch._table.pool_of("s")
+    assert len(pool.ejected_ids) == 2
+    assert len(pool.open_views) == 2
+
+
+def test_ejected_server_is_tried_by_one_request(make_world):
+    """Guards against servers that stay away, or are flooded on return."""
+    world = make_world(servers=2)
+    for _ in range(3):
+        world.tell(ProbeFailed("b0", "timeout"))
+    for _ in range(3):
+        world.request("put")
+    assert {a.server_id for a in world.attempts()} == {"b1"}
+    world.request("put")
+    world.advance(1000.0)
+    (trial,) = world.attempts()
+    assert trial.server_id == "b0"
+    world.request("put")
+    assert world.attempts() == []
+    world.answer(trial)
+    assert {a.server_id for a in world.attempts()} == {"b0"}
+
+
+def test_missed_deadline_counts_as_a_failure(make_world):
+    """Guards against a frozen server when deadlines are short."""
+    world = make_world(servers=2)
+    for _ in range(8):
+        world.request("read", headers=((b"request-deadline-ms", b"300"),))
+        for attempt in world.attempts():
+            if attempt.server_id == "b1":
+                world.answer(attempt)
+        world.advance(300.0)
+    assert world.dispatch._table.find("b0")[1].failures >= 1
+
+
+def test_draining_server_keeps_its_work_and_gets_nothing_new(make_world):
+    """Guards against new work for a server that is leaving."""
+    world = make_world(servers=2)
+    world.request("pull")
+    (first,) = world.attempts()
+    head = ResponseHead(200, b"", (Header(b"server-state", b"draining"),))
+    world.tell(AttemptResponse(first.attempt_id, head, 2, b"o", False))
+    assert world.take("backends") == []
+    for _ in range(3):
+        world.request("read")
+    assert first.server_id not in {a.server_id for a in world.attempts()}
+    world.tell(AttemptResponse(first.attempt_id, head, 2, b"o", False))
+    assert world.dispatch.in_flight_of(first.server_id) == 1
+
+
+@pytest.mark.parametrize("source", ["list", "peer"])
+def test_leaving_server_gets_nothing_new(make_world, source):
+    """Guards against a sign of leaving that is not heeded."""
+    world = make_world(servers=2)
+    if source == "list":
+        world.tell(InstanceListChanged(frozenset({"b0"})))
+    else:
+        now_ms = world.clock.now_ms
+        world.tell(LoadObserved("b0", 0, 0, 3, 0.0, True, now_ms, "peer"))
+    for _ in range(3):
+        world.request("put")
+    assert {a.server_id for a in world.attempts()} == {"b1"}
+
+
+def test_server_that_refuses_connections_rests_and_is_tried_again(make_world):
+    """Guards against work for a server that is gone, or never coming back."""
+    world = make_world(servers=1)
+    world.request("write")
+    world.fail(*world.attempts(), is_sent=False)
+    world.fail(*world.attempts(), is_sent=False)
+    world.request("read")
+    assert world.attempts() == []
+    world.advance(1000.0)
+    assert len(world.attempts()) == 1
+
+
+def test_withdrawn_server_keeps_its_work_and_its_count(make_world):
+    """Guards against cut requests, and a reversed note that hides them."""
+    world = make_world(servers=1, slots=1)
+    world.request("read")
+    (first,) = world.attempts()
+    world.configure(make_server(5), sequence=2)
+    world.request("read")
+    assert [a.server_id for a in world.attempts()] == ["b5"]
+    world.configure(make_server(0, slots=1), sequence=3)
+    assert world.dispatch.in_flight_of("b0") == 1
+    world.request("read")
+    assert world.attempts() == []
+    world.answer(first)
+    assert outcome_of(world) == b"ran"
+    assert [a.server_id for a in world.attempts()] == ["b0"]
+
+
+def test_older_configuration_is_ignored(make_world):
+    """Guards against a configuration that goes backwards."""
+    world = make_world()
+    world.configure(make_server(9), sequence=5)
+    world.configure(make_server(1), sequence=4)
+    world.request("read")
+    assert [a.server_id for a in world.attempts()] == ["b9"]
+
+
+def test_no_server_left_is_not_run(make_world):
+    """Guards against requests that hang when a note withdraws all."""
+    world = make_world()
+    world.configure(sequence=2)
+    world.request("read")
+    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "no-backend-server")
+
+
+# Claims
+
+
+def test_keyed_write_without_claims_is_refused(make_world):
+    """Guards against a second run where nobody keeps the keys."""
+    world = make_world()
+    world.request("write", headers=(KEY,))
+    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "no-claims")
+    assert world.attempts() == []
+
+
+def test_keyed_write_is_claimed_sent_and_stored(make_world):
+    """Guards against a run without its claim, and an answer that is lost."""
+    world = make_world("claims")
+    world.request("write", b"ab", False, (KEY,))
+    assert world.take("claims") == []
+    world.tell(RequestBody(1, b"c", True))
+    (wanted,) = world.take("claims", ClaimRequested)
+    assert (wanted.service_id, wanted.key) == ("s", "k1")
+    assert world.attempts() == []
+    grant(world, 1)
+    (attempt,) = world.attempts()
+    assert attempt.data == b"abc"
+    world.answer(attempt, 201, b"done", ((b"etag", b"7"),))
+    assert outcome_of(world) == b"ran"
+    answer = StoredAnswer(201, ((b"etag", b"7"),), b"done")
+    assert world.take("claims", ClaimAnswered) == [ClaimAnswered("c1", answer)]
+    assert world.take("claims") == []
+
+
+def test_digest_covers_target_and_body(make_world):
+    """Guards against one key that serves for two different requests."""
+    world = make_world("claims")
+    for body in (b"a", b"b", b"a"):
+        world.request("write", body, True, (KEY,))
+    digests = [m.digest for m in world.take("claims", ClaimRequested)]
+    assert digests[0] == digests[2] != digests[1]
+
+
+@pytest.mark.parametrize("is_complete", [True, False])
+def test_keyed_body_is_bounded(make_world, is_complete):
+    """Guards against uploads that fill memory for their digest."""
+    world = make_world("claims")
+    world.request("write", b"x" * 1_100_000, is_complete, (KEY,))
+    if not is_complete:
+        world.tell(RequestBody(1, b"", False))
+    assert refusal_of(world)[1:3] == (413, Outcome.NOT_RUN)
+
+
+def test_stored_answer_is_given(make_world):
+    """Guards against a retry of the caller that learns nothing."""
+    world = make_world("claims")
+    world.request("write", headers=(KEY,))
+    answer = StoredAnswer(201, ((b"etag", b"7"),), b"done")
+    world.tell(ClaimRefused(1, Outcome.RAN, 200, "ran", answer))
+    (started,) = world.take("callers", ResponseStarted)
+    assert (started.head.status, started.data) == (201, b"done")
+    assert world.dispatch.request_count == 0
+
+
+def test_answer_is_stored_although_the_caller_has_left(make_world):
+    """Guards against a payment whose answer nobody can get any more."""
+    world = make_world("claims")
+    world.request("write", headers=(KEY,))
+    grant(world, 1)
+    (attempt,) = world.attempts()
+    world.tell(CallerLeft(1))
+    assert world.take("backends", AttemptCancelled) == []
+    world.answer(attempt)
+    assert world.take("claims", ClaimAnswered)
+    assert world.take("callers") == []
+
+
+@pytest.mark.parametrize("is_confirmed", [True, False])
+def test_not_run_waits_for_the_void(make_world, is_confirmed):
+    """Guards against not-run while a late claim write could still win."""
+    world = make_world("claims", servers=1)
+    world.request("write", headers=(KEY,))
+    grant(world, 1)
+    world.shed(*world.attempts())
+    world.shed(*world.attempts())
+    assert world.take("callers") == []
+    assert world.take("claims", ClaimAbandoned) == [ClaimAbandoned("c1")]
+    world.tell(ClaimVoided(1, is_confirmed))
+    expected = Outcome.NOT_RUN if is_confirmed else Outcome.UNKNOWN
+    assert refusal_of(world).outcome is expected
+
+
+def test_failed_keyed_write_is_unknown_and_leaves_its_claim(make_world):
+    """Guards against a second run after a connection broke."""
+    world = make_world("claims")
+    world.request("write", headers=(KEY,))
+    grant(world, 1)
+    world.fail(*world.attempts())
+    assert refusal_of(world)[1:3] == (504, Outcome.UNKNOWN)
+    assert world.attempts() == []
+    assert world.take("claims", ClaimLeftOpen) == [ClaimLeftOpen("c1")]
+
+
+def test_late_grant_is_abandoned(make_world):
+    """Guards against claims that stay after their request has ended."""
+    world = make_world("claims")
+    world.request("write", headers=(KEY,))
+    world.advance(2250.0)
+    assert refusal_of(world)[1:] == (504, Outcome.UNKNOWN, "claim-unknown")
+    grant(world, 1)
+    assert world.take("claims", ClaimAbandoned) == [ClaimAbandoned("c1")]
+
+
+# Permits and long work
+
+
+def test_long_work_runs_under_a_permit(make_world):
+    """Guards against more long work on a server than all may run."""
+    world = make_world("permits")
+    world.request("pull")
+    (wanted,) = world.take("permits", PermitRequested)
+    assert world.attempts() == []
+    permit = Permit("long", wanted.server_ids[0], 0)
+    world.tell(PermitGranted(wanted.token, permit))
+    (attempt,) = world.attempts()
+    assert attempt.server_id == permit.server_id
+    world.answer(attempt)
+    assert world.take("permits", PermitReturned) == [PermitReturned(permit)]
+
+
+def test_late_permit_is_returned(make_world):
+    """Guards against permits lost with callers that left."""
+    world = make_world("permits")
+    world.request("pull")
+    world.tell(CallerLeft(1))
+    permit = Permit("long", "b0", 0)
+    world.tell(PermitGranted(1, permit))
+    assert world.take("permits", PermitReturned) == [PermitReturned(permit)]
+
+
+def test_refused_permit_is_not_run(make_world):
+    """Guards against long work that waits after it was refused."""
+    world = make_world("permits")
+    world.request("pull")
+    world.tell(PermitRefused(1, "none free"))
+    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "none-free")
+
+
+@pytest.mark.parametrize("names", [(), ("permits",)])
+def test_short_work_does_not_wait_behind_long(make_world, names):
+    """Guards against overnight pulls that hold up status refreshes."""
+    world = make_world(*names, servers=1)
+    for _ in range(300):
+        world.request("pull")
+    assert len(world.attempts()) == (0 if names else 1)
+    assert {r.reason for r in world.take("callers")} == {"queue-full"}
+    world.request("read")
+    assert len(world.attempts()) == 1
+
+
+# Flow, events, failures of handlers
+
+
+def test_slow_caller_pauses_its_backend_connection(make_world):
+    """Guards against answers that pile up in memory."""
+    world = make_world()
+    world.request("pull")
+    (attempt,) = world.attempts()
+    world.tell(CallerStalled(1))
+    world.tell(CallerResumed(1))
+    paused, resumed = world.take("backends")
+    assert isinstance(paused, AttemptReadPaused)
+    assert isinstance(resumed, AttemptReadResumed)
+    assert paused.attempt_id == resumed.attempt_id == attempt.attempt_id
+
+
+def test_one_event_per_request_and_one_per_retry(make_world):
+    """Guards against a timeline that costs more than the work it tells of."""
+    world = make_world("timeline", "metrics")
+    world.request("read")
+    world.fail(*world.attempts())
+    world.answer(*world.attempts())
+    world.request("read", headers=((b"request-deadline-ms", b"0"),))
+    events = world.take("timeline", EventRecorded)
+    assert [(e.name, e.request_id) for e in events] == [
+        ("attempt", "1"),
+        ("answered", "1"),
+        ("refused", "2"),
+    ]
+
+
+def test_failed_handler_ends_its_request_truly(make_world):
+    """Guards against requests that hang, or not-run for what was sent."""
+    world = make_world("claims", "permits", servers=1)
+    world.request("read")
+    world.request("pull")
+    world.request("write", headers=(KEY,))
+    world.request("read")
+    head = ResponseHead(200, b"", ())
+    streaming = world.attempts()[1]
+    world.tell(AttemptResponse(streaming.attempt_id, head, 9, b"a", False))
+    world.take("callers")
+    for request_id in (1, 2, 3, 4, 4):
+        world.dispatch.fail_request(request_id, "handler-failed")
+    world.run()
+    answers = {m.request_id: m for m in world.take("callers")}
+    assert answers[1].outcome is Outcome.UNKNOWN
+    assert answers[2].outcome is Outcome.NOT_RUN
+    assert answers[3].outcome is Outcome.UNKNOWN
+    assert isinstance(answers[4], ResponseAborted)
+    assert world.dispatch.request_count == 0
+    assert world.dispatch.in_flight_of("b0") == 0
