--- a/src/cuminhatch/codecs/settings_toml.py
+++ b/src/cuminhatch/codecs/settings_toml.py
@@ -39,11 +39,12 @@
 
 
 class PlatformSettings(NamedTuple):
-    """Where the platform's services are."""
+    """Where the platform's services are, and how far its list lags."""
 
     table: Address
     objects: Address
     instance_list: Address
+    list_lag_ms: float
 
 
 class DrainSettings(NamedTuple):
@@ -131,6 +132,7 @@
         "table": _Key(parse_address),
         "objects": _Key(parse_address),
         "list": _Key(parse_address),
+        "list_lag_ms": _Key(_milliseconds, 5_000.0),
     },
     "drain": {
         "announce_ms": _Key(_milliseconds, 5_000.0),
--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -13,6 +13,7 @@
 from cuminhatch.kernel import Kernel
 from cuminhatch.services import (
     BackendConnections,
+    Claims,
     Dispatch,
     HttpClient,
     HttpListener,
@@ -21,6 +22,7 @@
     NoteTransfer,
     Operators,
     Peers,
+    Permits,
     Platform,
     PlatformAddresses,
     Probes,
@@ -45,6 +47,13 @@
     """
     kernel = Kernel()
     instance = settings.instance
+    peers = Peers(
+        kernel,
+        settings.peers.address,
+        settings.peers.key,
+        instance.instance_id,
+        settings.peers.seeds,
+    )
     services = (
         Supervisor(
             kernel,
@@ -55,14 +64,15 @@
         Timeline(kernel, instance.instance_id),
         Metrics(kernel),
         HttpClient(kernel),
-        Platform(kernel, PlatformAddresses(*settings.platform)),
+        Platform(kernel, PlatformAddresses(*settings.platform[:3])),
         Notes(kernel, instance.instance_id, Random()),
-        Peers(
+        peers,
+        Claims(kernel, instance.instance_id, peers.incarnation),
+        Permits(
             kernel,
-            settings.peers.address,
-            settings.peers.key,
             instance.instance_id,
-            settings.peers.seeds,
+            peers.incarnation,
+            settings.platform.list_lag_ms,
         ),
         NoteTransfer(kernel, settings.peers.address, settings.peers.key),
         Probes(kernel, instance.instance_id),
--- a/tests/proofs/fakes.py
+++ b/tests/proofs/fakes.py
@@ -67,6 +67,8 @@
         self.table = TableState()
         self.objects: dict[str, bytes] = {}
         self.table_mode = "up"
+        # Modes of the next requests, one each, before ``table_mode`` holds.
+        self.next_table_modes: list[str] = []
         self.object_mode = "up"
         # Work under way: calls that complete it, in the order of arrival.
         self.held: list[Any] = []
@@ -101,7 +103,8 @@
 
     def _answer(self, message, reply_type, work, is_write=False):
         state = self._state
-        mode = state.table_mode
+        modes = state.next_table_modes
+        mode = modes.pop(0) if modes else state.table_mode
 
         def reply(result):
             self.send(message.reply_to, reply_type(message.token, result))
--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -161,11 +161,9 @@
 def test_silent_table_is_reported_in_time(start, platform, modes, is_written):
     """Guards against a submitter who waits for ever, or is told too much."""
     setup = start()
-    setup.kernel.send("notes", NoteSubmitted("operators", 5, make_note(1)))
-    for mode in modes:
-        platform.table_mode = mode
-        for _ in range(2):
-            setup.kernel.tick()
+    platform.next_table_modes[:] = modes[:-1]
+    platform.table_mode = modes[-1]
+    setup.tell(NoteSubmitted("operators", 5, make_note(1)))
     setup.advance(*[1000.0] * 10)
     [decided] = setup.operators.received
     assert isinstance(decided.result, NoteOutcomeUnknown)
