End ejections when the other servers leave

Cause: the bound of one half was checked only when a server was ejected; with two of four ejected, a note or the list that took the other two left nothing that could serve until an ejection ended, up to 30 s. The bound now counts the servers that stay and is kept whenever they change.

--- a/src/cuminhatch/decisions/servers.py
+++ b/src/cuminhatch/decisions/servers.py
@@ -216,6 +216,17 @@
     return True
 
 
+def end_ejection(view: ServerView) -> None:
+    """
+    Use an ejected server again, since too few others are left.
+
+    :param view: the backend server.
+    """
+    view.failures = 0
+    view.ejections = 0
+    view.ejected_until_ms = None
+
+
 def note_refused_connection(view: ServerView) -> None:
     """
     Count a refused connection as a sign of leaving.
--- a/src/cuminhatch/services/_pool.py
+++ b/src/cuminhatch/services/_pool.py
@@ -4,8 +4,16 @@
 from cuminhatch.decisions.configuration import BackendServer, ServiceSpec
 from cuminhatch.decisions.limits import connection_share
 from cuminhatch.decisions.retries import RetryBudget
-from cuminhatch.decisions.servers import ServerView, may_take_short
-
+from cuminhatch.decisions.servers import (
+    ServerView,
+    end_ejection,
+    load_score,
+    may_take_long,
+    may_take_short,
+)
+
+# Servers named in one request for a permit.
+PERMIT_CANDIDATES = 8
 # Long requests hold their bodies and records for long.
 LONG_QUEUE_MAX = 200
 
@@ -30,6 +38,7 @@
         self.views: dict[str, ServerView] = {}
         self.open_views: list[ServerView] = []
         self.ejected_ids: set[str] = set()
+        self._leaving_ids: set[str] = set()
         # Withdrawn servers with running work, in case a note brings them back.
         self._retired: dict[str, ServerView] = {}
         self.short_queue = EntryQueue()
@@ -103,6 +112,8 @@
         self.refresh(view, now_ms)
         del self.views[server_id]
         self.ejected_ids.discard(server_id)
+        self._leaving_ids.discard(server_id)
+        self._end_ejections(now_ms)
         self._retired = {k: v for k, v in self._retired.items() if v.in_flight}
         if view.in_flight:
             self._retired[server_id] = view
@@ -114,8 +125,12 @@
         :param view: the backend server.
         :param now_ms: current time.
         """
-        if self.views.get(view.server.server_id) is not view:
+        server_id = view.server.server_id
+        if self.views.get(server_id) is not view:
             return
+        if view.is_leaving != (server_id in self._leaving_ids):
+            self._leaving_ids ^= {server_id}
+            self._end_ejections(now_ms)
         is_open = may_take_short(view, now_ms)
         if is_open == view.is_open:
             return
@@ -132,13 +147,31 @@
 
     def may_eject(self, server_id: str) -> bool:
         """
-        Tell whether one more server may be ejected: never more than half.
+        Tell whether one more server may be ejected.
+
+        Never more than half of those that do not leave are ejected.
 
         :param server_id: id of the backend server.
         """
         if server_id in self.ejected_ids:
             return True
-        return (len(self.ejected_ids) + 1) * 2 <= len(self.views)
+        ejected = len(self.ejected_ids - self._leaving_ids)
+        return (ejected + 1) * 2 <= len(self.views) - len(self._leaving_ids)
+
+    def _end_ejections(self, now_ms: float) -> None:
+        """Keep to the bound when the other servers have become fewer."""
+        staying = len(self.views) - len(self._leaving_ids)
+        ejected = self.ejected_ids - self._leaving_ids
+        while len(ejected) * 2 > staying:
+            # The one whose ejection ends first has failed least.
+            server_id = min(
+                ejected, key=lambda i: (self.views[i].ejected_until_ms or 0.0, i)
+            )
+            ejected.discard(server_id)
+            self.ejected_ids.discard(server_id)
+            view = self.views[server_id]
+            end_ejection(view)
+            self.refresh(view, now_ms)
 
     def note_latency(self, latency_ms: float) -> None:
         """
@@ -149,3 +182,29 @@
         if self.latency_ms == 0.0:
             self.latency_ms = latency_ms
         self.latency_ms += (latency_ms - self.latency_ms) / 32
+
+    def long_candidates(self, now_ms: float) -> list[ServerView]:
+        """
+        Return the servers that may take a long request now.
+
+        Long work is rare, so looking at each server costs little.
+
+        :param now_ms: current time.
+        """
+        limit = self.spec.long_slots
+        return [v for v in self.views.values() if may_take_long(v, now_ms, limit)]
+
+    def permit_candidates(
+        self, avoided: ServerView | None, now_ms: float
+    ) -> tuple[str, ...]:
+        """
+        Return the servers for whose permits to ask, the best first.
+
+        :param avoided: server that failed the request, named last.
+        :param now_ms: current time.
+        """
+        views = self.long_candidates(now_ms) or [
+            view for view in self.views.values() if not view.is_leaving
+        ]
+        views.sort(key=lambda view: (view is avoided, load_score(view, now_ms)))
+        return tuple(view.server.server_id for view in views[:PERMIT_CANDIDATES])
--- a/src/cuminhatch/services/dispatch.py
+++ b/src/cuminhatch/services/dispatch.py
@@ -13,7 +13,6 @@
 from cuminhatch.decisions.servers import (
     LoadReport,
     ServerView,
-    load_score,
     may_take_long,
     may_take_short,
     note_answer,
@@ -84,8 +83,6 @@
 # Two random choices already avoid most of the load of the fullest server;
 # the third makes it likely that one is in the own failure domain.
 CHOICES = 3
-# Servers named in one request for a permit.
-PERMIT_CANDIDATES = 8
 # A granted permit can be useless by the time it arrives.
 PERMIT_REQUESTS_MAX = 3
 # After a deadline, time for ``claims`` to tell how the claim ended.
@@ -549,16 +546,12 @@
     def _drain_long(self, pool: ServerPool) -> None:
         queue = pool.long_queue
         while queue.length:
-            chosen = self._choose(self._long_candidates(pool), self.kernel.clock.now_ms)
+            now_ms = self.kernel.clock.now_ms
+            chosen = self._choose(pool.long_candidates(now_ms), now_ms)
             if isinstance(chosen, NotChosen):
                 return
             self._start_attempt(self._requests[queue.take()], chosen)
 
-    def _long_candidates(self, pool: ServerPool) -> list[ServerView]:
-        now_ms = self.kernel.clock.now_ms
-        limit = pool.spec.long_slots
-        return [v for v in pool.views.values() if may_take_long(v, now_ms, limit)]
-
     def _leave_queue(self, record: RequestRecord) -> None:
         record.pool.queue_of(record.rule.work_class).remove(record.request_id)
 
@@ -566,12 +559,8 @@
 
     def _request_permit(self, record: RequestRecord) -> None:
         now_ms = self.kernel.clock.now_ms
-        views = self._long_candidates(record.pool) or [
-            view for view in record.pool.views.values() if not view.is_leaving
-        ]
-        views.sort(key=lambda view: (view is record.view, load_score(view, now_ms)))
+        ids = record.pool.permit_candidates(record.view, now_ms)
         record.permit_requests += 1
-        ids = tuple(view.server.server_id for view in views[:PERMIT_CANDIDATES])
         self.send(
             "permits",
             PermitRequested(self.name, record.request_id, "long", ids, record.due_ms),
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -316,6 +316,25 @@
     assert len(pool.open_views) == 2
 
 
+@pytest.mark.parametrize("source", ["list", "note"])
+def test_ejected_servers_return_when_the_others_leave(make_world, source):
+    """Guards against a service with nothing but ejected servers."""
+    world = make_world(servers=4)
+    for server_id in ("b0", "b1"):
+        for _ in range(3):
+            world.tell(ProbeFailed(server_id, "timeout"))
+    world.request("put")
+    assert {a.server_id for a in world.attempts()} <= {"b2", "b3"}
+    if source == "list":
+        world.tell(InstanceListChanged(frozenset({"b2", "b3"})))
+    else:
+        world.configure(make_server(0), make_server(1), sequence=2)
+    world.request("put")
+    assert {a.server_id for a in world.attempts()} <= {"b0", "b1"}
+    assert world.dispatch._table.pool_of("s").ejected_ids <= {"b0", "b1"}
+    assert len(world.dispatch._table.pool_of("s").ejected_ids) == 1
+
+
 def test_ejected_server_is_tried_by_one_request(make_world):
     """Guards against servers that stay away, or are flooded on return."""
     world = make_world(servers=2)
