Read the instance list only while a permit request waits

Noting each reading on 10,000 known permits took 10.2 ms a second in a scratch measurement, and every instance read the whole list each second.

--- a/src/cuminhatch/services/permits.py
+++ b/src/cuminhatch/services/permits.py
@@ -171,10 +171,14 @@
             self._incarnations[member.instance_id] = max(known, member.incarnation)
 
     def _on_list_due(self, message: _ListDue) -> None:
+        self.call_after(LIST_INTERVAL_MS, message)
+        # The list matters only to a request that waits; proof of absence
+        # that has been begun stays valid in between.
+        if self._is_listed and not self._pending:
+            return
         token = next(self._numbers)
         self._list_asked[token] = self.kernel.clock.now_ms
         self.send("platform", InstanceListRequested(self.name, token))
-        self.call_after(LIST_INTERVAL_MS, message)
 
     def _on_list_replied(self, message: InstanceListReplied) -> None:
         asked_ms = self._list_asked.pop(message.token, None)
@@ -183,9 +187,16 @@
         listed_ids = {entry.instance_id for entry in message.result.instances}
         self._is_listed = self._is_listed or self._me.instance_id in listed_ids
         now_ms = self.kernel.clock.now_ms
-        for permit, view in self._views.items():
+        # Noting the list on all of 10,000 known permits took 10 ms, close to
+        # the 1.4% of a core that control may use.
+        wanted = {
+            permit
+            for pending in self._pending.values()
+            for permit in self._candidates(pending.request)
+        }
+        for permit in wanted & self._views.keys():
             self._views[permit] = self._decisions.on_list_read(
-                view, listed_ids, asked_ms, now_ms, self._list_lag_ms
+                self._views[permit], listed_ids, asked_ms, now_ms, self._list_lag_ms
             )
         self._serve_all()
 
--- a/tests/services/test_permits.py
+++ b/tests/services/test_permits.py
@@ -134,6 +134,20 @@
     assert pair.nodes[0].heard == [PermitRefused(1, "store-outage")]
 
 
+def test_list_is_read_only_while_it_matters(pair):
+    """Guards against a list reading per second and instance for nothing."""
+    readings = []
+    platform = pair.nodes[0].kernel._services["platform"]
+    platform.read_list = lambda: readings.append(1) or ("i0", "i1")
+    for _ in range(5):
+        pair.advance(1000)
+    assert not readings
+    pair.request(1, 1, deadline_ms=20_000.0)
+    pair.request(0, 2, deadline_ms=20_000.0)
+    pair.advance(1000)
+    assert readings
+
+
 def test_unlisted_instance_takes_nothing():
     """Guards against a permit whose holder the list does not name yet."""
     pair = Pair(listed_ids=())
