--- /dev/null
+++ b/src/cuminhatch/services/_bound_socket.py
@@ -0,0 +1,69 @@
+"""Sockets on the addresses of the settings."""
+
+from socket import (
+    AF_INET,
+    SO_REUSEADDR,
+    SOCK_DGRAM,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    SocketKind,
+    socket,
+)
+
+from cuminhatch.address import Address
+from cuminhatch.errors import ServiceError
+
+
+def _bind(kind: SocketKind, address: Address) -> socket:
+    sock = socket(AF_INET, kind)
+    sock.setblocking(False)
+    sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    try:
+        sock.bind(address)
+    except OSError as error:
+        sock.close()
+        protocol = "UDP" if kind is SOCK_DGRAM else "TCP"
+        raise ServiceError(
+            f"cannot bind {protocol} {address.host}:{address.port}: {error.strerror}"
+        ) from error
+    return sock
+
+
+def bind_datagram_socket(address: Address) -> socket:
+    """
+    Open a UDP socket.
+
+    :param address: address to bind; port 0 takes any.
+    :returns: a non-blocking socket.
+    :raises ServiceError: the address cannot be bound.
+    """
+    return _bind(SOCK_DGRAM, address)
+
+
+def listen_on(address: Address, backlog: int) -> socket:
+    """
+    Open a TCP socket that accepts connections.
+
+    :param address: address to bind; port 0 takes any.
+    :param backlog: connections that may wait to be accepted.
+    :returns: a non-blocking socket.
+    :raises ServiceError: the address cannot be bound.
+    """
+    sock = _bind(SOCK_STREAM, address)
+    try:
+        sock.listen(backlog)
+    except OSError as error:
+        sock.close()
+        raise ServiceError(
+            f"cannot listen on {address.host}:{address.port}: {error.strerror}"
+        ) from error
+    return sock
+
+
+def address_of(sock: socket) -> Address:
+    """
+    Return the address that a socket is bound to, with its real port.
+
+    :param sock: a bound socket.
+    """
+    return Address(*sock.getsockname()[:2])
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -8,7 +8,7 @@
 from collections import deque
 from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from itertools import count
-from socket import SO_REUSEADDR, SOL_SOCKET, socket
+from socket import socket
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import (
@@ -24,7 +24,6 @@
     encode_chunk,
     encode_response_head,
 )
-from cuminhatch.errors import ServiceError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     Address,
@@ -42,6 +41,7 @@
     ResponseStarted,
 )
 from cuminhatch.outcomes import OUTCOME_HEADER, REASON_HEADER, Outcome
+from cuminhatch.services._bound_socket import address_of, listen_on
 from cuminhatch.services._stream import Stream, set_stream_options
 
 LISTEN_BACKLOG = 512
@@ -222,20 +222,9 @@
 
         :raises ServiceError: the address cannot be bound.
         """
-        sock = socket()
-        sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        try:
-            sock.bind(self._address)
-            sock.listen(LISTEN_BACKLOG)
-        except OSError as error:
-            sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot listen on {host}:{port}: {error.strerror}"
-            ) from error
-        sock.setblocking(False)
+        sock = listen_on(self._address, LISTEN_BACKLOG)
         self._sock = sock
-        self._address = Address(*sock.getsockname()[:2])
+        self._address = address_of(sock)
         self.watch_read(sock, self._accept)
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
 
--- a/src/cuminhatch/services/note_transfer.py
+++ b/src/cuminhatch/services/note_transfer.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable
 from itertools import count
-from socket import SO_REUSEADDR, SOL_SOCKET, socket
+from socket import socket
 from typing import NamedTuple
 
 from cuminhatch.address import Address
@@ -17,7 +17,7 @@
     decode_message,
     encode_message,
 )
-from cuminhatch.errors import CodecError, ServiceError
+from cuminhatch.errors import CodecError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     NotesOffered,
@@ -25,6 +25,7 @@
     NotesReplied,
     NotesRequested,
 )
+from cuminhatch.services._bound_socket import address_of, listen_on
 from cuminhatch.services._stream import Stream, set_stream_options
 
 LENGTH_BYTES = 4
@@ -86,9 +87,7 @@
     @property
     def address(self) -> Address:
         """Return the address in use, with the real port once open."""
-        if self._sock is not None:
-            return Address(*self._sock.getsockname()[:2])
-        return self._address
+        return self._address if self._sock is None else address_of(self._sock)
 
     def open(self) -> None:
         """
@@ -96,20 +95,8 @@
 
         :raises ServiceError: the address cannot be bound.
         """
-        sock = socket()
-        sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        try:
-            sock.bind(self._address)
-            sock.listen(LISTEN_BACKLOG)
-        except OSError as error:
-            sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot listen on {host}:{port}: {error.strerror}"
-            ) from error
-        sock.setblocking(False)
-        self._sock = sock
-        self.watch_read(sock, self._accept)
+        self._sock = listen_on(self._address, LISTEN_BACKLOG)
+        self.watch_read(self._sock, self._accept)
 
     def _accept(self) -> None:
         try:
--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -2,7 +2,7 @@
 
 from itertools import count
 from random import Random
-from socket import AF_INET, SO_REUSEADDR, SOCK_DGRAM, SOL_SOCKET, socket
+from socket import socket
 from typing import Any, NamedTuple
 
 from loguru import logger
@@ -29,7 +29,6 @@
     pick_targets,
 )
 from cuminhatch.decisions.platform import InstanceList
-from cuminhatch.errors import ServiceError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     ConfigurationChanged,
@@ -48,6 +47,7 @@
     StampHeard,
     StatusReported,
 )
+from cuminhatch.services._bound_socket import address_of, bind_datagram_socket
 
 # Two heartbeats of about 650 bytes every 500 ms, sent and received, are
 # 5.2 KB/s of the 8 KB/s that control may use.
@@ -143,9 +143,7 @@
     @property
     def address(self) -> Address:
         """Return the address in use, with the real port once open."""
-        if self._sock is not None:
-            return Address(*self._sock.getsockname()[:2])
-        return self._address
+        return self._address if self._sock is None else address_of(self._sock)
 
     @property
     def incarnation(self) -> int:
@@ -158,19 +156,8 @@
 
         :raises ServiceError: the address cannot be bound.
         """
-        sock = socket(AF_INET, SOCK_DGRAM)
-        sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
-        try:
-            sock.bind(self._address)
-        except OSError as error:
-            sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot bind UDP {host}:{port}: {error.strerror}"
-            ) from error
-        sock.setblocking(False)
-        self._sock = sock
-        self.watch_read(sock, self._read)
+        self._sock = bind_datagram_socket(self._address)
+        self.watch_read(self._sock, self._read)
         self.call_after(0, HeartbeatDue())
         self.call_after(0, ListReadDue())
         self.call_after(STATUS_INTERVAL_MS, StatusDue())
