--- a/src/cuminhatch/cli/plans.py
+++ b/src/cuminhatch/cli/plans.py
@@ -14,6 +14,7 @@
 from cuminhatch.address import Address
 from cuminhatch.cli.tables import format_events, format_notes, format_table
 from cuminhatch.codecs.note_toml import parse_note
+from cuminhatch.decisions.notes import Note, check_form
 from cuminhatch.errors import CodecError, CuminhatchError
 
 STATUS_DONE = 0
@@ -142,6 +143,24 @@
         raise CommandError(f"{file_name}: not UTF-8 text") from error
 
 
+def _load_note(text: str, file_name: str) -> Note:
+    """
+    Read a note and check its form.
+
+    :param text: content of the file.
+    :param file_name: name of the file, for errors.
+    :raises CommandError: it is not a note; one line says why.
+    """
+    try:
+        note = parse_note(text, file_name)
+    except CodecError as error:
+        raise CommandError(str(error)) from error
+    refused = check_form(note)
+    if refused is not None:
+        raise CommandError(f"{file_name}: {refused.reason}")
+    return note
+
+
 def plan_note_check(options: Options, arguments: list[str]) -> Plan:
     """
     Check a note file without a daemon.
@@ -154,8 +173,8 @@
 
     def show(_: Sequence[ApiReply | ApiFailed]) -> Output:
         try:
-            note = parse_note(text, file_name)
-        except CodecError as error:
+            note = _load_note(text, file_name)
+        except CommandError as error:
             reason = str(error)
             return Output(f"error: {reason}", {"error": reason}, STATUS_FAILED)
         value = {"id": note.note_id, "items": len(note.items)}
@@ -174,10 +193,7 @@
     :raises CommandError: the file cannot be read or is not a note.
     """
     file_name, text = _read_note(arguments)
-    try:
-        note = parse_note(text, file_name)
-    except CodecError as error:
-        raise CommandError(str(error)) from error
+    note = _load_note(text, file_name)
 
     def show(replies: Sequence[ApiReply | ApiFailed]) -> Output:
         return _show_submission(note.note_id, replies[-1])
--- a/tests/cli/test_plans.py
+++ b/tests/cli/test_plans.py
@@ -13,7 +13,10 @@
 
 FIRST, SECOND = Address("127.0.0.1", 8081), Address("127.0.0.1", 8181)
 OPTIONS = Options((FIRST, SECOND), "", 0, 200)
-NOTE = 'id = "n1"\nauthor = "ann"\nsummary = "first"\n'
+NOTE = (
+    'id = "n1"\nauthor = "ann"\nsummary = "first"\n'
+    '[[rule]]\nid = "r1"\naction = "withdraw"\n'
+)
 
 
 @pytest.fixture
@@ -135,10 +138,11 @@
 def test_check_names_file_and_key(tmp_path):
     """Guards against a faulty note that is found only when submitted."""
     path = tmp_path / "bad.toml"
-    path.write_text('id = "n1"\n')
-    output = make_plan(OPTIONS, ["note", "check", str(path)]).show([])
-    assert output.status == 1
-    assert "bad.toml" in output.text and "author" in output.text
+    for text, key in (('id = "n1"\n', "author"), (NOTE + "port = 5\n", "rule r1")):
+        path.write_text(text)
+        output = make_plan(OPTIONS, ["note", "check", str(path)]).show([])
+        assert output.status == 1
+        assert "bad.toml" in output.text and key in output.text
 
 
 @pytest.mark.parametrize(
