End a drained daemon when callers and claims have finished

Cause: the supervisor waited for DrainFinished of callers, which nobody sent, so each stop lasted until the drain limit, and claims had no part in it: an answer not yet stored left its key claimed for good. Ruled out: starting both drains at once, since claims could report that it is done before the last caller's request claims a key. Before: a daemon without requests ended at the drain limit only. After: the listener reports its last closed connection, then claims its last settled row, then the daemon ends.

--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -32,8 +32,9 @@
 
 USAGE_STATUS = 2
 LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[instance]} {message}"
-# Services that have something to finish before the daemon may end.
-DRAINING_PARTS = ("callers",)
+# Services that have something to finish before the daemon may end, in order:
+# requests of the last callers may still claim keys.
+DRAINING_PARTS = ("callers", "claims")
 
 SETTINGS = flags.DEFINE_string("settings", None, "File with the settings, in TOML.")
 
--- a/src/cuminhatch/services/claims.py
+++ b/src/cuminhatch/services/claims.py
@@ -36,7 +36,7 @@
     TableTransaction,
     TableUnavailable,
 )
-from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.kernel import SUPERVISOR, Kernel, MessageTable, Service
 from cuminhatch.messages import (
     ClaimAbandoned,
     ClaimAnswered,
@@ -46,6 +46,8 @@
     ClaimRequested,
     ClaimVoided,
     CounterIncremented,
+    DrainFinished,
+    DrainStarted,
     ObjectGetReplied,
     ObjectGetRequested,
     ObjectPutReplied,
@@ -126,6 +128,8 @@
         # settled, oldest first.
         self._unsettled: dict[str, _Record] = {}
         self._storing_bytes = 0
+        self._is_draining = False
+        self._is_drained = False
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of dispatch and platform."""
@@ -138,6 +142,7 @@
             TableReadReplied: self._on_read_replied,
             ObjectPutReplied: self._on_object_put,
             ObjectGetReplied: self._on_object_fetched,
+            DrainStarted: self._on_drain_started,
             _DeadlinePassed: self._on_deadline_passed,
             _ActionDue: self._on_action_due,
         }
@@ -194,6 +199,17 @@
         self._end_joined(record, Refuse(Outcome.UNKNOWN, 504, "claimed-by-another"))
         self._forget(record)
 
+    # From the supervisor
+
+    def _on_drain_started(self, message: DrainStarted) -> None:
+        self._is_draining = True
+        self._report_drained()
+
+    def _report_drained(self) -> None:
+        if self._is_draining and not self._by_claim and not self._is_drained:
+            self._is_drained = True
+            self.send(SUPERVISOR, DrainFinished(self.name))
+
     # From the platform
 
     def _on_transact_replied(self, message: TableTransactReplied) -> None:
@@ -383,6 +399,7 @@
         if record.answer is not None:
             self._storing_bytes -= len(record.answer.body)
             record.answer = None
+        self._report_drained()
 
     def _count(self, name: str) -> None:
         self.send("metrics", CounterIncremented(name, {}))
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -25,12 +25,13 @@
     encode_response_head,
 )
 from cuminhatch.errors import ServiceError
-from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.kernel import SUPERVISOR, Kernel, MessageTable, Service
 from cuminhatch.messages import (
     Address,
     CallerLeft,
     CallerResumed,
     CallerStalled,
+    DrainFinished,
     DrainStarted,
     RequestBody,
     RequestReadPaused,
@@ -187,6 +188,7 @@
         self._by_request: dict[int, _Connection] = {}
         self._request_ids = count(1)
         self._is_draining = False
+        self._is_drained = False
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of the answering service."""
@@ -582,6 +584,7 @@
             self._end_exchange(connection)
             self.send(self._target, CallerLeft(exchange.request_id))
         self._resume_accepting()
+        self._report_drained()
 
     def _resume_accepting(self) -> None:
         if self._sock is not None and len(self._connections) < self._limits.connections:
@@ -603,6 +606,12 @@
                 connection.stream.read()
                 if connection.stream.is_open and connection.is_idle:
                     self._close_when_drained(connection)
+        self._report_drained()
+
+    def _report_drained(self) -> None:
+        if self._is_draining and not self._connections and not self._is_drained:
+            self._is_drained = True
+            self.send(SUPERVISOR, DrainFinished(self.name))
 
     def _on_sweep_due(self, message: SweepDue) -> None:
         now_ms = self.kernel.clock.now_ms
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -49,11 +49,12 @@
         :param limit_ms: longest wait for requests in flight, in
             milliseconds.
         :param draining_parts: services that report when they have finished.
+            Each starts to drain when the one before it has finished.
         """
         super().__init__(kernel)
         self._announce_ms = announce_ms
         self._limit_ms = limit_ms
-        self._unfinished = set(draining_parts)
+        self._unfinished = list(draining_parts)
         self._not_ready = {"notes": "no note known yet"}
         self._is_draining = False
 
@@ -112,19 +113,24 @@
     def _on_announcement_ended(self, message: AnnouncementEnded) -> None:
         logger.info("supervisor: Drain started.")
         self._record("drain_started", {})
-        for part in sorted(self._unfinished):
-            self.send(part, DrainStarted())
+        self._drain_next()
+
+    def _drain_next(self) -> None:
+        if self._unfinished:
+            self.send(self._unfinished[0], DrainStarted())
+            return
+        logger.info("supervisor: Drain finished.")
+        self.kernel.stop()
 
     def _on_drain_finished(self, message: DrainFinished) -> None:
-        self._unfinished.discard(message.part)
-        if self._is_draining and not self._unfinished:
-            logger.info("supervisor: Drain finished.")
-            self.kernel.stop()
+        if message.part in self._unfinished:
+            self._unfinished.remove(message.part)
+            self._drain_next()
 
     def _on_drain_limit_reached(self, message: DrainLimitReached) -> None:
         logger.warning(
             "supervisor: Drain limit reached; not finished: {}.",
-            ", ".join(sorted(self._unfinished)),
+            ", ".join(self._unfinished),
         )
         self.kernel.stop()
 
--- a/tests/proofs/fakes_table.py
+++ b/tests/proofs/fakes_table.py
@@ -25,6 +25,7 @@
 )
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
 from cuminhatch.messages import (
+    DrainFinished,
     InstanceListReplied,
     InstanceListRequested,
     ObjectGetReplied,
@@ -204,11 +205,15 @@
         self.clock = ManualClock()
         self.kernel = Kernel(self.clock)
         self.kernel.register(PlatformFake(self.kernel, self, platform, read_list))
-        self.failures = self.record(SUPERVISOR, (HandlerFailed,))
+        self.reports = self.record(SUPERVISOR, (HandlerFailed, DrainFinished))
 
     def record(self, name, kinds):
         return self.kernel.register(Recorder(self.kernel, name, kinds)).received
 
+    @property
+    def failures(self):
+        return [report for report in self.reports if type(report) is HandlerFailed]
+
     @property
     def is_running(self):
         return self.is_alive and not self.is_frozen
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -11,6 +11,8 @@
     ClaimRefused,
     ClaimRequested,
     ClaimVoided,
+    DrainFinished,
+    DrainStarted,
 )
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services import Claims, claims as claims_module
@@ -165,3 +167,22 @@
     bench.request(2)
     expected = ClaimRefused(2, Outcome.RAN, 504, "answer-not-kept", None)
     assert bench.heard[-1] == expected
+
+
+def test_drain_waits_for_rows_to_be_stored_and_voided(bench):
+    """Guards against a key left claimed because its instance stopped."""
+    claim_id, other_id = bench.grant(1), bench.grant(2, key="other")
+    bench.tell(DrainStarted())
+    bench.tell(ClaimAnswered(claim_id, ANSWER))
+    bench.tell(ClaimAbandoned(other_id))
+    bench.platform.done(0)
+    assert bench.node.reports == []
+    bench.platform.done(0)
+    assert bench.row()["state"] == "ran"
+    assert bench.node.reports == [DrainFinished("claims")]
+
+
+def test_drain_without_claims_ends_at_once(bench):
+    """Guards against a stop that waits for claims which do not exist."""
+    bench.tell(DrainStarted())
+    assert bench.node.reports == [DrainFinished("claims")]
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -13,6 +13,7 @@
     CallerLeft,
     CallerResumed,
     CallerStalled,
+    DrainFinished,
     DrainStarted,
     RequestBody,
     RequestReadPaused,
@@ -31,6 +32,7 @@
     HttpListener,
     ListenerLimits,
 )
+from tests.proofs.fakes_table import Recorder
 from tests.services._loopback import Answers, connect, run_until, settle
 
 HOST = b"Host: a\r\n"
@@ -468,3 +470,32 @@
     port.send(DrainStarted())
     port.wait(1000)
     assert port.listener.connection_count == 0
+
+
+def test_drain_is_finished_when_the_last_connection_has_closed(port):
+    """Guards against a daemon that ends too early, or only at its limit."""
+    supervisor = Recorder(port.kernel, "supervisor", (DrainFinished,))
+    reports = port.kernel.register(supervisor).received
+    port.answers.is_echoing = False
+    peer = port.connect()
+    peer.send(GET % 1)
+    run_until(port.kernel, lambda: port.answers.messages)
+    port.send(DrainStarted())
+    settle(port.kernel)
+    assert reports == []
+    port.answers.answer(1, b"last")
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.received.endswith(b"last")
+    peer.sock.close()
+    run_until(port.kernel, lambda: reports)
+    settle(port.kernel)
+    assert reports == [DrainFinished("callers")]
+
+
+def test_drain_without_connections_is_finished_at_once(port):
+    """Guards against a stop that waits for callers which do not exist."""
+    supervisor = Recorder(port.kernel, "supervisor", (DrainFinished,))
+    reports = port.kernel.register(supervisor).received
+    port.send(DrainStarted())
+    settle(port.kernel)
+    assert reports == [DrainFinished("callers")]
--- a/tests/services/test_supervisor.py
+++ b/tests/services/test_supervisor.py
@@ -71,6 +71,15 @@
     assert setup.parts["callers"].received == [DrainStarted()]
 
 
+def test_claims_drain_after_the_last_caller(setup):
+    """Guards against an answer not stored because claims were done early."""
+    setup.run(DrainRequested("operator"))
+    setup.pass_time(ANNOUNCE_MS)
+    assert setup.parts["claims"].received == []
+    setup.run(DrainFinished("callers"))
+    assert setup.parts["claims"].received == [DrainStarted()]
+
+
 def test_daemon_ends_when_every_part_has_finished(setup):
     """Guards against a stop that cuts off a request in flight."""
     setup.run(DrainRequested("operator"))
