Name the settings key of an address that cannot be bound

Cause: the daemon put the file in front of the error of the service, which knows its address but not the key in the settings. Ruled out: searching the message for the address; services now raise AddressError, which carries it. Before: 'FILE: cannot listen on IP:PORT: ...'. After: 'FILE: callers.address: cannot listen on IP:PORT: ...', for callers, operators and peers.

--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from cuminhatch.codecs.settings_toml import Settings, parse_settings
-from cuminhatch.errors import ServiceError, SettingsError
+from cuminhatch.errors import AddressError, SettingsError
 from cuminhatch.kernel import Kernel
 from cuminhatch.services import (
     BackendConnections,
@@ -122,6 +122,27 @@
     return parse_settings(text, file_name, os.environ)
 
 
+def open_kernel(settings: Settings, file_name: str) -> Kernel:
+    """
+    Start the services of a daemon.
+
+    :param settings: checked settings.
+    :param file_name: name of the settings file, for errors.
+    :raises SettingsError: an address cannot be bound.
+    """
+    kernel = build_kernel(settings)
+    try:
+        kernel.open()
+    except AddressError as error:
+        keys = {
+            settings.callers_address: "callers.address",
+            settings.operators.address: "operators.address",
+            settings.peers.address: "peers.address",
+        }
+        raise SettingsError(f"{file_name}: {keys[error.address]}: {error}") from error
+    return kernel
+
+
 def run_daemon(_: list[str]) -> int:
     """
     Run until a drain has finished.
@@ -131,11 +152,9 @@
     try:
         settings = load_settings(SETTINGS.value)
         configure_logs(settings)
-        kernel = build_kernel(settings)
-        kernel.open()
-    except (SettingsError, ServiceError) as error:
-        prefix = f"{SETTINGS.value}: " if isinstance(error, ServiceError) else ""
-        print(f"cuminhatchd: {prefix}{error}", file=sys.stderr)
+        kernel = open_kernel(settings, SETTINGS.value)
+    except SettingsError as error:
+        print(f"cuminhatchd: {error}", file=sys.stderr)
         return USAGE_STATUS
     logger.info("supervisor: Daemon started.")
     kernel.run()
--- a/src/cuminhatch/errors.py
+++ b/src/cuminhatch/errors.py
@@ -6,6 +6,8 @@
 ``NamedTuple`` with a ``reason`` field.
 """
 
+from cuminhatch.address import Address
+
 
 class CuminhatchError(Exception):
     """Base class of all errors of this project."""
@@ -29,3 +31,17 @@
 
 class SettingsError(CuminhatchError):
     """A settings file is missing, malformed or holds an invalid value."""
+
+
+class AddressError(ServiceError):
+    """An address cannot be bound."""
+
+    def __init__(self, address: Address, reason: str) -> None:
+        """
+        Keep the address, by which the settings key can be found.
+
+        :param address: address that was tried.
+        :param reason: what the operating system says.
+        """
+        super().__init__(f"cannot listen on {address.host}:{address.port}: {reason}")
+        self.address = address
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -24,7 +24,7 @@
     encode_chunk,
     encode_response_head,
 )
-from cuminhatch.errors import ServiceError
+from cuminhatch.errors import AddressError
 from cuminhatch.kernel import SUPERVISOR, Kernel, MessageTable, Service
 from cuminhatch.messages import (
     Address,
@@ -222,7 +222,7 @@
         """
         Start to listen.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         sock = socket()
         sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
@@ -231,10 +231,7 @@
             sock.listen(LISTEN_BACKLOG)
         except OSError as error:
             sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot listen on {host}:{port}: {error.strerror}"
-            ) from error
+            raise AddressError(self._address, error.strerror) from error
         sock.setblocking(False)
         self._sock = sock
         self._address = Address(*sock.getsockname()[:2])
--- a/src/cuminhatch/services/note_transfer.py
+++ b/src/cuminhatch/services/note_transfer.py
@@ -17,7 +17,7 @@
     decode_message,
     encode_message,
 )
-from cuminhatch.errors import CodecError, ServiceError
+from cuminhatch.errors import AddressError, CodecError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     NotesOffered,
@@ -94,7 +94,7 @@
         """
         Start to listen.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         sock = socket()
         sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
@@ -103,10 +103,7 @@
             sock.listen(LISTEN_BACKLOG)
         except OSError as error:
             sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot listen on {host}:{port}: {error.strerror}"
-            ) from error
+            raise AddressError(self._address, error.strerror) from error
         sock.setblocking(False)
         self._sock = sock
         self.watch_read(sock, self._accept)
--- a/src/cuminhatch/services/operators.py
+++ b/src/cuminhatch/services/operators.py
@@ -29,7 +29,7 @@
 from cuminhatch.codecs.note_toml import parse_note
 from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION, Configuration
 from cuminhatch.decisions.notes import NoteAccepted, NoteRefused
-from cuminhatch.errors import CodecError, ServiceError
+from cuminhatch.errors import AddressError, CodecError
 from cuminhatch.kernel import SUPERVISOR, Kernel, MessageTable, Service
 from cuminhatch.messages import (
     ConfigurationChanged,
@@ -235,15 +235,12 @@
         """
         Start to listen.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         try:
             self._web = _WebServer(self.kernel, self._address)
         except OSError as error:
-            host, port = self._address
-            raise ServiceError(
-                f"cannot listen on {host}:{port}: {error.strerror}"
-            ) from error
+            raise AddressError(self._address, error.strerror) from error
         self._web.register(self)
 
     # Requests
--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -29,7 +29,7 @@
     pick_targets,
 )
 from cuminhatch.decisions.platform import InstanceList
-from cuminhatch.errors import ServiceError
+from cuminhatch.errors import AddressError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     ConfigurationChanged,
@@ -156,7 +156,7 @@
         """
         Bind the socket and start the heartbeats.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         sock = socket(AF_INET, SOCK_DGRAM)
         sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
@@ -164,10 +164,7 @@
             sock.bind(self._address)
         except OSError as error:
             sock.close()
-            host, port = self._address
-            raise ServiceError(
-                f"cannot bind UDP {host}:{port}: {error.strerror}"
-            ) from error
+            raise AddressError(self._address, error.strerror) from error
         sock.setblocking(False)
         self._sock = sock
         self.watch_read(sock, self._read)
--- /dev/null
+++ b/tests/system/test_stop_and_start.py
@@ -0,0 +1,135 @@
+"""Tests of the start, the stop and the ports of real daemons."""
+
+import socket
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPConnection
+from signal import SIGKILL, SIGTERM
+
+import pytest
+
+from cuminhatch.codecs.peers_thrift import NotesPull, encode_message
+from cuminhatch.messages import Address
+from tests.support import GIVE_UP_S, free_port, start_program, wait_until
+from tests.system.deployment import ANNOUNCE_MS, KEYS, note, text_of, withdrawal
+
+# More than the buffers on the way hold, so that the answer still streams.
+LONG_BYTES = 50_000_000
+LATE_REQUESTS = 10
+# Still runs when the announcement ends.
+SLOW = f"/ledger?ms={ANNOUNCE_MS + 1000}"
+
+
+def test_stop_cuts_off_nothing(deployment):
+    """Guards against requests lost when a daemon is replaced."""
+    daemon = deployment.daemons[0]
+    connection = HTTPConnection(*daemon.program.address, timeout=GIVE_UP_S)
+    connection.request("GET", f"/history?bytes={LONG_BYTES}")
+    response = connection.getresponse()
+    size = len(response.read(1000))
+    daemon.process.send_signal(SIGTERM)
+    wait_until(lambda: not daemon.is_ready, "the announcement")
+    # The list of instances lags, so callers still come.
+    for _ in range(LATE_REQUESTS):
+        assert daemon.get("/status").status == 200
+    with ThreadPoolExecutor() as pool:
+        slow = pool.submit(daemon.confirm, "k", SLOW)
+        wait_until(lambda: deployment.runs(key="k"), "the run")
+        size += len(response.read())
+        assert slow.result().status == 200
+    connection.close()
+    assert size == LONG_BYTES
+    assert daemon.process.wait(GIVE_UP_S) == 0
+    # The answer was stored before the end.
+    again = deployment.daemons[1].confirm("k", SLOW)
+    assert (again.status, again.body) == (200, slow.result().body)
+    assert len(deployment.runs(key="k")) == 1
+
+
+def test_daemon_without_notes_is_not_ready(deployment):
+    """Guards against a new daemon that refuses every request it is sent."""
+    for daemon in deployment.daemons:
+        daemon.process.send_signal(SIGKILL)
+        daemon.process.wait()
+    deployment.table.set_faults(outage=True)
+    daemon = deployment.start_daemon()
+    assert not daemon.is_ready
+    assert daemon.get("/status").headers["cuminhatch-outcome"] == "not-run"
+    deployment.table.set_faults(outage=False)
+    wait_until(lambda: daemon.is_ready, "readiness")
+    assert daemon.get("/status").status == 200
+
+
+def pull_notes(address, key):
+    """Pull notes as a peer does; return the bytes of the reply."""
+    data = encode_message(NotesPull(0, 10), key.encode())
+    with socket.create_connection(address, GIVE_UP_S) as sock:
+        sock.sendall(len(data).to_bytes(4, "big") + data)
+        return sock.makefile("rb").read()
+
+
+def test_wrong_keys_are_refused(deployment):
+    """Guards against a stranger who reads or changes the notes."""
+    assert pull_notes(deployment.peers[0], KEYS["peers"]) != b""
+    assert pull_notes(deployment.peers[0], "wrong") == b""
+    daemon = deployment.daemons[0]
+    wrong = {"Authorization": "Bearer wrong"}
+    text = note("second", withdrawal("status-1"))
+    assert daemon.operate("POST", "/notes", text, wrong).status == 401
+    assert daemon.operate("POST", "/drain", headers=wrong).status == 401
+    assert deployment.tool("status", key="wrong").returncode == 1
+    assert daemon.note_sequence == 1
+
+
+@pytest.fixture
+def settings(tmp_path):
+    """Return sections of valid settings of which one may be replaced."""
+    free = {name: f"127.0.0.1:{free_port()}" for name in ("callers", "operators")}
+    platform = "\n".join(
+        f'{name} = "127.0.0.1:1"' for name in ("table", "objects", "list")
+    )
+    return {
+        "instance": 'id = "entry-1"\nfailure_domain = "Kingston"',
+        "callers": f'address = "{free["callers"]}"',
+        "operators": f'address = "{free["operators"]}"\nkey = "k"',
+        "peers": f'address = "127.0.0.1:{free_port()}"\nkey = "k"',
+        "platform": platform,
+    }
+
+
+def run_with(file):
+    """Run a daemon that cannot start; return its status and its lines."""
+    process = start_program("cuminhatch.daemon", f"--settings={file}", stderr=-1)
+    _, errors = process.communicate(timeout=GIVE_UP_S)
+    return process.returncode, errors.decode().splitlines()
+
+
+def write(tmp_path, sections):
+    file = tmp_path / "entry.toml"
+    file.write_text("".join(f"[{n}]\n{text}\n" for n, text in sections.items()))
+    return file
+
+
+@pytest.mark.parametrize("section", ["callers", "operators", "peers"])
+def test_address_in_use_names_file_and_key(settings, tmp_path, section):
+    """Guards against a daemon that seems to run and cannot be reached."""
+    with socket.create_server(("127.0.0.1", 0)) as sock:
+        used = Address(*sock.getsockname())
+        settings[section] = f'address = "{text_of(used)}"\nkey = "k"'
+        if section == "callers":
+            settings[section] = f'address = "{text_of(used)}"'
+        file = write(tmp_path, settings)
+        status, lines = run_with(file)
+    assert (status, len(lines)) == (2, 1)
+    assert f"{file}: {section}.address: cannot listen on {text_of(used)}" in lines[0]
+
+
+def test_wrong_settings_name_file_and_key(settings, tmp_path):
+    """Guards against a daemon that ignores a misspelt key."""
+    settings["instance"] += "\nzone = 1"
+    file = write(tmp_path, settings)
+    status, lines = run_with(file)
+    assert (status, len(lines)) == (2, 1)
+    assert f"{file}: instance.zone: unknown key" in lines[0]
+    status, lines = run_with(tmp_path / "missing.toml")
+    assert (status, len(lines)) == (2, 1)
+    assert "missing.toml: No such file" in lines[0]
