--- a/src/cuminhatch/services/_bound_socket.py
+++ b/src/cuminhatch/services/_bound_socket.py
@@ -11,7 +11,7 @@
 )
 
 from cuminhatch.address import Address
-from cuminhatch.errors import ServiceError
+from cuminhatch.errors import AddressError
 
 
 def _bind(kind: SocketKind, address: Address) -> socket:
@@ -22,10 +22,7 @@
         sock.bind(address)
     except OSError as error:
         sock.close()
-        protocol = "UDP" if kind is SOCK_DGRAM else "TCP"
-        raise ServiceError(
-            f"cannot bind {protocol} {address.host}:{address.port}: {error.strerror}"
-        ) from error
+        raise AddressError(address, error.strerror) from error
     return sock
 
 
@@ -35,7 +32,7 @@
 
     :param address: address to bind; port 0 takes any.
     :returns: a non-blocking socket.
-    :raises ServiceError: the address cannot be bound.
+    :raises AddressError: the address cannot be bound.
     """
     return _bind(SOCK_DGRAM, address)
 
@@ -47,16 +44,14 @@
     :param address: address to bind; port 0 takes any.
     :param backlog: connections that may wait to be accepted.
     :returns: a non-blocking socket.
-    :raises ServiceError: the address cannot be bound.
+    :raises AddressError: the address cannot be bound.
     """
     sock = _bind(SOCK_STREAM, address)
     try:
         sock.listen(backlog)
     except OSError as error:
         sock.close()
-        raise ServiceError(
-            f"cannot listen on {address.host}:{address.port}: {error.strerror}"
-        ) from error
+        raise AddressError(address, error.strerror) from error
     return sock
 
 
--- a/src/cuminhatch/services/note_transfer.py
+++ b/src/cuminhatch/services/note_transfer.py
@@ -93,7 +93,7 @@
         """
         Start to listen.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         self._sock = listen_on(self._address, LISTEN_BACKLOG)
         self.watch_read(self._sock, self._accept)
--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -154,7 +154,7 @@
         """
         Bind the socket and start the heartbeats.
 
-        :raises ServiceError: the address cannot be bound.
+        :raises AddressError: the address cannot be bound.
         """
         self._sock = bind_datagram_socket(self._address)
         self.watch_read(self._sock, self._read)
