Wait at the connection limit, keep the share, name refused requests

Faults between the parts of the callers' path:

- A "connection limit" failure counted as a refused connection: it led to ejection, spent the retry budget and ended in a refusal.
Dispatch now leaves the server out for 20 ms and sends the request elsewhere or later; the attempt does not count.
Long work asks for a permit again.
- Idle connections plus a fresh one could exceed the share of this instance, because the daemon gave BackendConnections no limit.
The service now takes the limit from the configuration, and a lower share closes idle connections.
"backends" is a follower of notes.
- Dispatch had no handler for RequestFailed.
A request without a record is answered too, and a refusal after the head of an answer aborts it.
- Refusals carry X-Request-Id (RequestRefused.trace_id).
- Events about a request carry the sequence of the configuration that it followed, in their details.

Ruled out: a body in the entry queue hangs (RequestReadResumed is sent when the attempt starts; tested). The tests of dispatch compare messages by type already, since World.take selects by type. The proof of notes reads what the recorder of dispatch gets and needs no further follower.

The expected tuples of refusals in the tests leave out the new field; refusal_of checks it for all of them.

Open: a body above 64 KB is not kept after its attempt was sent, so it is refused as not-run at the connection limit.

--- a/src/cuminhatch/decisions/servers.py
+++ b/src/cuminhatch/decisions/servers.py
@@ -31,6 +31,8 @@
 # The caller has to go elsewhere; a server that sheds all its work must not be
 # preferred for doing so at once.
 SHED_LATENCY_MS = 100.0
+# Connections are free again when requests end; most short work takes less.
+CONNECTION_WAIT_MS = 20.0
 FAILURES_TO_EJECT = 3
 EJECTION_FIRST_MS = 1000.0
 EJECTION_MAX_MS = 30_000.0
@@ -56,6 +58,7 @@
         "ejected_until_ms",
         "ejections",
         "failures",
+        "full_until_ms",
         "in_flight",
         "is_near",
         "is_open",
@@ -104,6 +107,8 @@
         self.failures = 0
         self.ejections = 0
         self.ejected_until_ms: float | None = None
+        # No connection was left; nothing is sent before this time.
+        self.full_until_ms = float("-inf")
         self.slow_start_since_ms = slow_start_since_ms
         self.slow_start_ms = slow_start_ms
         self.signs: LeavingSigns = NO_SIGNS
@@ -236,6 +241,16 @@
     view.signs = view.signs._replace(refused_count=view.signs.refused_count + 1)
 
 
+def note_connection_limit(view: ServerView, now_ms: float) -> None:
+    """
+    Leave out a server while this instance's connections to it are in use.
+
+    :param view: the backend server.
+    :param now_ms: current time.
+    """
+    view.full_until_ms = now_ms + CONNECTION_WAIT_MS
+
+
 def note_observation(view: ServerView, report: LoadReport, is_leaving: bool) -> None:
     """
     Take a probe of this or of another instance into account.
@@ -295,6 +310,8 @@
     """
     if view.in_flight >= view.window.share or is_server_leaving(view.signs):
         return False
+    if now_ms < view.full_until_ms:
+        return False
     if view.ejections:
         return _may_take_trial(view, now_ms)
     size = view.window.size
@@ -313,6 +330,8 @@
     """
     if view.in_flight >= view.window.share or is_server_leaving(view.signs):
         return False
+    if now_ms < view.full_until_ms:
+        return False
     if view.ejections and not _may_take_trial(view, now_ms):
         return False
     limit = long_slots or view.server.slots // LONG_SLOTS_DIVISOR
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -9,6 +9,10 @@
 from cuminhatch.codecs.http1 import RequestHead, ResponseHead
 from cuminhatch.messages.address import Address
 
+# Reason of an attempt that was not sent because this instance's share of
+# connections to the backend server is in use.
+CONNECTION_LIMIT = "connection limit"
+
 # From dispatch to the service of backend connections.
 
 
@@ -82,7 +86,8 @@
     """
     A response will not come, or not to its end.
 
-    ``is_sent`` is False only if no byte of the request has left.
+    ``is_sent`` is False only if no byte of the request has left; with the
+    reason ``CONNECTION_LIMIT`` the request may wait or go to another server.
     ``is_reused`` tells that the connection had served other requests.
     """
 
--- a/src/cuminhatch/messages/requests.py
+++ b/src/cuminhatch/messages/requests.py
@@ -90,12 +90,17 @@
 
 
 class RequestRefused(NamedTuple):
-    """A request is answered by cuminhatch itself."""
+    """
+    A request is answered by cuminhatch itself.
+
+    ``trace_id`` is the value of ``X-Request-Id``, empty to leave it out.
+    """
 
     request_id: int
     status: int
     outcome: Outcome
     reason: str
+    trace_id: bytes = b""
 
 
 class RequestReadPaused(NamedTuple):
--- a/src/cuminhatch/messages/telemetry.py
+++ b/src/cuminhatch/messages/telemetry.py
@@ -7,7 +7,14 @@
 
 
 class EventRecorded(NamedTuple):
-    """Something worth a line on the timeline."""
+    """
+    Something worth a line on the timeline.
+
+    ``note_sequence`` is that of the note which the event is about, 0 for
+    others. An event about a request gives the configuration that the request
+    followed as ``details["note_sequence"]``, so that the events of a note
+    leave out its requests.
+    """
 
     part: str
     name: str
--- a/src/cuminhatch/services/_request.py
+++ b/src/cuminhatch/services/_request.py
@@ -74,6 +74,7 @@
         "is_maybe_run",
         "is_read_paused",
         "key",
+        "note_sequence",
         "permit",
         "permit_requests",
         "phase",
@@ -106,6 +107,8 @@
         self.pool = pool
         self.trace_id = trace_id
         self.received_ms = message.received_ms
+        # Sequence of the configuration that the request follows.
+        self.note_sequence = 0
         self.body = bytearray(message.data) if not message.is_complete else message.data
         self.body_length = message.body_length
         self.is_body_complete = message.is_complete
--- a/src/cuminhatch/services/_server_table.py
+++ b/src/cuminhatch/services/_server_table.py
@@ -33,6 +33,11 @@
         """Return the function of method and path that finds the rule."""
         return self._match_rule
 
+    @property
+    def sequence(self) -> int:
+        """Return the sequence number of the note in force."""
+        return self._configuration.sequence
+
     def pool_of(self, service_id: str) -> ServerPool | None:
         """
         Return the pool of a service, None if there is no such service.
--- a/src/cuminhatch/services/_telemetry.py
+++ b/src/cuminhatch/services/_telemetry.py
@@ -49,20 +49,24 @@
         self.count("retries_total", {"service": service_id})
         if self._kernel.has_service("timeline"):
             details = {
+                "note_sequence": record.note_sequence,
                 "number": record.attempts,
                 "server": record.view.server.server_id,
             }
             self._record("attempt", record.trace_id, details)
 
-    def record_refusal(self, trace_id: bytes, reason: str) -> None:
+    def record_refusal(self, trace_id: bytes, reason: str, sequence: int) -> None:
         """
         Record a request that was refused before it had a record.
 
         :param trace_id: value of ``X-Request-Id``.
         :param reason: short reason code.
+        :param sequence: of the configuration that it was refused by.
         """
         if self._kernel.has_service("timeline"):
-            self._record("refused", trace_id, {"reason": reason})
+            self._record(
+                "refused", trace_id, {"reason": reason, "note_sequence": sequence}
+            )
 
     def record_end(self, record: RequestRecord, reason: str) -> None:
         """
@@ -85,6 +89,7 @@
             view = record.view
             details = {
                 "reason": reason,
+                "note_sequence": record.note_sequence,
                 "rule": record.rule.rule_id,
                 "received_ms": record.received_ms,
                 "duration_ms": duration_ms,
@@ -95,5 +100,6 @@
             self._record(name, record.trace_id, details)
 
     def _record(self, name: str, trace_id: bytes, details: dict) -> None:
+        # The sequence is in the details: see EventRecorded.
         event = EventRecorded(PART, name, trace_id.decode("latin-1"), 0, details)
         self._kernel.send("timeline", event)
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -1,7 +1,6 @@
 """Connections to backend servers: pool, sending, reading, timeouts."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from errno import ECONNREFUSED, EINPROGRESS
 from math import inf
 from socket import socket
@@ -16,6 +15,8 @@
     encode_chunk,
     encode_request_head,
 )
+from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION
+from cuminhatch.decisions.limits import connection_share
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     Address,
@@ -31,6 +32,7 @@
     AttemptStalled,
     ConfigurationChanged,
 )
+from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.services._stream import (
     CONNECTION_CLOSED,
     CONNECTION_FAILED,
@@ -44,7 +46,6 @@
 # request rarely meets a connection that the server is just closing.
 IDLE_AGE_MS = 20_000
 SWEEP_INTERVAL_MS = 500
-CONNECTION_LIMIT = "connection limit"
 
 
 class SweepDue(NamedTuple):
@@ -104,7 +105,6 @@
         kernel: Kernel,
         target: str = "dispatch",
         name: str | None = None,
-        connection_limit: Callable[[str], float] = lambda server_id: inf,
         idle_age_ms: float = IDLE_AGE_MS,
     ) -> None:
         """
@@ -113,13 +113,11 @@
         :param kernel: kernel of the process.
         :param target: name of the service that asks for attempts.
         :param name: name of this service.
-        :param connection_limit: gives the most connections, busy and idle,
-            to the backend server of an id.
         :param idle_age_ms: age at which an idle connection is closed.
         """
         super().__init__(kernel, name)
         self._target = target
-        self._connection_limit = connection_limit
+        self._configuration = EMPTY_CONFIGURATION
         self._idle_age_ms = idle_age_ms
         self._idle: defaultdict[_ServerKey, list[_Connection]] = defaultdict(list)
         self._by_attempt: dict[int, _Connection] = {}
@@ -206,14 +204,30 @@
     def _make_room(self, server_id: str) -> bool:
         """Close idle connections if a further one would exceed the limit."""
         limit = self._connection_limit(server_id)
-        if self._open_counts[server_id] < limit:
-            return True
+        if self._open_counts[server_id] >= limit:
+            self._close_idle_above(server_id, limit - 1)
+        return self._open_counts[server_id] < limit
+
+    def _connection_limit(self, server_id: str) -> float:
+        """Return the most connections to a server, busy and idle together."""
+        server = self._configuration.servers.get(server_id)
+        if server is None:
+            # A service of probes or tests without a configuration.
+            return inf
+        spec = self._configuration.services.get(server.service_id)
+        if spec is None:
+            return inf
+        return connection_share(server.connections, spec.instances_max)
+
+    def _close_idle_above(self, server_id: str, limit: float) -> None:
+        """Close idle connections, the oldest first, down to a limit."""
         for key, idle in list(self._idle.items()):
-            while key.server_id == server_id and idle:
+            while (
+                key.server_id == server_id
+                and idle
+                and self._open_counts[server_id] > limit
+            ):
                 self._drop(idle[0])
-                if self._open_counts[server_id] < limit:
-                    return True
-        return False
 
     def _encode_body(self, attempt: _Attempt, data: bytes, is_complete: bool) -> bytes:
         if not attempt.is_chunked:
@@ -415,12 +429,16 @@
         return attempt.sent_bytes > before and connection.stream.pending_bytes > 0
 
     def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
+        self._configuration = message.configuration
         servers = message.configuration.servers
         for key in list(self._idle):
             server = servers.get(key.server_id)
             if server is None or Address(server.host, server.port) != key.address:
                 for connection in self._idle.pop(key):
                     self._drop(connection)
+            else:
+                limit = self._connection_limit(key.server_id)
+                self._close_idle_above(key.server_id, limit)
 
     def _on_sweep_due(self, message: SweepDue) -> None:
         oldest_ms = self.kernel.clock.now_ms - self._idle_age_ms
--- a/src/cuminhatch/services/dispatch.py
+++ b/src/cuminhatch/services/dispatch.py
@@ -16,6 +16,7 @@
     may_take_long,
     may_take_short,
     note_answer,
+    note_connection_limit,
     note_failure,
     note_latency,
     note_observation,
@@ -56,6 +57,7 @@
     PermitReturned,
     ProbeFailed,
     RequestBody,
+    RequestFailed,
     RequestReadPaused,
     RequestReadResumed,
     RequestReceived,
@@ -63,6 +65,7 @@
     ResponseAborted,
     ResponseBody,
 )
+from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services._answers import ran_answer, shed_answer, stored_answer
 from cuminhatch.services._pool import ServerPool
@@ -118,6 +121,13 @@
     server_id: str
 
 
+class ConnectionLimitAged(NamedTuple):
+    """A server without a free connection may have one now."""
+
+    service_id: str
+    server_id: str
+
+
 class Dispatch(Service):
     """Owns one record per request, and a view of each backend server."""
 
@@ -161,6 +171,8 @@
             ProbeFailed: self._on_probe_failed,
             EjectionEnded: self._on_ejection_ended,
             RefusalAged: self._on_refusal_aged,
+            ConnectionLimitAged: self._on_connection_limit_aged,
+            RequestFailed: self._on_request_failed,
             RequestReceived: self._on_request_received,
             RequestBody: self._on_request_body,
             RequestDue: self._on_request_due,
@@ -244,6 +256,22 @@
             view.signs = after_pause(view.signs)
             self._refresh(pool, view)
 
+    def _on_connection_limit_aged(self, message: ConnectionLimitAged) -> None:
+        pool = self._table.pool_of(message.service_id)
+        if pool is None:
+            return
+        view = pool.views.get(message.server_id)
+        if view is not None:
+            self._refresh(pool, view)
+        if not self.kernel.has_service("permits"):
+            return
+        for request_id in pool.long_queue.request_ids:
+            record = self._requests[request_id]
+            if record.phase is Phase.QUEUED:
+                record.phase = Phase.AWAITING_PERMIT
+                record.permit_requests = 0
+                self._request_permit(record)
+
     def _note_failure(self, pool: ServerPool, view: ServerView) -> None:
         server_id = view.server.server_id
         now_ms = self.kernel.clock.now_ms
@@ -272,6 +300,7 @@
             self._refuse_early(message, 503, "no-backend-server")
             return
         record = RequestRecord(message, rule, pool, self._trace_id(message))
+        record.note_sequence = self._table.sequence
         self._requests[message.request_id] = record
         pool.budget.on_request()
         if record.due_ms <= self.kernel.clock.now_ms:
@@ -290,11 +319,14 @@
         return given or f"{self._instance_id}-{message.request_id}".encode()
 
     def _refuse_early(self, message: RequestReceived, status: int, reason: str) -> None:
+        trace_id = self._trace_id(message)
         self.send(
             "callers",
-            RequestRefused(message.request_id, status, Outcome.NOT_RUN, reason),
+            RequestRefused(
+                message.request_id, status, Outcome.NOT_RUN, reason, trace_id
+            ),
         )
-        self._telemetry.record_refusal(self._trace_id(message), reason)
+        self._telemetry.record_refusal(trace_id, reason, self._table.sequence)
 
     def _on_request_body(self, message: RequestBody) -> None:
         record = self._requests.get(message.request_id)
@@ -582,7 +614,10 @@
             self._start_attempt(record, view)
             return
         self.send("permits", PermitReturned(message.permit))
-        if record.permit_requests < PERMIT_REQUESTS_MAX:
+        if view is not None and now_ms < view.full_until_ms:
+            # Asks again when the server may have a free connection.
+            record.phase = Phase.QUEUED
+        elif record.permit_requests < PERMIT_REQUESTS_MAX:
             self._request_permit(record)
         else:
             self._refuse_waiting(record, "no-server-for-permit")
@@ -761,6 +796,10 @@
         if record is None:
             return
         self._end_attempt(record)
+        if message.reason == CONNECTION_LIMIT:
+            self._wait_for_connection(record)
+            self._drain_queues(record.pool)
+            return
         self._judge(record, message)
         reason = message.reason.replace(" ", "-")
         if record.is_response_started:
@@ -769,6 +808,21 @@
             self._give_up(record, message.is_sent, reason)
         self._drain_queues(record.pool)
 
+    def _wait_for_connection(self, record: RequestRecord) -> None:
+        """Send a request elsewhere or later; the attempt does not count."""
+        pool, view = record.pool, record.view
+        now_ms = self.kernel.clock.now_ms
+        if view.full_until_ms <= now_ms:
+            note_connection_limit(view, now_ms)
+            pool.refresh(view, now_ms)
+            aged = ConnectionLimitAged(pool.spec.service_id, view.server.server_id)
+            self.kernel.call_at(view.full_until_ms, self.name, aged)
+        record.attempts -= 1
+        if record.is_caller_gone or not record.is_body_kept:
+            self._give_up(record, False, "connection-limit")
+        else:
+            self._admit(record)
+
     def _judge(self, record: RequestRecord, message: AttemptFailed) -> None:
         """Hold a failure against the server, unless the connection is old."""
         if message.is_reused and not record.is_response_started:
@@ -841,6 +895,16 @@
 
     # Ends
 
+    def _on_request_failed(self, message: RequestFailed) -> None:
+        request_id = message.request_id
+        if request_id in self._requests:
+            self.fail_request(request_id, message.reason)
+            return
+        # Its first handler failed, or it has ended; the listener ignores
+        # refusals of requests that it has answered.
+        refusal = RequestRefused(request_id, 504, Outcome.UNKNOWN, message.reason)
+        self.send("callers", refusal)
+
     def fail_request(self, request_id: int, reason: str) -> None:
         """
         End a request whose handler failed.
@@ -899,9 +963,10 @@
         self, record: RequestRecord, status: int, outcome: Outcome, reason: str
     ) -> None:
         if not record.is_caller_gone:
-            self.send(
-                "callers", RequestRefused(record.request_id, status, outcome, reason)
+            refusal = RequestRefused(
+                record.request_id, status, outcome, reason, record.trace_id
             )
+            self.send("callers", refusal)
 
     def _finish(self, record: RequestRecord, reason: str) -> None:
         self._disarm(record)
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -42,6 +42,7 @@
     ResponseStarted,
 )
 from cuminhatch.outcomes import OUTCOME_HEADER, REASON_HEADER, Outcome
+from cuminhatch.services._response_facts import REQUEST_ID_HEADER
 from cuminhatch.services._stream import Stream, set_stream_options
 
 LISTEN_BACKLOG = 512
@@ -490,16 +491,22 @@
             self._abort(connection)
 
     def _on_request_refused(self, message: RequestRefused) -> None:
+        connection = self._by_request.get(message.request_id)
+        if connection is not None and connection.exchange.is_response_started:
+            # A handler failed after the head; a second head would be taken
+            # for the next answer.
+            self._on_response_aborted(ResponseAborted(message.request_id))
+            return
         body = f"{message.reason}\n".encode()
-        head = ResponseHead(
-            message.status,
-            PHRASES.get(message.status, b"Unknown"),
-            (
-                Header(OUTCOME_HEADER, message.outcome.encode()),
-                Header(REASON_HEADER, message.reason.encode()),
-                Header(b"content-type", b"text/plain"),
-            ),
+        headers = (
+            Header(OUTCOME_HEADER, message.outcome.encode()),
+            Header(REASON_HEADER, message.reason.encode()),
+            Header(b"content-type", b"text/plain"),
         )
+        if message.trace_id:
+            headers += (Header(REQUEST_ID_HEADER, message.trace_id),)
+        phrase = PHRASES.get(message.status, b"Unknown")
+        head = ResponseHead(message.status, phrase, headers)
         self._on_response_started(
             ResponseStarted(message.request_id, head, len(body), body, True)
         )
--- a/src/cuminhatch/services/notes.py
+++ b/src/cuminhatch/services/notes.py
@@ -109,7 +109,7 @@
 RECENT_NOTES_MAX = 4096
 # Snapshots of the instances are spread, so that most find one that is stored.
 SNAPSHOT_SPREAD_MS = 10_000.0
-FOLLOWERS = ("dispatch", "probes", "permits", "peers", "operators")
+FOLLOWERS = ("dispatch", "backends", "probes", "permits", "peers", "operators")
 
 
 class NoteDecisions(NamedTuple):
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -1,12 +1,18 @@
 """Tests of connections to backend servers over loopback."""
 
 import socket
+from types import MappingProxyType
 
 import pytest
 
 from cuminhatch import ManualClock
 from cuminhatch.codecs.http1 import Header, RequestHead
-from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION
+from cuminhatch.decisions.configuration import (
+    EMPTY_CONFIGURATION,
+    BackendServer,
+    Configuration,
+    ServiceSpec,
+)
 from cuminhatch.kernel import Kernel, Service
 from cuminhatch.messages import (
     Address,
@@ -297,7 +303,15 @@
 
 def test_limit_counts_busy_and_idle_connections():
     """Guards against more connections than a server's share for one daemon."""
-    pool = Pool(connection_limit={"server": 2}.get)
+    pool = Pool()
+    server = BackendServer("server", "s", *pool.address, "a", 3, 48)
+    configuration = Configuration(
+        1,
+        MappingProxyType({"s": ServiceSpec("s")}),
+        MappingProxyType({"server": server}),
+        MappingProxyType({}),
+    )
+    pool.send(ConfigurationChanged(configuration))
     first, second = pool.request(), pool.request()
     peers = [pool.accept(), pool.accept()]
     third = pool.request()
@@ -311,6 +325,12 @@
     peers[0].run_until(lambda: peers[0].is_closed)
     assert pool.connections == 2
     assert pool.asker.of(second, AttemptFailed) == []
+    # A note that lowers the share closes what is idle above it.
+    peers[1].send(OK)
+    run_until(pool.kernel, lambda: pool.asker.body_of(second) == b"ok")
+    servers = MappingProxyType({"server": server._replace(connections=24)})
+    pool.send(ConfigurationChanged(configuration._replace(servers=servers)))
+    assert pool.connections == 1
     moved.close()
 
 
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -32,11 +32,15 @@
     PermitReturned,
     ProbeFailed,
     RequestBody,
+    RequestFailed,
     RequestReadPaused,
+    RequestReadResumed,
+    RequestReceived,
     RequestRefused,
     ResponseAborted,
     ResponseStarted,
 )
+from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
 from cuminhatch.services.dispatch import Dispatch
 from tests.proofs.dispatch_world import World, make_server
@@ -64,8 +68,9 @@
 
 
 def refusal_of(world):
-    """The only refusal that the callers got."""
+    """The only refusal that the callers got; it names its request."""
     (refused,) = world.take("callers", RequestRefused)
+    assert refused.trace_id == b"%d" % refused.request_id
     return refused
 
 
@@ -112,7 +117,7 @@
     """Guards against work that nobody waits for."""
     world = make_world()
     world.request("read", headers=((b"request-deadline-ms", b"0"),))
-    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "deadline-passed")
+    assert refusal_of(world)[1:4] == (503, Outcome.NOT_RUN, "deadline-passed")
     assert world.attempts() == []
 
 
@@ -156,7 +161,7 @@
     running = world.attempts()
     world.request("read", headers=((b"request-deadline-ms", b"100"),))
     world.advance(96.0)
-    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "deadline-passed")
+    assert refusal_of(world)[1:4] == (503, Outcome.NOT_RUN, "deadline-passed")
     world.answer(running[0])
     assert world.attempts() == []
 
@@ -224,6 +229,11 @@
     world.answer(running[0])
     (attempt,) = world.attempts()
     assert len(attempt.data) == 69_000
+    assert world.take("callers", RequestReadResumed) == [RequestReadResumed(4)]
+    world.tell(RequestBody(4, b"z", True))
+    assert world.take("backends", AttemptBodySent) == [
+        AttemptBodySent(attempt.attempt_id, b"z", True)
+    ]
 
 
 def test_unkeyed_write_is_sent_at_most_once(make_world):
@@ -293,6 +303,50 @@
     assert view.failures == 0
 
 
+# Connection limit
+
+
+LIMIT = {"is_sent": False, "reason": CONNECTION_LIMIT}
+
+
+def test_request_beyond_the_connection_limit_goes_elsewhere(make_world):
+    """Guards against refusals and ejections where a share is in use."""
+    world = make_world(servers=2)
+    world.request("write")
+    (first,) = world.attempts()
+    world.fail(first, **LIMIT)
+    (second,) = world.attempts()
+    assert second.server_id != first.server_id
+    world.fail(second, **LIMIT)
+    assert world.attempts() == world.take("callers") == []
+    for _ in range(4):
+        world.advance(20.0)
+        world.fail(*world.attempts(), **LIMIT)
+    world.advance(20.0)
+    world.answer(*world.attempts())
+    assert outcome_of(world) == b"ran"
+    views = world.dispatch._table.pool_of("s").views.values()
+    assert [(v.failures, v.signs.refused_count) for v in views] == [(0, 0)] * 2
+
+
+def test_long_request_waits_for_a_connection_and_a_permit(make_world):
+    """Guards against long work that is refused, or sent without a permit."""
+    world = make_world("permits", servers=1)
+    world.request("pull")
+    permit = Permit("long", "b0", 0)
+    for _ in range(5):
+        world.tell(PermitGranted(1, permit))
+        world.fail(*world.attempts(), **LIMIT)
+        world.tell(PermitGranted(1, permit))
+        assert world.attempts() == world.take("callers") == []
+        world.take("permits")
+        world.advance(20.0)
+        assert len(world.take("permits", PermitRequested)) == 1
+    world.tell(PermitGranted(1, permit))
+    world.answer(*world.attempts())
+    assert outcome_of(world) == b"ran"
+
+
 # Backend servers that fail, return, leave
 
 
@@ -437,7 +491,7 @@
     world = make_world()
     world.configure(sequence=2)
     world.request("read")
-    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "no-backend-server")
+    assert refusal_of(world)[1:4] == (503, Outcome.NOT_RUN, "no-backend-server")
 
 
 # Claims
@@ -447,7 +501,7 @@
     """Guards against a second run where nobody keeps the keys."""
     world = make_world()
     world.request("write", headers=(KEY,))
-    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "no-claims")
+    assert refusal_of(world)[1:4] == (503, Outcome.NOT_RUN, "no-claims")
     assert world.attempts() == []
 
 
@@ -544,7 +598,7 @@
     world = make_world("claims")
     world.request("write", headers=(KEY,))
     world.advance(2250.0)
-    assert refusal_of(world)[1:] == (504, Outcome.UNKNOWN, "claim-unknown")
+    assert refusal_of(world)[1:4] == (504, Outcome.UNKNOWN, "claim-unknown")
     grant(world, 1)
     assert world.take("claims", ClaimAbandoned) == [ClaimAbandoned("c1")]
 
@@ -581,7 +635,7 @@
     world = make_world("permits")
     world.request("pull")
     world.tell(PermitRefused(1, "none free"))
-    assert refusal_of(world)[1:] == (503, Outcome.NOT_RUN, "none-free")
+    assert refusal_of(world)[1:4] == (503, Outcome.NOT_RUN, "none-free")
 
 
 @pytest.mark.parametrize("names", [(), ("permits",)])
@@ -619,11 +673,16 @@
     world.fail(*world.attempts())
     world.answer(*world.attempts())
     world.request("read", headers=((b"request-deadline-ms", b"0"),))
+    world.configure(sequence=2)
+    world.request("read")
     events = world.take("timeline", EventRecorded)
+    assert [e.details["note_sequence"] for e in events] == [1, 1, 1, 2]
+    assert {e.note_sequence for e in events} == {0}
     assert [(e.name, e.request_id) for e in events] == [
         ("attempt", "1"),
         ("answered", "1"),
         ("refused", "2"),
+        ("refused", "3"),
     ]
 
 
@@ -648,3 +707,18 @@
     assert isinstance(answers[4], ResponseAborted)
     assert world.dispatch.request_count == 0
     assert world.dispatch.in_flight_of("b0") == 0
+
+
+def test_request_whose_handler_failed_is_answered(make_world):
+    """Guards against callers that wait for a request that has no record."""
+    world = make_world()
+    world.request("read")
+    world.tell(RequestFailed(1, "internal-error"))
+    assert refusal_of(world)[1:4] == (504, Outcome.UNKNOWN, "internal-error")
+    assert world.take("backends", AttemptCancelled)
+    world.kernel.send("dispatch", RequestReceived(2, None, 0, b"", True, 0.0))
+    world.run()
+    assert world.received.pop("supervisor")
+    world.tell(RequestFailed(2, "internal-error"))
+    (refused,) = world.take("callers", RequestRefused)
+    assert refused[:4] == (2, 504, Outcome.UNKNOWN, "internal-error")
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -248,10 +248,11 @@
     refused = port.connect()
     refused.send(head)
     settle(port.kernel)
-    port.send(RequestRefused(2, 503, Outcome.NOT_RUN, "no-capacity"))
+    port.send(RequestRefused(2, 503, Outcome.NOT_RUN, "no-capacity", b"r-2"))
     refused.run_until(lambda: refused.is_closed)
     assert refused.received.startswith(b"HTTP/1.1 503 ")
     assert b"100 Continue" not in refused.received
+    assert b"x-request-id: r-2\r\n" in refused.received
 
 
 @pytest.mark.parametrize("is_paused", [False, True])
@@ -342,8 +343,12 @@
     assert port.listener.connection_count == port.listener.exchange_count == 0
 
 
+FAILED = RequestRefused(1, 504, Outcome.UNKNOWN, "internal-error")
+
+
+@pytest.mark.parametrize("end", [ResponseAborted(1), FAILED], ids=["aborted", "failed"])
 @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
-def test_answer_that_breaks_off_is_not_taken_for_whole(port, version):
+def test_answer_that_breaks_off_is_not_taken_for_whole(port, version, end):
     """Guards against a truncated answer, above all one without a length."""
     port.answers.is_echoing = False
     peer = port.connect()
@@ -351,7 +356,7 @@
     run_until(port.kernel, lambda: port.answers.messages)
     port.answers.answer(1, b"part", is_complete=False, length=None)
     peer.run_until(lambda: b"part" in peer.received)
-    port.send(ResponseAborted(1))
+    port.send(end)
     peer.run_until(lambda: peer.is_closed)
     assert peer.is_reset
 
--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -51,7 +51,7 @@
         register(FakePlatform(self.kernel, platform))
         self.followers = [
             register(Recorder(self.kernel, name, ConfigurationChanged))
-            for name in ("dispatch", "probes", "permits")
+            for name in ("dispatch", "backends", "probes", "permits")
         ]
         self.operators = register(
             Recorder(
