--- a/src/cuminhatch/codecs/settings_toml.py
+++ b/src/cuminhatch/codecs/settings_toml.py
@@ -10,6 +10,7 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.address import Address
+from cuminhatch.decisions.choice import BASELINES, POWER_OF_D
 from cuminhatch.errors import SettingsError
 
 OPERATORS_KEY_VARIABLE = "CUMINHATCH_OPERATORS_KEY"
@@ -63,6 +64,7 @@
     peers: PeersSettings
     platform: PlatformSettings
     drain: DrainSettings
+    choice_policy: str
     log_level: str
 
 
@@ -109,11 +111,13 @@
     return tuple(parse_address(item) for item in value)
 
 
-def _log_level(value: Any) -> str:
-    levels = ("DEBUG", "INFO", "WARNING", "ERROR")
-    if value not in levels:
-        raise ValueError(f"expected one of {', '.join(levels)}")
-    return value
+def _one_of(*known: str) -> Callable[[Any], str]:
+    def convert(value: Any) -> str:
+        if value not in known:
+            raise ValueError(f"expected one of {', '.join(known)}")
+        return value
+
+    return convert
 
 
 _SECTIONS: Mapping[str, Mapping[str, _Key]] = {
@@ -138,7 +142,8 @@
         "announce_ms": _Key(_milliseconds, 5_000.0),
         "limit_ms": _Key(_milliseconds, 600_000.0),
     },
-    "log": {"level": _Key(_log_level, "INFO")},
+    "choice": {"policy": _Key(_one_of(POWER_OF_D, *BASELINES), POWER_OF_D)},
+    "log": {"level": _Key(_one_of("DEBUG", "INFO", "WARNING", "ERROR"), "INFO")},
 }
 
 
@@ -171,6 +176,7 @@
         PeersSettings(*values["peers"]),
         PlatformSettings(*values["platform"]),
         DrainSettings(*values["drain"]),
+        values["choice"][0],
         values["log"][0],
     )
 
--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from cuminhatch.codecs.settings_toml import Settings, parse_settings
+from cuminhatch.decisions.choice import BASELINES
 from cuminhatch.errors import ServiceError, SettingsError
 from cuminhatch.kernel import Kernel
 from cuminhatch.services import (
@@ -47,6 +48,8 @@
     """
     kernel = Kernel()
     instance = settings.instance
+    # None stands for power-of-d; the others are for comparisons.
+    baseline = BASELINES.get(settings.choice_policy)
     peers = Peers(
         kernel,
         settings.peers.address,
@@ -76,7 +79,12 @@
         ),
         NoteTransfer(kernel, settings.peers.address, settings.peers.key),
         Probes(kernel, instance.instance_id),
-        Dispatch(kernel, instance.instance_id, instance.failure_domain),
+        Dispatch(
+            kernel,
+            instance.instance_id,
+            instance.failure_domain,
+            choose=baseline and baseline(Random()),
+        ),
         BackendConnections(kernel),
         Operators(
             kernel,
--- a/src/cuminhatch/decisions/choice.py
+++ b/src/cuminhatch/decisions/choice.py
@@ -1,8 +1,9 @@
 """Closures that choose a backend server; all have one signature."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from itertools import count
 from random import Random
+from types import MappingProxyType
 from typing import NamedTuple
 
 from cuminhatch.decisions.servers import ServerView, load_score
@@ -118,3 +119,14 @@
         return min(candidates, key=lambda view: (view.in_flight, rng.random()))
 
     return choose
+
+
+POWER_OF_D = "power-of-d"
+# Choices that power-of-d is compared with, by their names in the settings.
+BASELINES: Mapping[str, Callable[[Random], Choose]] = MappingProxyType(
+    {
+        "random": random_choice,
+        "round-robin": lambda rng: round_robin(),
+        "least-in-flight": least_in_flight,
+    }
+)
--- a/src/cuminhatch_standins/backend_server.py
+++ b/src/cuminhatch_standins/backend_server.py
@@ -5,7 +5,8 @@
 other path and method does the same with the defaults of the flags, after
 its body has arrived. ``POST /echo`` answers the body of the request. ``GET
 /load`` and ``GET /health`` are the probe and the health answer, ``POST
-/drain`` starts to drain, ``GET /runs`` lists the work that was started.
+/drain`` starts to drain, ``GET /runs`` lists the work that was started, ``GET
+/stats`` lists the times of the last probes in milliseconds.
 
 Faults besides the common ones: ``slow`` (factor), ``stale_load`` (true: the
 report stays as it is now; a number: it is that many ms old), ``shed``,
@@ -51,6 +52,7 @@
 PART_BYTES = 64 * 1024
 # Oldest runs beyond this are forgotten, which bounds memory in long runs.
 MAX_RUNS = 100_000
+MAX_PROBES = 10_000
 NOT_RUN = Header(b"request-outcome", b"not-run")
 DRAINING = Header(b"server-state", b"draining")
 FAULTS = {
@@ -141,6 +143,7 @@
         self._serving: dict[int, _Work] = {}
         self._waiting: dict[int, _Work] = {}
         self._runs: deque[dict[str, str | None]] = deque(maxlen=MAX_RUNS)
+        self._probes_ms: deque[float] = deque(maxlen=MAX_PROBES)
         self._frozen_report: LoadReport | None = None
         self._old_reports: deque[tuple[float, LoadReport]] = deque()
 
@@ -173,6 +176,7 @@
 
     def _on_whole_request(self, request: WholeRequest) -> None:
         if request.path == "/load":
+            self._probes_ms.append(self.kernel.clock.now_ms)
             answer = json_answer(request, 200, self._report()._asdict(), self._state())
             self.send(LISTENER, answer)
         elif request.path == "/health":
@@ -181,6 +185,9 @@
             self.send(LISTENER, answer)
         elif request.path == "/runs":
             self.send(LISTENER, json_answer(request, 200, list(self._runs)))
+        elif request.path == "/stats":
+            stats = {"probes_ms": list(self._probes_ms)}
+            self.send(LISTENER, json_answer(request, 200, stats))
         elif (request.method, request.path) == ("POST", "/drain"):
             self._is_drain_requested = True
             self.send(LISTENER, json_answer(request, 200, {}, self._state()))
--- a/tests/codecs/test_settings_toml.py
+++ b/tests/codecs/test_settings_toml.py
@@ -33,6 +33,13 @@
     assert settings.peers.seeds == (Address("127.0.0.1", 8182),)
     assert settings.platform.instance_list == Address("127.0.0.1", 9003)
     assert settings.drain.announce_ms == 5000.0
+    assert settings.choice_policy == "power-of-d"
+
+
+def test_choice_policy_is_read():
+    """Guards against comparisons in which all daemons choose alike."""
+    text = GOOD + '[choice]\npolicy = "round-robin"\n'
+    assert parse_settings(text, "d.toml", {}).choice_policy == "round-robin"
 
 
 def test_environment_goes_before_the_file():
@@ -52,6 +59,7 @@
         ('"127.0.0.1:8080"', '"127.0.0.1:99999"'),
         ('["127.0.0.1:8182"]', '"127.0.0.1:8182"'),
         ("[platform]", "[drain]\nlimit_ms = -1\n[platform]"),
+        ("[platform]", '[choice]\npolicy = "first"\n[platform]'),
         ("[platform]", "[platform"),
     ],
 )
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -383,3 +383,14 @@
         caller.setblocking(False)
         with pytest.raises(BlockingIOError):
             caller.recv(100)
+
+
+def test_stats_list_each_probe_and_no_other_request(bed):
+    """Guards against a probe count that hides probes above the budget."""
+    bed.load(1)
+    bed.run(250.0)
+    bed.load(2)
+    bed.request(3)
+    bed.request(4, "/stats")
+    first_ms, second_ms = json.loads(bed.recorder.bodies[4])["probes_ms"]
+    assert second_ms - first_ms == 250.0
