--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,123 @@
+"""Prints the table of the four measures: ``python -m bench``."""
+
+import sys
+import time
+from pathlib import Path
+
+import orjson
+from absl import app, flags
+
+from bench.added import measure_added
+from bench.blocking import measure_blocking, measure_uneven
+from bench.control import count_probes, measure_control
+from bench.crest import measure_capacity, measure_crest
+from bench.fleet import Fleet, open_fleet
+from bench.sizes import DEPLOYMENTS, SINGLE, Deployment, write_note
+from bench.table import Row, format_table
+from cuminhatch.decisions.choice import BASELINES, POWER_OF_D
+
+BASE_PORTS = {"blue-mahoe": 21000, "macaulay": 22000}
+POLICIES = (POWER_OF_D, *BASELINES)
+COMPARED = ("crest", "blocking")
+# The list of instances lags; permits for probes and long work come after it.
+SETTLE_S = 4.0
+
+DEPLOYMENT = flags.DEFINE_enum(
+    "deployment", "both", [*DEPLOYMENTS, "both"], "Sizes to measure with."
+)
+MEASURE = flags.DEFINE_enum(
+    "measure",
+    "all",
+    ["added", "probes", "crest", "blocking", "all"],
+    "What to measure.",
+)
+SECONDS = flags.DEFINE_float("seconds", 2.0, "Length of each phase.", lower_bound=0.5)
+SEED = flags.DEFINE_integer("seed", 1, "Seed of the arrivals.")
+JSON = flags.DEFINE_string("json", None, "File for the rows as JSON.")
+
+
+def measure_deployment(
+    deployment: Deployment, measures: set[str], seconds: float, seed: int
+) -> list[Row]:
+    """
+    Start a deployment and take the measures.
+
+    :param deployment: its sizes.
+    :param measures: names of the measures.
+    :param seconds: length of each phase.
+    :param seed: seed of the arrivals.
+    """
+    policies = POLICIES if measures & set(COMPARED) else (POWER_OF_D,)
+    rows: list[Row] = []
+    with open_fleet(BASE_PORTS[deployment.name]) as fleet:
+        callers = _start(deployment, fleet, policies)
+        time.sleep(SETTLE_S)
+        if "probes" in measures:
+            _report(f"{deployment.name}: control")
+            rows += measure_control(deployment, fleet, seconds * 2)
+        if "added" in measures:
+            _report(f"{deployment.name}: added")
+            rows += measure_added(deployment, fleet, callers[POWER_OF_D][0], seconds)
+        if "crest" in measures:
+            rate = measure_capacity(deployment, fleet, seconds, seed)
+            name = f"answers called directly ({deployment.daemons} daemons a policy)"
+            ratio = rate / deployment.capacity
+            rows.append(
+                Row("crest", deployment.name, "direct", name, rate, "/s", ratio)
+            )
+        for policy in policies:
+            place = (deployment, fleet, policy, callers[policy])
+            if "crest" in measures:
+                _report(f"{deployment.name}: crest, {policy}")
+                rows += measure_crest(*place, seconds, seed)
+            if "blocking" in measures:
+                _report(f"{deployment.name}: blocking, {policy}")
+                rows += measure_blocking(*place, seconds, seed)
+                rows += measure_uneven(*place, seconds, seed)
+        if "probes" in measures:
+            rows += count_probes(deployment, fleet)
+    return rows
+
+
+def _start(
+    deployment: Deployment, fleet: Fleet, policies: tuple[str, ...]
+) -> dict[str, list[str]]:
+    """Start all processes; return the callers' ports by policy."""
+    fleet.start_platform()
+    fleet.start_backends((*deployment.services, SINGLE))
+    extras = [
+        f'[choice]\npolicy = "{policy}"\n[log]\nlevel = "ERROR"\n'
+        for policy in policies
+        for _ in range(deployment.daemons)
+    ]
+    fleet.start_daemons(deployment.domains, extras)
+    fleet.submit_note(write_note(deployment, fleet))
+    return {
+        policy: fleet.callers[n * deployment.daemons : (n + 1) * deployment.daemons]
+        for n, policy in enumerate(policies)
+    }
+
+
+def _report(text: str) -> None:
+    print(f"bench: {text}", file=sys.stderr, flush=True)
+
+
+def run_bench(_: list[str]) -> None:
+    """Take the chosen measures and print the table."""
+    chosen = {"added", "probes", "crest", "blocking"}
+    measures = chosen if MEASURE.value == "all" else {MEASURE.value}
+    names = list(DEPLOYMENTS) if DEPLOYMENT.value == "both" else [DEPLOYMENT.value]
+    rows: list[Row] = []
+    for name in names:
+        rows += measure_deployment(
+            DEPLOYMENTS[name], measures, SECONDS.value, SEED.value
+        )
+    rows.sort(key=lambda row: row.measure)
+    print(format_table(rows))
+    if JSON.value:
+        values = [row._asdict() for row in rows]
+        Path(JSON.value).write_bytes(orjson.dumps(values, option=orjson.OPT_INDENT_2))
+
+
+if __name__ == "__main__":
+    app.run(run_bench)
