Keep probes within the budget over slow connections, freezes and notes

The next probe counted from the start of the last one, so two could arrive together after a slow connection or a freeze; a lowered budget was not followed by the holder; the permit of a withdrawn server was returned with a probe under way; and the HTTP client could send a probe twice.

The proof of it shares its instances with the proof of the permits.

--- a/src/cuminhatch/decisions/probing.py
+++ b/src/cuminhatch/decisions/probing.py
@@ -14,10 +14,15 @@
 
 
 class ProbePlan(NamedTuple):
-    """Next probe of a backend server; times in milliseconds."""
+    """
+    Next probe of a backend server; times in milliseconds.
+
+    No probe is due while one ``is_under_way``.
+    """
 
     next_ms: float
     interval_ms: float
+    is_under_way: bool = False
 
 
 def _weight(server_id: str, instance_id: str) -> bytes:
@@ -61,6 +66,20 @@
     return ProbePlan(now_ms + max(interval_ms, MS_PER_SECOND), interval_ms)
 
 
+def change_rate(plan: ProbePlan, rate: float, now_ms: float) -> ProbePlan:
+    """
+    Return the plan after a note has set the budget.
+
+    :param plan: plan so far; it is kept if the budget is the same.
+    :param rate: budget in probes a second.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    interval_ms = MS_PER_SECOND / rate
+    if interval_ms == plan.interval_ms:
+        return plan
+    return plan._replace(next_ms=now_ms + interval_ms, interval_ms=interval_ms)
+
+
 def take_due(
     plans: Mapping[str, ProbePlan], now_ms: float
 ) -> tuple[tuple[str, ...], dict[str, ProbePlan]]:
@@ -69,14 +88,29 @@
 
     :param plans: plans by server id.
     :param now_ms: monotonic time in milliseconds.
-    :returns: ids of servers due, and all plans. After a pause the next probe
-        counts from now, so that missed probes are not made up for.
+    :returns: ids of servers due, and all plans, those due being under way.
     """
     due = tuple(
-        server_id for server_id, plan in plans.items() if plan.next_ms <= now_ms
+        server_id
+        for server_id, plan in plans.items()
+        if not plan.is_under_way and plan.next_ms <= now_ms
     )
     following = dict(plans)
     for server_id in due:
-        interval_ms = plans[server_id].interval_ms
-        following[server_id] = ProbePlan(now_ms + interval_ms, interval_ms)
+        following[server_id] = plans[server_id]._replace(is_under_way=True)
     return due, following
+
+
+def end_probe(plan: ProbePlan, now_ms: float) -> ProbePlan:
+    """
+    Return the plan after the answer or the failure of a probe.
+
+    The next probe counts from now. The probe may have been delayed until
+    just before, by a freeze or by a slow connection, and counting from its
+    start would let two probes arrive together. Missed probes are not made
+    up for.
+
+    :param plan: plan of the backend server.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    return plan._replace(next_ms=now_ms + plan.interval_ms, is_under_way=False)
--- a/src/cuminhatch/messages/http_client.py
+++ b/src/cuminhatch/messages/http_client.py
@@ -16,6 +16,8 @@
     A request with a small response is to be sent.
 
     ``timeout_ms`` bounds the time from now to the end of the response.
+    ``is_repeatable`` lets a GET or HEAD be sent again when a reused connection
+    breaks; the server may then see it twice.
     """
 
     reply_to: str
@@ -26,6 +28,7 @@
     headers: tuple[Header, ...]
     body: bytes
     timeout_ms: float
+    is_repeatable: bool = True
 
 
 class HttpReplied(NamedTuple):
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -298,6 +298,7 @@
             exchange.connection.is_reused
             and exchange.head is None
             and not exchange.is_repeated
+            and exchange.request.is_repeatable
             and exchange.request.method in REPEATABLE_METHODS
         )
 
--- a/src/cuminhatch/services/probes.py
+++ b/src/cuminhatch/services/probes.py
@@ -11,6 +11,8 @@
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.decisions.probing import (
     ProbePlan,
+    change_rate,
+    end_probe,
     preferred_servers,
     start_plan,
     take_due,
@@ -100,10 +102,21 @@
 
     def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
         self._configuration = message.configuration
-        for server_id in list(self._permits):
-            if server_id not in message.configuration.servers:
-                self._plans.pop(server_id, None)
-                self.send("permits", PermitReturned(self._permits.pop(server_id)))
+        now_ms = self.kernel.clock.now_ms
+        for server_id, plan in list(self._plans.items()):
+            if server_id in message.configuration.servers:
+                rate = self._probe_rate(server_id)
+                self._plans[server_id] = change_rate(plan, rate, now_ms)
+            elif not plan.is_under_way:
+                self._return_permit(server_id)
+
+    def _probe_rate(self, server_id: str) -> float:
+        server = self._configuration.servers[server_id]
+        return self._configuration.services[server.service_id].probe_rate
+
+    def _return_permit(self, server_id: str) -> None:
+        del self._plans[server_id]
+        self.send("permits", PermitReturned(self._permits.pop(server_id)))
 
     def _on_membership_changed(self, message: MembershipChanged) -> None:
         self._live_ids = tuple(
@@ -130,11 +143,10 @@
 
     def _on_permit_granted(self, message: PermitGranted) -> None:
         server_id = self._asked.pop(message.token, None)
-        server = self._configuration.servers.get(message.permit.server_id)
-        if server_id is None or server is None:
+        if server_id is None or server_id not in self._configuration.servers:
             self.send("permits", PermitReturned(message.permit))
             return
-        rate = self._configuration.services[server.service_id].probe_rate
+        rate = self._probe_rate(server_id)
         self._permits[server_id] = message.permit
         self._plans[server_id] = start_plan(rate, self.kernel.clock.now_ms)
 
@@ -166,11 +178,24 @@
                 (Header(b"host", f"{server.host}:{server.port}".encode()),),
                 b"",
                 PROBE_TIMEOUT_MS,
+                is_repeatable=False,
             ),
         )
 
+    def _end_probe(self, token: int) -> _Probe | None:
+        probe = self._probes.pop(token, None)
+        if probe is not None:
+            server_id = probe.server_id
+            plan = end_probe(self._plans[server_id], self.kernel.clock.now_ms)
+            self._plans[server_id] = plan
+            # The permit of a withdrawn server is kept until here: a probe
+            # under way may still leave while the next holder probes.
+            if server_id not in self._configuration.servers:
+                self._return_permit(server_id)
+        return probe
+
     def _on_http_replied(self, message: HttpReplied) -> None:
-        probe = self._probes.pop(message.token, None)
+        probe = self._end_probe(message.token)
         if probe is None:
             return
         now_ms = self.kernel.clock.now_ms
@@ -197,7 +222,7 @@
         self.send("peers", observed)
 
     def _on_http_failed(self, message: HttpFailed) -> None:
-        probe = self._probes.pop(message.token, None)
+        probe = self._end_probe(message.token)
         if probe is not None:
             self._report_failure(probe, message.reason)
 
--- a/tests/decisions/test_probing.py
+++ b/tests/decisions/test_probing.py
@@ -1,6 +1,12 @@
 """Tests of the probe schedule."""
 
-from cuminhatch.decisions.probing import preferred_servers, start_plan, take_due
+from cuminhatch.decisions.probing import (
+    change_rate,
+    end_probe,
+    preferred_servers,
+    start_plan,
+    take_due,
+)
 
 SERVERS = tuple(f"s{number}" for number in range(26))
 INSTANCES = tuple(f"i{number}" for number in range(18))
@@ -31,5 +37,21 @@
     while now_ms < 61_000.0:
         due, plans = take_due(plans, now_ms)
         sent += due
+        plans |= {server: end_probe(plans[server], now_ms) for server in due}
         now_ms += 10.0
     assert len(sent) == 2
+
+
+def test_no_probe_is_due_while_one_is_under_way():
+    """Guards against two probes that a slow connection sends together."""
+    due, plans = take_due({"s1": start_plan(2.0, 0.0)}, 1000.0)
+    assert due == ("s1",)
+    assert take_due(plans, 5000.0)[0] == ()
+    plans["s1"] = end_probe(plans["s1"], 5000.0)
+    assert plans["s1"].next_ms == 5500.0
+
+
+def test_lowered_budget_holds_at_once():
+    """Guards against a holder that keeps the rate of an older note."""
+    plan = change_rate(start_plan(4.0, 0.0), 1.0, 900.0)
+    assert (plan.next_ms, plan.interval_ms) == (1900.0, 1000.0)
--- a/tests/proofs/test_permits_exclusive.py
+++ b/tests/proofs/test_permits_exclusive.py
@@ -8,7 +8,6 @@
 import pytest
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import (
-    RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
@@ -45,8 +44,7 @@
     PermitReturned,
     PermitWanted,
 )
-from cuminhatch.services import Permits
-from tests.proofs.fakes_table import Node, Platform
+from tests.proofs.fleet import INDEX, INSTANCE, LIST_LAG_MS, Fleet
 
 PROOF = settings(
     derandomize=True,
@@ -57,11 +55,6 @@
 )
 # A broken decision has to be caught, not explained, so nothing is shrunk.
 CATCH = settings(PROOF, max_examples=500, phases=[Phase.generate])
-LIST_LAG_MS = 3000.0
-INSTANCES = 3
-INDEX = st.integers(0, 50)
-INSTANCE = st.integers(0, INSTANCES - 1)
-FATES = ["done"] * 4 + ["reply_lost", "unsent", "lost", "delayed"]
 CONFIGURATION = Configuration(
     1,
     {"s": ServiceSpec("s")},
@@ -70,48 +63,24 @@
 )
 
 
-class Exclusive(RuleBasedStateMachine):
+class Exclusive(Fleet):
     """See the module; ``decisions`` is replaced to show a fault caught."""
 
-    decisions = PermitDecisions()
-
     def __init__(self):
-        super().__init__()
-        self.platform = Platform()
-        self.now_ms = 0.0
-        self.listed = [(0.0, {f"i{n}" for n in range(INSTANCES)})]
-        self.unlisted = set()
         self.uses = []
         self.needs = []
         self.tokens = 0
-        self.ended = []
-        self.nodes = [self.start(f"i{n}", 1) for n in range(INSTANCES)]
+        super().__init__()
 
-    def start(self, instance_id, incarnation):
-        node = Node(
-            instance_id, incarnation, self.platform, lambda: self.read_list(node)
-        )
-        node.list_age_ms, node.is_list_down = 0.0, False
-        node.clock.advance(self.now_ms)
-        permits = Permits(
-            node.kernel, instance_id, incarnation, LIST_LAG_MS, self.decisions
-        )
-        node.kernel.register(permits)
+    def add_users(self, node):
         node.heard = node.record("user", (PermitGranted, PermitRefused))
         node.needs = node.record("peers", (PermitNeeded,))
-        permits.open()
         node.send("permits", ConfigurationChanged(CONFIGURATION))
-        return node
-
-    def read_list(self, node):
-        if node.is_list_down:
-            return None
-        seen_ms = max(0.0, self.now_ms - node.list_age_ms)
-        return [ids for at_ms, ids in self.listed if at_ms <= seen_ms][-1]
 
-    def change_list(self, removed=(), added=()):
-        ids = (self.listed[-1][1] - set(removed)) | set(added)
-        self.listed.append((self.now_ms, ids))
+    def end(self, instance, is_replaced):
+        old = self.nodes[instance]
+        self.uses = [use for use in self.uses if use[0] is not old]
+        super().end(instance, is_replaced)
 
     # Users of permits
 
@@ -147,76 +116,12 @@
             if node.instance_id == need.holder_id:
                 node.send("permits", wanted)
 
-    # The platform
-
-    @precondition(lambda self: self.platform.asked)
-    @rule(index=INDEX, fate=st.sampled_from(FATES))
-    def decide(self, index, fate):
-        getattr(self.platform, fate)(index)
-
-    @precondition(lambda self: self.platform.asked)
-    @rule()
-    def calm(self):
-        for _ in range(len(self.platform.asked)):
-            self.platform.done(0)
-
-    @precondition(lambda self: self.platform.late)
-    @rule(index=INDEX)
-    def arrive_late(self, index):
-        self.platform.arrive_late(index)
-
-    @rule(
-        instance=INSTANCE,
-        age_ms=st.sampled_from([0.0, LIST_LAG_MS, LIST_LAG_MS]),
-        is_down=st.sampled_from([False, False, True]),
-    )
-    def disturb_list(self, instance, age_ms, is_down):
-        node = self.nodes[instance]
-        node.list_age_ms, node.is_list_down = age_ms, is_down
-
-    @precondition(lambda self: self.unlisted)
-    @rule()
-    def name_new_instances(self):
-        self.change_list(added=self.unlisted)
-        self.unlisted.clear()
-
-    # Instances and time
-
     @rule(ms=st.sampled_from([60, 1000, 1000, 3000]))
     def advance(self, ms):
         self.now_ms += ms
         for node in self.nodes:
             node.advance(ms)
 
-    @rule(
-        instance=INSTANCE,
-        fault=st.sampled_from(["freeze", "resume", "restart", "replace"]),
-        is_named=st.booleans(),
-    )
-    def disturb(self, instance, fault, is_named):
-        node = self.nodes[instance]
-        if fault == "resume":
-            node.resume()
-        elif fault == "freeze":
-            node.is_frozen = True
-        else:
-            self.end(instance, is_replaced=fault == "replace")
-            if is_named:
-                self.name_new_instances()
-
-    def end(self, instance, is_replaced):
-        old = self.nodes[instance]
-        old.is_alive = False
-        self.ended.append(old)
-        self.uses = [use for use in self.uses if use[0] is not old]
-        instance_id, incarnation = old.instance_id, old.incarnation + 1
-        if is_replaced:
-            self.change_list(removed=[instance_id])
-            self.unlisted.discard(instance_id)
-            instance_id, incarnation = f"n{len(self.ended)}", 1
-            self.unlisted.add(instance_id)
-        self.nodes[instance] = self.start(instance_id, incarnation)
-
     @rule()
     def gossip(self):
         members = tuple(
@@ -260,8 +165,7 @@
         granted = self.settle(20)
         kinds = {permit.kind for node, permit in granted if node is self.nodes[0]}
         assert kinds == {LONG, PROBE}, "a permit was lost"
-        for node in [*self.nodes, *self.ended]:
-            node.close()
+        self.close()
 
     def settle(self, steps):
         """Let time pass without faults; every permit is given back at once."""
@@ -444,5 +348,4 @@
     machine.platform.done(0)
     table = machine.platform.table
     assert (table.writes, table.reads) == (2, 0)
-    for node in machine.nodes:
-        node.close()
+    machine.close()
--- /dev/null
+++ b/tests/proofs/test_probe_budget.py
@@ -0,0 +1,265 @@
+"""
+Proof by fuzzing: probes of a backend server stay within its budget.
+
+Several instances run the real ``permits`` and ``probes`` services. A probe
+counts when it arrives at the backend server. A slow connection or a freeze
+may hold it back until then.
+"""
+
+from types import MappingProxyType
+from typing import NamedTuple
+
+import pytest
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cuminhatch.decisions.configuration import (
+    BackendServer,
+    Configuration,
+    ServiceSpec,
+)
+from cuminhatch.decisions.membership import Member
+from cuminhatch.decisions.permits import PROBE, Permit
+from cuminhatch.decisions.probing import ProbePlan, end_probe, take_due
+from cuminhatch.messages import (
+    ConfigurationChanged,
+    HttpFailed,
+    HttpReplied,
+    HttpRequested,
+    MembershipChanged,
+    PermitGranted,
+    PermitRequested,
+    PermitReturned,
+)
+from cuminhatch.services import Probes
+from tests.proofs.fleet import INDEX, INSTANCE, Fleet
+
+PROOF = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=50,
+)
+# A broken decision has to be caught, not explained, so nothing is shrunk.
+CATCH = settings(PROOF, max_examples=300, phases=[Phase.generate])
+STEP_MS = 50.0
+WINDOW_MS = 1000.0
+REPORT = b'{"in_flight": 0, "queued": 0, "slots": 3}'
+RATES = (1.0, 2.0, 4.0)
+
+
+def make_configuration(sequence, rate, is_withdrawn):
+    server = BackendServer("b", "s", "127.0.0.1", 1, "leith", 3, 200)
+    return Configuration(
+        sequence,
+        MappingProxyType({"s": ServiceSpec("s", probe_rate=rate)}),
+        MappingProxyType({} if is_withdrawn else {"b": server}),
+        MappingProxyType({}),
+    )
+
+
+class Exchange:
+    """A probe on its way; times are those of the platform."""
+
+    def __init__(self, message, now_ms, delay_ms):
+        self.message = message
+        self.timeout_ms = now_ms + message.timeout_ms
+        self.arrive_ms = now_ms + delay_ms
+        self.is_arrived = False
+
+
+class Arrival(NamedTuple):
+    """A probe seen by the backend server, and the budget of its sender."""
+
+    at_ms: float
+    rate: float
+
+
+class Budget(Fleet):
+    """See the module; ``make_probes`` is replaced to show a fault caught."""
+
+    make_probes = Probes
+
+    def __init__(self):
+        self.notes = [make_configuration(1, 2.0, False)]
+        self.arrivals = []
+        super().__init__()
+
+    def add_users(self, node):
+        node.delay_ms = 0.0
+        node.exchanges = []
+        node.requests = node.record("http_client", (HttpRequested,))
+        probes = node.kernel.register(self.make_probes(node.kernel, node.instance_id))
+        probes.open()
+        self.tell(node, self.notes[-1])
+
+    def tell(self, node, configuration):
+        node.configuration = configuration
+        for name in ("permits", "probes"):
+            node.send(name, ConfigurationChanged(configuration))
+
+    @rule(rate=st.sampled_from(RATES), is_withdrawn=st.booleans())
+    def accept_note(self, rate, is_withdrawn):
+        sequence = len(self.notes) + 1
+        self.notes.append(make_configuration(sequence, rate, is_withdrawn))
+
+    @rule(instance=INSTANCE)
+    def hear_notes(self, instance):
+        self.tell(self.nodes[instance], self.notes[-1])
+
+    @rule(instance=INSTANCE, seen=st.sets(INSTANCE))
+    def see_members(self, instance, seen):
+        """Give one instance a view of the others, right or wrong."""
+        members = tuple(
+            Member(node.instance_id, "", 0, node.incarnation, "live")
+            for number, node in enumerate(self.nodes)
+            if number in seen
+        )
+        for name in ("permits", "probes"):
+            self.nodes[instance].send(name, MembershipChanged(members))
+
+    @rule(instance=INSTANCE, delay_ms=st.sampled_from([0.0, 150.0, 450.0, 600.0]))
+    def slow_connections(self, instance, delay_ms):
+        self.nodes[instance].delay_ms = delay_ms
+
+    @precondition(lambda self: any(node.is_frozen for node in self.nodes))
+    @rule(index=INDEX)
+    def resume_one(self, index):
+        frozen = [node for node in self.nodes if node.is_frozen]
+        frozen[index % len(frozen)].resume()
+
+    @rule(ms=st.sampled_from([50, 1000, 5000]), is_store_up=st.booleans())
+    def advance(self, ms, is_store_up):
+        for _ in range(int(ms / STEP_MS)):
+            self.now_ms += STEP_MS
+            for node in self.nodes:
+                node.advance(STEP_MS)
+                self.move_probes(node)
+            while is_store_up and self.platform.asked:
+                self.platform.done(0)
+
+    def move_probes(self, node):
+        if not node.is_running:
+            return
+        node.exchanges += [
+            Exchange(message, self.now_ms, node.delay_ms) for message in node.requests
+        ]
+        node.requests.clear()
+        for exchange in list(node.exchanges):
+            if self.now_ms >= exchange.timeout_ms:
+                reply = HttpFailed(exchange.message.token, "timeout", True)
+            elif self.now_ms >= exchange.arrive_ms:
+                if not exchange.is_arrived:
+                    exchange.is_arrived = True
+                    rate = node.configuration.services["s"].probe_rate
+                    self.arrivals.append(Arrival(self.now_ms, rate))
+                    continue
+                reply = HttpReplied(exchange.message.token, 200, (), REPORT)
+            else:
+                continue
+            node.exchanges.remove(exchange)
+            node.send("probes", reply)
+
+    @invariant()
+    def budget_holds(self):
+        # Instances may follow different notes for a while; the highest
+        # budget of those that probed counts.
+        for last in self.arrivals:
+            window = [
+                arrival
+                for arrival in self.arrivals
+                if last.at_ms - WINDOW_MS < arrival.at_ms <= last.at_ms
+            ]
+            assert len(window) <= max(arrival.rate for arrival in window), window
+        newest_ms = self.now_ms - WINDOW_MS
+        self.arrivals = [a for a in self.arrivals if a.at_ms > newest_ms]
+
+    def teardown(self):
+        self.close()
+
+
+def machine_for(make_probes=Probes):
+    return type("BudgetRun", (Budget,), {"make_probes": make_probes})
+
+
+class Unpermitted(Probes):
+    """Takes every permit that it asks for as granted."""
+
+    def send(self, name, message):
+        if isinstance(message, PermitRequested):
+            permit = Permit(PROBE, message.server_ids[0], 0)
+            super().send(self.name, PermitGranted(message.token, permit))
+        else:
+            super().send(name, message)
+
+
+class EarlyReturn(Probes):
+    """Returns the permit of a withdrawn server with a probe under way."""
+
+    def _on_configuration_changed(self, message):
+        for server_id in self._permits.keys() - message.configuration.servers.keys():
+            self.send("permits", PermitReturned(self._permits[server_id]))
+        super()._on_configuration_changed(message)
+
+
+def due_from_start(plans, now_ms):
+    """Count the next probe from the start of the one before."""
+    due, following = take_due(plans, now_ms)
+    return due, {
+        **following,
+        **{server_id: end_probe(following[server_id], now_ms) for server_id in due},
+    }
+
+
+def due_with_missed(plans, now_ms):
+    """Make up for missed probes."""
+    due, following = take_due(plans, now_ms)
+    for server_id in due:
+        plan = following[server_id]
+        next_ms = plan.next_ms + plan.interval_ms
+        following[server_id] = plan._replace(next_ms=next_ms)
+    return due, following
+
+
+# Replaced functions of the module of the service.
+BROKEN = {
+    "no wait after taking over": {
+        "start_plan": lambda rate, now_ms: ProbePlan(now_ms, 1000 / rate)
+    },
+    "next counts from the start": {
+        "take_due": due_from_start,
+        "end_probe": lambda plan, now_ms: plan,
+    },
+    "makes up for missed probes": {
+        "take_due": due_with_missed,
+        "end_probe": lambda plan, now_ms: plan._replace(is_under_way=False),
+    },
+    "keeps the rate of an older note": {"change_rate": lambda plan, *_: plan},
+}
+
+
+def test_probes_stay_within_the_budget():
+    """Guards against probes that cost a backend server more than agreed."""
+    run_state_machine_as_test(machine_for(), settings=PROOF)
+
+
+@pytest.mark.parametrize("fault", sorted(BROKEN))
+def test_broken_schedule_is_caught(fault, monkeypatch):
+    """Guards against a proof blind to a wrong schedule."""
+    for name, broken in BROKEN[fault].items():
+        monkeypatch.setattr(f"cuminhatch.services.probes.{name}", broken)
+    with pytest.raises(AssertionError, match="Arrival"):
+        run_state_machine_as_test(machine_for(), settings=CATCH)
+
+
+@pytest.mark.parametrize("make_probes", [Unpermitted, EarlyReturn])
+def test_broken_use_of_permits_is_caught(make_probes):
+    """Guards against a proof blind to probes outside a permit."""
+    with pytest.raises(AssertionError, match="Arrival"):
+        run_state_machine_as_test(machine_for(make_probes), settings=CATCH)
