Count the interval between probes from the end of a probe

Cause: with 2 probes a second and an interval of 500 ms from send to send, a delayed probe was followed too soon, and three reached one server within a second. Ruled out: two holders of one permit were not needed for it; a tick of 50 ms only lengthens the interval. The actual rate falls by the time of an answer.

--- a/src/cuminhatch/decisions/probing.py
+++ b/src/cuminhatch/decisions/probing.py
@@ -4,17 +4,24 @@
 The budget of a backend server holds over all instances, because only the
 holder of its probing permit probes it. A new holder waits for one interval
 first, so that the last probe of the former holder is not followed too soon.
+The interval counts from the end of a probe: probes that are sent in time can
+still reach the backend server too close together if the first is delayed.
 """
 
 from collections.abc import Iterable, Mapping
 from hashlib import blake2b
+from math import inf, isinf
 from typing import NamedTuple
 
 from cuminhatch.clock import MS_PER_SECOND
 
 
 class ProbePlan(NamedTuple):
-    """Next probe of a backend server; times in milliseconds."""
+    """
+    Next probe of a backend server; times in milliseconds.
+
+    ``next_ms`` is infinite while a probe is under way.
+    """
 
     next_ms: float
     interval_ms: float
@@ -69,14 +76,28 @@
 
     :param plans: plans by server id.
     :param now_ms: monotonic time in milliseconds.
-    :returns: ids of servers due, and all plans. After a pause the next probe
-        counts from now, so that missed probes are not made up for.
+    :returns: ids of servers due, and all plans, theirs without a next time.
     """
     due = tuple(
         server_id for server_id, plan in plans.items() if plan.next_ms <= now_ms
     )
     following = dict(plans)
     for server_id in due:
-        interval_ms = plans[server_id].interval_ms
-        following[server_id] = ProbePlan(now_ms + interval_ms, interval_ms)
+        following[server_id] = plans[server_id]._replace(next_ms=inf)
     return due, following
+
+
+def end_probe(plan: ProbePlan, now_ms: float) -> ProbePlan:
+    """
+    Return the plan after a probe has been answered or has failed.
+
+    Missed probes are not made up for.
+
+    :param plan: plan of the backend server.
+    :param now_ms: monotonic time in milliseconds.
+    """
+    next_ms = now_ms + plan.interval_ms
+    # A new permit may have been granted while the probe was under way.
+    return plan._replace(
+        next_ms=next_ms if isinf(plan.next_ms) else max(plan.next_ms, next_ms)
+    )
--- a/src/cuminhatch/services/probes.py
+++ b/src/cuminhatch/services/probes.py
@@ -11,6 +11,7 @@
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.decisions.probing import (
     ProbePlan,
+    end_probe,
     preferred_servers,
     start_plan,
     take_due,
@@ -170,7 +171,7 @@
         )
 
     def _on_http_replied(self, message: HttpReplied) -> None:
-        probe = self._probes.pop(message.token, None)
+        probe = self._end_probe(message.token)
         if probe is None:
             return
         now_ms = self.kernel.clock.now_ms
@@ -197,10 +198,17 @@
         self.send("peers", observed)
 
     def _on_http_failed(self, message: HttpFailed) -> None:
-        probe = self._probes.pop(message.token, None)
+        probe = self._end_probe(message.token)
         if probe is not None:
             self._report_failure(probe, message.reason)
 
+    def _end_probe(self, token: int) -> _Probe | None:
+        probe = self._probes.pop(token, None)
+        plan = self._plans.get(probe.server_id) if probe else None
+        if probe is not None and plan is not None:
+            self._plans[probe.server_id] = end_probe(plan, self.kernel.clock.now_ms)
+        return probe
+
     def _report_failure(self, probe: _Probe, reason: str) -> None:
         self.send("metrics", CounterIncremented("probe_failures_total", {}))
         self.send("dispatch", ProbeFailed(probe.server_id, reason))
