--- a/src/cuminhatch/decisions/probing.py
+++ b/src/cuminhatch/decisions/probing.py
@@ -4,6 +4,8 @@
 The budget of a backend server holds over all instances, because only the
 holder of its probing permit probes it. A new holder waits for one interval
 first, so that the last probe of the former holder is not followed too soon.
+The interval counts from the end of a probe: probes that are sent in time can
+still reach the backend server too close together if the first is delayed.
 """
 
 from collections.abc import Iterable, Mapping
