Rank backend servers for probing only where something changed

Every 5 s the probes service hashed all backend servers against all live instances. The cost is servers times the logarithm of the instances, because a server is given up at the first instance ahead of it. prefer_servers now remembers that instance for each server, and the service asks again only after a change of servers or live instances.

A second preferred_servers in decisions/permits.py had no caller and is removed. Its test, that 4 instances begin with different servers, is replaced by the stricter one that every server has exactly one preferred instance, also after servers and instances come and go.

--- a/src/cuminhatch/decisions/permits.py
+++ b/src/cuminhatch/decisions/permits.py
@@ -11,7 +11,6 @@
 """
 
 from collections.abc import Callable, Collection, Mapping
-from hashlib import sha256
 from typing import Any, NamedTuple
 
 from cuminhatch.decisions.configuration import BackendServer, ServiceSpec
@@ -127,33 +126,6 @@
     return -(-server_count // max(1, instance_count))
 
 
-def preferred_servers(
-    instance_id: str, instance_ids: Collection[str], server_ids: Collection[str]
-) -> tuple[str, ...]:
-    """
-    Order backend servers by how far they are this instance's own.
-
-    Rendezvous hashing ranks the instances for each server, so instances with
-    the same view of each other begin with different servers.
-
-    :param instance_id: id of this instance.
-    :param instance_ids: ids of the live instances.
-    :param server_ids: ids of the backend servers.
-    :returns: all server ids; first those for which fewest instances rank
-        before this one.
-    """
-
-    def weight(other_id: str, server_id: str) -> bytes:
-        return sha256(f"{other_id}\n{server_id}".encode()).digest()
-
-    def rank(server_id: str) -> tuple[int, bytes]:
-        own = weight(instance_id, server_id)
-        ahead = sum(weight(other_id, server_id) > own for other_id in instance_ids)
-        return ahead, own
-
-    return tuple(sorted(server_ids, key=rank))
-
-
 def permit_row_key(permit: Permit) -> str:
     """
     Return the key of a permit row.
--- a/src/cuminhatch/decisions/probing.py
+++ b/src/cuminhatch/decisions/probing.py
@@ -6,7 +6,7 @@
 first, so that the last probe of the former holder is not followed too soon.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Collection, Iterable, Mapping
 from hashlib import blake2b
 from typing import NamedTuple
 
@@ -24,28 +24,47 @@
     return blake2b(f"{server_id}\0{instance_id}".encode(), digest_size=8).digest()
 
 
-def preferred_servers(
-    server_ids: Iterable[str], instance_id: str, live_ids: Iterable[str]
-) -> tuple[str, ...]:
+def prefer_servers(
+    instance_id: str,
+) -> Callable[[Collection[str], Collection[str]], tuple[str, ...]]:
     """
-    Return the backend servers that this instance should ask to probe.
+    Build a function that tells which backend servers to ask to probe.
 
     Rendezvous hashing spreads them evenly without messages. Instances whose
     views differ may ask for the same one; the permit decides.
 
-    :param server_ids: all backend servers.
     :param instance_id: id of this instance.
-    :param live_ids: ids of the other live instances.
+    :returns: a function of the ids of all backend servers and of the live
+        instances. It remembers one instance that ranks ahead for each server
+        and hashes only for servers and instances that are new or gone:
+        hashing all of 20,000 servers every 5 s exceeds the 1.4% of a core
+        that control may use.
     """
-    others = tuple(other for other in live_ids if other != instance_id)
-    return tuple(
-        server_id
-        for server_id in server_ids
-        if all(
-            _weight(server_id, instance_id) > _weight(server_id, other)
-            for other in others
-        )
-    )
+    # The instance found ahead of this one, None where this one is preferred.
+    ahead: dict[str, str | None] = {}
+    known_ids: frozenset[str] = frozenset()
+
+    def find_ahead(server_id: str, others: Iterable[str]) -> str | None:
+        own = _weight(server_id, instance_id)
+        return next((o for o in others if _weight(server_id, o) >= own), None)
+
+    def preferred(
+        server_ids: Collection[str], live_ids: Collection[str]
+    ) -> tuple[str, ...]:
+        nonlocal known_ids
+        others = frozenset(live_ids) - {instance_id}
+        joined, left = others - known_ids, known_ids - others
+        known_ids = others
+        for server_id in ahead.keys() - server_ids:
+            del ahead[server_id]
+        for server_id in server_ids:
+            if server_id not in ahead or ahead[server_id] in left:
+                ahead[server_id] = find_ahead(server_id, others)
+            elif joined and ahead[server_id] is None:
+                ahead[server_id] = find_ahead(server_id, joined)
+        return tuple(server_id for server_id in server_ids if ahead[server_id] is None)
+
+    return preferred
 
 
 def start_plan(rate: float, now_ms: float) -> ProbePlan:
--- a/src/cuminhatch/services/probes.py
+++ b/src/cuminhatch/services/probes.py
@@ -11,7 +11,7 @@
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.decisions.probing import (
     ProbePlan,
-    preferred_servers,
+    prefer_servers,
     start_plan,
     take_due,
 )
@@ -69,9 +69,11 @@
         :param instance_id: id of this instance.
         """
         super().__init__(kernel)
-        self._instance_id = instance_id
         self._configuration: Configuration = EMPTY_CONFIGURATION
         self._live_ids: tuple[str, ...] = ()
+        self._prefer = prefer_servers(instance_id)
+        # None after a change of the configuration or of the membership.
+        self._preferred: tuple[str, ...] | None = None
         self._permits: dict[str, Permit] = {}
         self._plans: dict[str, ProbePlan] = {}
         self._asked: dict[int, str] = {}
@@ -99,6 +101,8 @@
     # Permits
 
     def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
+        if message.configuration.servers is not self._configuration.servers:
+            self._preferred = None
         self._configuration = message.configuration
         for server_id in list(self._permits):
             if server_id not in message.configuration.servers:
@@ -106,16 +110,20 @@
                 self.send("permits", PermitReturned(self._permits.pop(server_id)))
 
     def _on_membership_changed(self, message: MembershipChanged) -> None:
-        self._live_ids = tuple(
+        live_ids = tuple(
             member.instance_id for member in message.members if member.state == "live"
         )
+        if live_ids != self._live_ids:
+            self._live_ids = live_ids
+            self._preferred = None
 
     def _on_permits_due(self, message: PermitsDue) -> None:
         deadline_ms = self.kernel.clock.now_ms + ASK_LIMIT_MS
         asked = set(self._asked.values())
-        for server_id in preferred_servers(
-            self._configuration.servers, self._instance_id, self._live_ids
-        ):
+        if self._preferred is None:
+            servers = self._configuration.servers
+            self._preferred = self._prefer(servers.keys(), self._live_ids)
+        for server_id in self._preferred:
             if server_id in self._permits or server_id in asked:
                 continue
             token = next(self._tokens)
--- a/tests/decisions/test_permits.py
+++ b/tests/decisions/test_permits.py
@@ -23,7 +23,6 @@
     on_write_result,
     permit_row_key,
     permit_row_value,
-    preferred_servers,
 )
 from cuminhatch.decisions.platform import (
     Committed,
@@ -155,10 +154,6 @@
     assert on_row_read(view, RowAbsent(), 1.0) == view
 
 
-def test_instances_begin_with_different_servers():
-    """Guards against instances that compete for the same probe permits."""
-    ids = [f"i{n}" for n in range(4)]
-    servers = [f"b{n}" for n in range(40)]
-    # The first choice of an instance is a server for which it ranks first.
-    assert len({preferred_servers(id_, ids, servers)[0] for id_ in ids}) == 4
+def test_fair_share_rounds_up():
+    """Guards against servers that are left over and never probed."""
     assert fair_share(41, 4) == 11
--- a/tests/decisions/test_probing.py
+++ b/tests/decisions/test_probing.py
@@ -1,6 +1,8 @@
 """Tests of the probe schedule."""
 
-from cuminhatch.decisions.probing import preferred_servers, start_plan, take_due
+from random import Random
+
+from cuminhatch.decisions.probing import prefer_servers, start_plan, take_due
 
 SERVERS = tuple(f"s{number}" for number in range(26))
 INSTANCES = tuple(f"i{number}" for number in range(18))
@@ -11,11 +13,25 @@
     chosen = [
         server
         for instance in INSTANCES
-        for server in preferred_servers(SERVERS, instance, INSTANCES)
+        for server in prefer_servers(instance)(SERVERS, INSTANCES)
     ]
     assert sorted(chosen) == sorted(SERVERS)
 
 
+def test_preference_follows_servers_and_instances():
+    """Guards against a remembered ranking that differs from a new one."""
+    rng = Random(1)
+    preferences = {instance: prefer_servers(instance) for instance in INSTANCES}
+    for _ in range(40):
+        servers = rng.sample(SERVERS, rng.randint(0, len(SERVERS)))
+        live = rng.sample(INSTANCES, rng.randint(1, len(INSTANCES)))
+        chosen = [s for i in live for s in preferences[i](servers, live)]
+        assert sorted(chosen) == sorted(servers)
+        for instance in INSTANCES:
+            again = preferences[instance](servers, live)
+            assert again == prefer_servers(instance)(servers, live)
+
+
 def test_new_holder_waits_out_the_former_holders_second():
     """Guards against two holders that both use one second's budget."""
     plan = start_plan(4.0, 1000.0)
