--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -238,7 +238,10 @@
             for sample in self._samples.values()
             if now_ms - sample.observed_ms <= SAMPLE_AGE_LIMIT_MS
         ]
-        chosen = self._rng.sample(fresh, min(MAX_SAMPLES, len(fresh)))
+        self._rng.shuffle(fresh)
+        # With 26 servers and 18 instances, a sign of leaving among random
+        # samples had not reached every instance after 3 s.
+        fresh.sort(key=lambda sample: not sample.is_leaving)
         return tuple(
             LoadSample(
                 sample.server_id,
@@ -249,7 +252,7 @@
                 sample.is_leaving,
                 now_ms - sample.observed_ms,
             )
-            for sample in chosen
+            for sample in fresh[:MAX_SAMPLES]
         )
 
     # Receiving
--- /dev/null
+++ b/tests/proofs/test_leaving.py
@@ -0,0 +1,345 @@
+"""
+Proof by fuzzing: a leaving backend server gets no new work after 3 s.
+
+Instances run the real ``dispatch`` and ``peers``; heartbeats go over loopback.
+"""
+
+from random import Random
+
+import pytest
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cuminhatch.decisions.platform import InstanceList, ListedInstance
+from cuminhatch.messages import (
+    Address,
+    AttemptCancelled,
+    AttemptRequested,
+    InstanceListReplied,
+    LoadObserved,
+)
+from cuminhatch.services.dispatch import Dispatch
+from cuminhatch.services.peers import Peers
+from tests.proofs.dispatch_world import World, make_server
+
+PROOF = settings(
+    derandomize=True,
+    database=None,
+    deadline=None,
+    max_examples=60,
+    stateful_step_count=40,
+)
+CATCH = settings(PROOF, max_examples=200, phases=[Phase.generate])
+LEAVING_MS = 3000.0
+STEP_MS = 100.0
+PROBE_MS = 500.0
+SERVERS = 4
+INSTANCES = 3
+INSTANCE = st.integers(0, INSTANCES - 1)
+SERVER = st.integers(0, SERVERS - 1)
+PICK = st.integers(0, 30)
+DRAINING = ((b"server-state", b"draining"),)
+
+
+def observe(number, is_leaving, now_ms):
+    return LoadObserved(f"b{number}", 0, 0, 3, 1.0, is_leaving, now_ms, "probe")
+
+
+class Instances:
+    """Daemons with dispatch and peers; probes come from the test."""
+
+    def __init__(self, count, servers, make_dispatch=Dispatch, make_peers=Peers):
+        self.worlds = []
+        self.servers = tuple(make_server(number) for number in range(servers))
+        seeds = ()
+        for number in range(count):
+            world = World(
+                lambda kernel, seed=number: make_dispatch(
+                    kernel, f"i{seed}", "a", Random(seed)
+                ),
+                ["callers", "backends", "notes", "timeline", "platform"],
+            )
+            world.peers = make_peers(
+                world.kernel,
+                Address("127.0.0.1", 0),
+                "key",
+                f"i{number}",
+                seeds,
+                Random(number),
+            )
+            world.kernel.register(world.peers)
+            world.peers.open()
+            world.configure(*self.servers)
+            world.is_frozen = False
+            seeds = seeds or (world.peers.address,)
+            self.worlds.append(world)
+
+    def advance(self, ms):
+        for world in self.worlds:
+            world.clock.advance(ms)
+        for world in self.worlds:
+            if not world.is_frozen:
+                world.run()
+
+    def probe(self, holder, number, is_leaving):
+        world = self.worlds[holder]
+        message = observe(number, is_leaving, world.clock.now_ms)
+        world.kernel.send("peers", message)
+        world.tell(message)
+
+    def close(self):
+        for world in self.worlds:
+            world.peers._sock.close()
+            world.close()
+
+
+class Leaving(RuleBasedStateMachine):
+    """See the module; what is replaced shows a fault caught."""
+
+    make_dispatch = Dispatch
+    make_peers = Peers
+
+    def __init__(self):
+        super().__init__()
+        self.instances = Instances(
+            INSTANCES, SERVERS, self.make_dispatch, self.make_peers
+        )
+        self.worlds = self.instances.worlds
+        self.now_ms = 0.0
+        self.withdrawn = set()
+        self.listed = set()
+        self.draining = {}
+        # When an instance has to have stopped, by instance and server.
+        self.known_ms = {}
+        self.open = []
+        self.has_time_passed = False
+
+    def show(self, number, instances=range(INSTANCES)):
+        for instance in instances:
+            self.known_ms.setdefault((instance, f"b{number}"), self.now_ms)
+
+    @rule(instance=INSTANCE, kind=st.sampled_from(["read", "read", "write", "pull"]))
+    def request(self, instance, kind):
+        if not self.worlds[instance].is_frozen:
+            self.worlds[instance].request(kind)
+
+    @rule(instance=INSTANCE, number=SERVER)
+    def note_withdraws(self, instance, number):
+        world = self.worlds[instance]
+        if world.is_frozen:
+            return
+        self.withdrawn.add(number)
+        left = [
+            s for n, s in enumerate(self.instances.servers) if n not in self.withdrawn
+        ]
+        world.configure(*left, sequence=1 + len(self.withdrawn))
+        for gone in self.withdrawn:
+            self.show(gone, [instance])
+
+    @rule(instance=INSTANCE, number=SERVER)
+    def list_shows_leaving(self, instance, number):
+        world = self.worlds[instance]
+        if world.is_frozen:
+            return
+        self.listed.add(number)
+        entries = tuple(
+            ListedInstance(f"b{gone}", "", "backend", "leaving") for gone in self.listed
+        )
+        world.kernel.send("peers", InstanceListReplied(1, InstanceList(entries)))
+        world.run()
+        for gone in self.listed:
+            self.show(gone, [instance])
+
+    @rule(number=SERVER, holder=INSTANCE)
+    def starts_to_drain(self, number, holder):
+        """The server answers probes of one instance as draining."""
+        if number not in self.draining:
+            self.draining[number] = holder
+
+    @rule(
+        number=SERVER,
+        instance=INSTANCE,
+        age_ms=st.sampled_from([100.0, 1500.0, 7000.0]),
+    )
+    def old_observation_arrives(self, number, instance, age_ms):
+        """An observation of before the drain comes late and out of order."""
+        observed_ms = self.worlds[instance].clock.now_ms - age_ms
+        known_ms = self.known_ms.get((instance, f"b{number}"), self.now_ms)
+        if not self.worlds[instance].is_frozen and self.now_ms - age_ms < known_ms:
+            self.worlds[instance].tell(observe(number, False, observed_ms))
+
+    @rule(pick=PICK, is_failed=st.booleans())
+    def attempt_ends(self, pick, is_failed):
+        if not self.open:
+            return
+        instance, attempt = self.open.pop(pick % len(self.open))
+        world = self.worlds[instance]
+        if world.is_frozen:
+            self.open.append((instance, attempt))
+            return
+        number = int(attempt.server_id[1:])
+        if is_failed:
+            world.fail(attempt)
+            return
+        is_draining = number in self.draining
+        world.answer(attempt, headers=DRAINING if is_draining else ())
+        if is_draining:
+            self.show(number, [instance])
+
+    @rule(instance=INSTANCE, is_frozen=st.booleans())
+    def freeze_or_resume(self, instance, is_frozen):
+        world = self.worlds[instance]
+        if world.is_frozen == is_frozen:
+            return
+        world.is_frozen = is_frozen
+        # The spread by heartbeats starts again with the next probe.
+        for known, known_ms in list(self.known_ms.items()):
+            number = int(known[1][1:])
+            is_shown = number in self.withdrawn | self.listed
+            if not is_shown and self.now_ms - known_ms <= LEAVING_MS:
+                del self.known_ms[known]
+        if not is_frozen:
+            for known in self.known_ms:
+                if known[0] == instance:
+                    self.known_ms[known] = self.now_ms
+            world.run()
+
+    @rule(ms=st.sampled_from([100.0, 1000.0, 3100.0]))
+    def time_passes(self, ms):
+        self.has_time_passed = True
+        for _ in range(int(ms / STEP_MS)):
+            self.now_ms += STEP_MS
+            self.instances.advance(STEP_MS)
+            if self.now_ms % PROBE_MS:
+                continue
+            for number, holder in self.draining.items():
+                if not any(world.is_frozen for world in self.worlds):
+                    self.instances.probe(holder, number, True)
+                    self.show(number)
+
+    @invariant()
+    def no_new_work(self):
+        for instance, world in enumerate(self.worlds):
+            for message in world.take("backends"):
+                if isinstance(message, AttemptRequested):
+                    known_ms = self.known_ms.get((instance, message.server_id))
+                    is_late = known_ms is not None and (
+                        self.now_ms - known_ms > LEAVING_MS
+                    )
+                    assert not is_late, "new work for a leaving server"
+                    self.open.append((instance, message))
+                elif isinstance(message, AttemptCancelled):
+                    # Callers stay, so only a deadline ends running work.
+                    assert self.has_time_passed, "running work was cut off"
+        self.has_time_passed = False
+
+    def teardown(self):
+        self.instances.close()
+
+
+class IgnoresProbes(Dispatch):
+    """Does not see that a probe was answered as draining."""
+
+    def _on_load_observed(self, message):
+        super()._on_load_observed(message._replace(is_leaving=False))
+
+
+class IgnoresList(Dispatch):
+    """Sends new work to servers that the list names as leaving."""
+
+    def _on_instance_list_changed(self, message):
+        pass
+
+
+class CutsRunningWork(Dispatch):
+    """Ends the work that runs on a server that is leaving."""
+
+    def _on_instance_list_changed(self, message):
+        super()._on_instance_list_changed(message)
+        for record in list(self._by_attempt.values()):
+            if record.view.is_leaving:
+                self._cancel_attempt(record)
+
+
+class KeepsSamples(Peers):
+    """Does not tell the other instances what it has observed."""
+
+    def _pick_samples(self, now_ms):
+        return ()
+
+
+def machine_for(**replaced):
+    return type("LeavingRun", (Leaving,), replaced)
+
+
+def test_leaving_server_gets_no_new_work():
+    """Guards against work for a server that is about to end."""
+    run_state_machine_as_test(machine_for(), settings=PROOF)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [IgnoresProbes, IgnoresList, CutsRunningWork, KeepsSamples],
+    ids=lambda broken: broken.__name__,
+)
+def test_broken_version_is_caught(broken):
+    """Guards against a proof that would pass whatever is done."""
+    name = "make_peers" if issubclass(broken, Peers) else "make_dispatch"
+    with pytest.raises(AssertionError, match="leaving server|cut off"):
+        run_state_machine_as_test(machine_for(**{name: broken}), settings=CATCH)
+
+
+def test_late_observation_does_not_bring_a_server_back(monkeypatch):
+    """Guards against observations that arrive out of order."""
+
+    def run_schedule():
+        machine = machine_for()()
+        try:
+            machine.starts_to_drain(0, 0)
+            for _ in range(2):
+                machine.time_passes(3100.0)
+            machine.old_observation_arrives(0, 1, 7000.0)
+            for _ in range(20):
+                machine.request(1, "read")
+            machine.no_new_work()
+        finally:
+            machine.teardown()
+
+    run_schedule()
+    monkeypatch.setattr(
+        "cuminhatch.decisions.servers.after_observation",
+        lambda signs, is_leaving, at_ms: signs._replace(
+            reported_ms=at_ms if is_leaving else None
+        ),
+    )
+    with pytest.raises(AssertionError, match="leaving server"):
+        run_schedule()
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_one_probe_holder_tells_all_instances(seed):
+    """Guards against a sign of leaving lost among the other samples."""
+    instances = Instances(18, 26)
+    instances.worlds[0].peers._rng.seed(seed)
+    try:
+        for step in range(80):
+            instances.advance(STEP_MS)
+            if step % 5 == 0:
+                for number in range(26):
+                    holder = (number + seed) % 18
+                    is_leaving = number == 0 and step >= 50
+                    instances.probe(holder, number, is_leaving)
+        for world in instances.worlds:
+            world.take("backends")
+            for _ in range(100):
+                world.request("read")
+            chosen = {attempt.server_id for attempt in world.attempts()}
+            assert len(chosen) >= 20
+            assert "b0" not in chosen
+    finally:
+        instances.close()
--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -48,7 +48,7 @@
         self.address = Address(*self.server.getsockname())
         self.accepted = []
 
-    def request(self, token, method=b"GET", body=b"", address=None):
+    def request(self, token, method=b"GET", body=b"", address=None, is_repeatable=True):
         self.kernel.send(
             "http_client",
             HttpRequested(
@@ -60,6 +60,7 @@
                 (),
                 body,
                 TIMEOUT_MS,
+                is_repeatable,
             ),
         )
         for _ in range(3):
@@ -150,6 +151,15 @@
     assert bed.next_reply() == HttpFailed(2, "connection closed", True)
 
 
+def test_get_that_is_not_repeatable_is_sent_once(bed):
+    """Guards against a probe that reaches a backend server twice."""
+    connection = exchange(bed, None, 1)
+    bed.request(2, is_repeatable=False)
+    bed.receive(connection)
+    connection.close()
+    assert bed.next_reply() == HttpFailed(2, "connection closed", True)
+
+
 def test_deadline_closes_silent_connections(bed):
     """Guards against a pool in which every connection is silent."""
     first = exchange(bed, None, 1)
