--- a/tests/proofs/test_probe_budget.py
+++ b/tests/proofs/test_probe_budget.py
@@ -274,11 +274,16 @@
     until(machine, lambda: machine.now_ms >= 13_000.0)
 
 
+def has_just_probed(machine):
+    arrivals = machine.arrivals
+    return bool(arrivals) and arrivals[-1].at_ms == machine.now_ms
+
+
 def withdraw_from_one(machine):
     # At one probe a second, the next holder's first one is too soon if it
     # comes within a second of the last one.
     start_probing(machine, 1.0)
-    until(machine, lambda: machine.arrivals[-1].at_ms == machine.now_ms)
+    until(machine, lambda: has_just_probed(machine))
     follow(machine, 1.0, True, [0])
     until(machine, lambda: machine.now_ms >= 13_000.0)
 
@@ -293,7 +298,7 @@
     # Until another instance probes; none can if the permit is kept.
     for _ in range(200):
         machine.advance(50, True)
-        if machine.arrivals and machine.arrivals[-1].at_ms == machine.now_ms:
+        if has_just_probed(machine):
             break
     machine.disturb(0, "resume", False)
     until(machine, lambda: machine.now_ms >= 30_000.0)
