--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,88 @@
+"""
+Measures how state, processor time and messages grow with each size.
+
+``docs/CAPACITY.md`` works out the design size from these slopes. Run with
+``python -m bench.slopes [--json FILE]``; takes less than two minutes.
+Processor time is that of the measured process, so other processes of the
+machine change it only through caches and clock rate.
+"""
+
+import time
+from collections.abc import Iterable
+from itertools import chain
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import orjson
+from absl import app, flags
+
+from bench._slopes_fleet import measure_fleet
+from bench._slopes_local import (
+    Series,
+    measure_instances,
+    measure_notes,
+    measure_servers,
+    measure_services,
+    measure_timeline,
+)
+
+JSON_FILE = flags.DEFINE_string("json", None, "File for the points and lines.")
+
+
+class Line(NamedTuple):
+    """A fitted line; ``deviation`` is the largest of any point from it."""
+
+    slope: float
+    intercept: float
+    deviation: float
+
+
+def fit_line(points: tuple[tuple[float, float], ...]) -> Line:
+    """
+    Fit a line by least squares.
+
+    :param points: sizes and values; a single point gives a constant.
+    """
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    product = sum((x - mean_x) * (y - mean_y) for x, y in points)
+    slope = product / spread if spread else 0.0
+    intercept = mean_y - slope * mean_x
+    deviation = max(abs(y - intercept - slope * x) for x, y in points)
+    return Line(slope, intercept, deviation)
+
+
+def measure_all() -> Iterable[Series]:
+    """Measure all series."""
+    return chain(
+        measure_servers(),
+        measure_services(),
+        measure_instances(),
+        measure_notes(),
+        measure_timeline(),
+        measure_fleet(),
+    )
+
+
+def main(_: list[str]) -> None:
+    """Print a line for each series."""
+    begin_s = time.monotonic()
+    results: list[dict[str, Any]] = []
+    print(f"{'series':34}{'unit':24}{'slope':>12}{'intercept':>12}{'deviation':>12}")
+    for series in measure_all():
+        line = fit_line(series.points)
+        unit = f"{series.value_unit} per {series.size_unit}".removesuffix(" per ")
+        figures = "".join(f"{figure:12.4g}" for figure in line)
+        print(f"{series.name:34}{unit:24}{figures}", flush=True)
+        results.append({**series._asdict(), **line._asdict()})
+    print(f"took {time.monotonic() - begin_s:.0f} s")
+    if JSON_FILE.value:
+        Path(JSON_FILE.value).write_bytes(
+            orjson.dumps(results, option=orjson.OPT_INDENT_2)
+        )
+
+
+if __name__ == "__main__":
+    app.run(main)
