Read one frame of a note transfer, and bound what slow peers hold

Each byte after a whole pull repeated it, so a trickling peer grew the buffers of reply and input. The proof of leaving uses datagrams in memory, since random ports changed the choices of each run.

--- a/src/cuminhatch/services/note_transfer.py
+++ b/src/cuminhatch/services/note_transfer.py
@@ -152,6 +152,9 @@
         if length > transfer.limit:
             self._end(transfer)
         elif len(received) >= LENGTH_BYTES + length:
+            # One frame each way; further bytes would repeat the pull and
+            # grow both buffers.
+            transfer.stream.stop_reading()
             on_frame(transfer, bytes(received[LENGTH_BYTES : LENGTH_BYTES + length]))
 
     def _write_frame(self, transfer: _Transfer, data: bytes) -> None:
--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -1,10 +1,11 @@
 """
 Proof by fuzzing: a leaving backend server gets no new work after 3 s.
 
-Instances run the real ``dispatch`` and ``peers``; heartbeats go over loopback.
+Instances run the real ``dispatch`` and ``peers`` over datagrams in memory.
 """
 
 from random import Random
+from unittest.mock import patch
 
 import pytest
 from hypothesis import Phase, settings, strategies as st
@@ -15,17 +16,23 @@
     run_state_machine_as_test,
 )
 
+from cuminhatch import ManualClock
 from cuminhatch.decisions.platform import InstanceList, ListedInstance
+from cuminhatch.kernel import Kernel
 from cuminhatch.messages import (
     Address,
     AttemptCancelled,
     AttemptRequested,
+    DrainRequested,
     InstanceListReplied,
     LoadObserved,
 )
 from cuminhatch.services.dispatch import Dispatch
+from cuminhatch.services.http_listener import HttpListener
 from cuminhatch.services.peers import Peers
+from cuminhatch.services.supervisor import Supervisor
 from tests.proofs.dispatch_world import World, make_server
+from tests.services._loopback import Answers, connect, run_until, settle
 
 PROOF = settings(
     derandomize=True,
@@ -43,6 +50,7 @@
 INSTANCE = st.integers(0, INSTANCES - 1)
 SERVER = st.integers(0, SERVERS - 1)
 PICK = st.integers(0, 30)
+GET = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 DRAINING = ((b"server-state", b"draining"),)
 
 
@@ -50,13 +58,40 @@
     return LoadObserved(f"b{number}", 0, 0, 3, 1.0, is_leaving, now_ms, "probe")
 
 
+class DatagramSocket:
+    """A socket at a fixed address, so that each run has the same choices."""
+
+    def __init__(self, queues):
+        self.queues = queues
+
+    def bind(self, address):
+        self.address = tuple(address)
+        self.queues[self.address] = []
+
+    def setsockopt(self, *_):
+        pass
+
+    setblocking = setsockopt
+
+    def getsockname(self):
+        return self.address
+
+    def sendto(self, data, address):
+        self.queues[address].append(data)
+
+    def recvfrom(self, _):
+        if not self.queues[self.address]:
+            raise BlockingIOError
+        return self.queues[self.address].pop(0), None
+
+
 class Instances:
     """Daemons with dispatch and peers; probes come from the test."""
 
     def __init__(self, count, servers, make_dispatch=Dispatch, make_peers=Peers):
         self.worlds = []
         self.servers = tuple(make_server(number) for number in range(servers))
-        seeds = ()
+        seeds, queues = (), {}
         for number in range(count):
             world = World(
                 lambda kernel, seed=number: make_dispatch(
@@ -66,14 +101,17 @@
             )
             world.peers = make_peers(
                 world.kernel,
-                Address("127.0.0.1", 0),
+                Address("127.0.0.1", 7000 + number),
                 "key",
                 f"i{number}",
                 seeds,
                 Random(number),
             )
             world.kernel.register(world.peers)
-            world.peers.open()
+            world.peers.watch_read = lambda *_: None
+            with patch("cuminhatch.services.peers.socket") as make_socket:
+                make_socket.return_value = DatagramSocket(queues)
+                world.peers.open()
             world.configure(*self.servers)
             world.is_frozen = False
             seeds = seeds or (world.peers.address,)
@@ -84,6 +122,7 @@
             world.clock.advance(ms)
         for world in self.worlds:
             if not world.is_frozen:
+                world.peers._read()
                 world.run()
 
     def probe(self, holder, number, is_leaving):
@@ -94,7 +133,6 @@
 
     def close(self):
         for world in self.worlds:
-            world.peers._sock.close()
             world.close()
 
 
@@ -343,3 +381,36 @@
             assert "b0" not in chosen
     finally:
         instances.close()
+
+
+def test_draining_daemon_answers_what_it_accepts(monkeypatch):
+    """Guards against requests cut off before or during the announcement."""
+    kernel = Kernel(ManualClock())
+    monkeypatch.setattr(kernel, "stop", lambda: None)
+    answers = kernel.register(Answers(kernel))
+    answers.is_echoing = False
+    listener = kernel.register(
+        HttpListener(kernel, Address("127.0.0.1", 0), answers.name)
+    )
+    kernel.register(Supervisor(kernel, 1000.0, 60_000.0, (listener.name,)))
+    kernel.open()
+    peers = [connect(kernel, listener.address)]
+    peers[0].send(GET)
+    run_until(kernel, lambda: len(answers.heads) == 1)
+    kernel.send("supervisor", DrainRequested("test"))
+    settle(kernel)
+    for number in range(2, 5):
+        kernel.clock.advance(300.0)
+        settle(kernel)
+        peers.append(connect(kernel, listener.address))
+        peers[-1].send(GET)
+        run_until(kernel, lambda count=number: len(answers.heads) == count)
+    kernel.clock.advance(300.0)
+    settle(kernel)
+    with pytest.raises(ConnectionRefusedError):
+        connect(kernel, listener.address)
+    for number, peer in enumerate(peers, 1):
+        answers.answer(number, b"whole")
+        peer.run_until(lambda peer=peer: peer.is_closed)
+        assert peer.received.endswith(b"connection: close\r\n\r\nwhole")
+        assert not peer.is_reset
