Refuse table writes at once while an outage is known

Cause: the breaker let any request be the trial that finds out whether the store is back, once per 500 ms, also the claim write of a caller. Ruled out: the length of the trial interval, since any interval leaves some callers in doubt. Reads of the head, every second on each daemon, are now the trials of the table; writes never are. The platform test took a write as the trial; it now requires that the write is refused and a read is the trial.

--- a/src/cuminhatch/decisions/breaker.py
+++ b/src/cuminhatch/decisions/breaker.py
@@ -33,17 +33,21 @@
     reason: str = "store outage known"
 
 
-def admit_request(state: BreakerState, now_ms: float) -> BreakerState | BreakerOpen:
+def admit_request(
+    state: BreakerState, now_ms: float, is_trial_allowed: bool = True
+) -> BreakerState | BreakerOpen:
     """
     Decide whether a request may be sent.
 
     :param state: what is known about the store.
     :param now_ms: current time in milliseconds.
+    :param is_trial_allowed: False for a request that must fail at once while
+        the breaker is open.
     :returns: the state after sending, or that it must not be sent.
     """
     if not state.is_open:
         return state
-    if now_ms < state.trial_at_ms:
+    if not is_trial_allowed or now_ms < state.trial_at_ms:
         return BreakerOpen()
     return state._replace(trial_at_ms=now_ms + TRIAL_INTERVAL_MS)
 
--- a/src/cuminhatch/services/platform.py
+++ b/src/cuminhatch/services/platform.py
@@ -166,6 +166,10 @@
             b"/transact",
             JSON_TYPE,
             body,
+            # A write that fails may have taken effect, so a caller whose claim
+            # is the trial waits and is told ``unknown``. Reads of the head
+            # every second are the trials.
+            is_trial_allowed=False,
         )
 
     def _on_table_read(self, message: TableReadRequested) -> None:
@@ -237,12 +241,15 @@
         target: bytes,
         headers: tuple[Header, ...] = (),
         body: bytes = b"",
+        is_trial_allowed: bool = True,
     ) -> None:
         store = pending.store
         if store.in_flight >= MAX_IN_FLIGHT:
             pending.reply(pending.fail("too many requests in flight", False))
             return
-        admitted = admit_request(store.breaker, self.kernel.clock.now_ms)
+        admitted = admit_request(
+            store.breaker, self.kernel.clock.now_ms, is_trial_allowed
+        )
         if isinstance(admitted, BreakerOpen):
             pending.reply(pending.fail(admitted.reason, False))
             return
--- a/tests/decisions/test_breaker.py
+++ b/tests/decisions/test_breaker.py
@@ -33,6 +33,7 @@
     """Guards against a stream of requests that each wait for a timeout."""
     state = opened(100)
     assert admit_request(state, 100 + TRIAL_INTERVAL_MS - 1) == BreakerOpen()
+    assert admit_request(state, 100 + TRIAL_INTERVAL_MS, False) == BreakerOpen()
     state = admit_request(state, 100 + TRIAL_INTERVAL_MS)
     assert isinstance(state, BreakerState)
     assert admit_request(state, 100 + 2 * TRIAL_INTERVAL_MS - 1) == BreakerOpen()
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -6,7 +6,6 @@
 from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.decisions.breaker import FAILURES_TO_OPEN, TRIAL_INTERVAL_MS
 from cuminhatch.decisions.platform import (
-    Committed,
     InstanceList,
     ListedInstance,
     ListUnavailable,
@@ -169,13 +168,15 @@
     assert bed.request(transact(10)) is None
     assert bed.requester.results[10] == OUTAGE
     bed.kernel.clock.advance(TRIAL_INTERVAL_MS)
-    trial = bed.request(transact(11))
+    # A write as trial would leave its requester in doubt.
+    assert bed.request(transact(11)) is None
+    assert bed.requester.results[11] == OUTAGE
+    trial = bed.request(read(12))
     assert trial is not None
-    assert bed.request(transact(12)) is None
-    assert bed.requester.results[12] == OUTAGE
-    answer = HttpReplied(trial.token, 200, (), b'{"versions": {"a": 1}}')
-    assert bed.result_of(11, answer) == Committed({"a": 1})
-    assert bed.request(transact(13)) is not None
+    assert bed.request(read(13)) is None
+    assert bed.requester.results[13] == OUTAGE
+    assert bed.result_of(12, HttpReplied(trial.token, 404, (), b"{}")) == RowAbsent()
+    assert bed.request(transact(14)) is not None
 
 
 def test_breaker_belongs_to_one_store(bed):
