--- a/bench/_slopes_local.py
+++ b/bench/_slopes_local.py
@@ -55,7 +55,8 @@
 KEY = b"bench-peers-key"
 SERVER_SIZES = (2_500, 5_000, 10_000, 20_000)
 INSTANCE_SIZES = (20, 40, 80, 160, 320)
-GOSSIP_SIZES = (20, 40, 80, 160)
+GOSSIP_SIZES = (20, 40, 80, 120)
+SPREAD_SIZES = (240, 480, 960, 1_920)
 SPREAD_ROUNDS_MAX = 40
 
 
@@ -377,14 +378,16 @@
     yield by_size(
         "probe ranking, 2000 servers", "ms", lambda size: _rank_first(2_000, size)
     )
-    gossip = {size: run_gossip(size) for size in GOSSIP_SIZES}
-    for name, unit in (("suspect_percent", "%"), ("hops", "hop"), ("rounds", "round")):
-        yield _series(
-            f"gossip, {name}",
-            ("instance", unit),
-            GOSSIP_SIZES,
-            lambda size, name=name: getattr(gossip[size], name),
-        )
+    yield _series(
+        "live instances held suspect",
+        ("instance", "%"),
+        GOSSIP_SIZES,
+        lambda size: run_gossip(size, True).suspect_percent,
+    )
+    spread = {size: run_gossip(size, False) for size in SPREAD_SIZES}
+    units = ("instance", "hop"), ("instance", "round")
+    yield _series("head, hops", units[0], SPREAD_SIZES, lambda n: spread[n].hops)
+    yield _series("head, rounds", units[1], SPREAD_SIZES, lambda n: spread[n].rounds)
 
 
 class Gossip(NamedTuple):
@@ -400,25 +403,28 @@
     rounds: int
 
 
-def run_gossip(count: int) -> Gossip:
+def run_gossip(count: int, is_aged: bool) -> Gossip:
     """
     Run heartbeats round by round, then tell one instance a new head.
 
-    No message is lost and the list names all instances as contacts.
+    No message is lost.
 
     :param count: number of instances.
+    :param is_aged: run long enough for views to age; otherwise all instances
+        have just heard of each other.
     """
     rng = Random(SEED)
     addresses = {f"10.9.{n >> 8}.{n & 255}:8100": n for n in range(count)}
-    contacts = [tuple(a for a in addresses if addresses[a] != n) for n in range(count)]
     ids = [f"entry-{n}" for n in range(count)]
-    views = [build_view(count) for _ in range(count)]
+    all_known = build_view(count)
+    views = [all_known.copy() for _ in range(count)]
     own = [view.pop(ids[n]).entry for n, view in enumerate(views)]
     knowing: set[int] = set()
 
     def beat(n: int, fan_out: int, now_ms: float) -> list[int]:
         own[n] = own[n]._replace(heartbeat=own[n].heartbeat + 1)
-        targets = pick_targets(views[n], contacts[n], fan_out, now_ms, rng)
+        # Contacts that the view holds already would change nothing.
+        targets = pick_targets(views[n], (), fan_out, now_ms, rng)
         for target in targets:
             entries = pick_entries(views[n], MAX_MEMBERS, now_ms, rng)
             view = views[addresses[target]]
@@ -438,7 +444,8 @@
     now_ms = 0.0
     # Long enough that entries which are not refreshed become suspect.
     limit_ms = -live_since_ms(views[0], 0.0)
-    for _ in range(int(1.1 * limit_ms / HEARTBEAT_INTERVAL_MS) + 10):
+    rounds = int(1.1 * limit_ms / HEARTBEAT_INTERVAL_MS) + 10
+    for _ in range(rounds if is_aged else 0):
         now_ms += HEARTBEAT_INTERVAL_MS
         beat_all(now_ms)
     suspects = sum(
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -2,14 +2,13 @@
 Measures how state, processor time and messages grow with each size.
 
 ``docs/CAPACITY.md`` works out the design size from these slopes. Run with
-``python -m bench.slopes [--json FILE]``; takes less than two minutes.
-Processor time is that of the measured process, so other processes of the
-machine change it only through caches and clock rate.
+``python -m bench.slopes [--json FILE] [--only GROUP]``; it takes less than two
+minutes. Processor time is that of the measured process, so other processes of
+the machine change it only through caches and clock rate.
 """
 
 import time
 from collections.abc import Iterable
-from itertools import chain
 from pathlib import Path
 from typing import Any, NamedTuple
 
@@ -26,7 +25,16 @@
     measure_timeline,
 )
 
+GROUPS = {
+    "servers": measure_servers,
+    "services": measure_services,
+    "instances": measure_instances,
+    "notes": measure_notes,
+    "timeline": measure_timeline,
+    "fleet": measure_fleet,
+}
 JSON_FILE = flags.DEFINE_string("json", None, "File for the points and lines.")
+ONLY = flags.DEFINE_multi_enum("only", list(GROUPS), list(GROUPS), "What to measure.")
 
 
 class Line(NamedTuple):
@@ -54,16 +62,14 @@
     return Line(slope, intercept, deviation)
 
 
-def measure_all() -> Iterable[Series]:
-    """Measure all series."""
-    return chain(
-        measure_servers(),
-        measure_services(),
-        measure_instances(),
-        measure_notes(),
-        measure_timeline(),
-        measure_fleet(),
-    )
+def measure_all(groups: Iterable[str]) -> Iterable[Series]:
+    """
+    Measure all series of some groups.
+
+    :param groups: names in ``GROUPS``.
+    """
+    for group in groups:
+        yield from GROUPS[group]()
 
 
 def main(_: list[str]) -> None:
@@ -71,7 +77,7 @@
     begin_s = time.monotonic()
     results: list[dict[str, Any]] = []
     print(f"{'series':34}{'unit':24}{'slope':>12}{'intercept':>12}{'deviation':>12}")
-    for series in measure_all():
+    for series in measure_all(ONLY.value):
         line = fit_line(series.points)
         unit = f"{series.value_unit} per {series.size_unit}".removesuffix(" per ")
         figures = "".join(f"{figure:12.4g}" for figure in line)
