Read the headers of a request in one pass

Dispatch went through the headers three times per request, and again to forward them. They are now read once, into a record (RequestFacts).

--- a/src/cuminhatch/services/_admission_queues.py
+++ b/src/cuminhatch/services/_admission_queues.py
@@ -35,7 +35,7 @@
     if not record.is_long and pool.open_views and not queue.length:
         return None
     service_ms = 0.0 if record.is_long else pool.latency_ms
-    return queue.check(record.due_ms, service_ms, state.kernel.clock.now_ms)
+    return queue.check(record.due_ms, service_ms, state.clock.now_ms)
 
 
 def admit_request(state: DispatchState, record: RequestRecord) -> None:
@@ -51,7 +51,7 @@
             start_attempt(state, record, chosen)
             return
     service_ms = 0.0 if record.is_long else pool.latency_ms
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     admitted = queue.offer(record.request_id, record.due_ms, service_ms, now_ms)
     if isinstance(admitted, NotAdmitted):
         refuse_waiting(state, record, admitted.reason)
@@ -70,7 +70,7 @@
     state: DispatchState, record: RequestRecord
 ) -> ServerView | NotChosen:
     """Choose a backend server for a short request."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     candidates = record.pool.open_views
     if record.attempts and len(candidates) > 1:
         # A retry goes elsewhere if it can.
@@ -98,7 +98,7 @@
     """Start long requests where no permits are used."""
     queue = pool.long_queue
     while queue.length:
-        now_ms = state.kernel.clock.now_ms
+        now_ms = state.clock.now_ms
         chosen = state.choose(pool.long_candidates(now_ms), now_ms)
         if isinstance(chosen, NotChosen):
             return
@@ -107,13 +107,13 @@
 
 def refresh_view(state: DispatchState, pool: ServerPool, view: ServerView) -> None:
     """Use what has changed about a backend server."""
-    pool.refresh(view, state.kernel.clock.now_ms)
+    pool.refresh(view, state.clock.now_ms)
     start_waiting(state, pool)
 
 
 def request_permit(state: DispatchState, record: RequestRecord) -> None:
     """Ask for a permit of one of the best servers."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     ids = record.pool.permit_candidates(record.view, now_ms)
     record.permit_requests += 1
     state.send(
@@ -129,7 +129,7 @@
         state.send("permits", PermitReturned(message.permit))
         return
     view = record.pool.views.get(message.permit.server_id)
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     # The permit is the bound on long work; without it the local bound
     # would apply.
     is_usable = view is not None and may_take_long(view, now_ms, view.server.slots)
--- a/src/cuminhatch/services/_attempt_answers.py
+++ b/src/cuminhatch/services/_attempt_answers.py
@@ -28,7 +28,7 @@
     record = state.by_attempt.get(message.attempt_id)
     if record is None or record.phase is not Phase.RUNNING:
         return
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     facts = read_facts(message.head)
     note_response(state, record, facts, message.head.status, now_ms)
     if facts.is_shed:
--- a/src/cuminhatch/services/_attempt_failures.py
+++ b/src/cuminhatch/services/_attempt_failures.py
@@ -71,7 +71,7 @@
 def wait_for_connection(state: DispatchState, record: RequestRecord) -> None:
     """Send a request elsewhere or later; the attempt does not count."""
     pool, view = record.pool, record.view
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     if view.full_until_ms <= now_ms:
         note_connection_limit(view, now_ms)
         pool.refresh(view, now_ms)
@@ -94,7 +94,7 @@
     if not message.is_sent and message.reason != TIMEOUT:
         note_refused_connection(view)
         refusal = RefusalAged(view.server.server_id)
-        now_ms = state.kernel.clock.now_ms
+        now_ms = state.clock.now_ms
         state.call_at(now_ms + REFUSAL_KEPT_MS, refusal)
     count_failure(state, record.pool, view)
 
@@ -107,7 +107,7 @@
     is_reused: bool,
 ) -> bool:
     """Try again if that is safe and paid for."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     record.is_maybe_run |= is_sent and not is_shed
     if record.is_caller_gone:
         return False
--- a/src/cuminhatch/services/_attempts.py
+++ b/src/cuminhatch/services/_attempts.py
@@ -32,7 +32,7 @@
     is_fresh: bool = False,
 ) -> None:
     """Send a request to a backend server, if there is time left."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     if not record.is_long and record.due_ms <= now_ms:
         refuse_waiting(state, record, "deadline-passed")
         return
@@ -90,7 +90,7 @@
     if record.permit is not None:
         state.send("permits", PermitReturned(record.permit))
         record.permit = None
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     record.pool.queue_of(record.rule.work_class).on_end(now_ms)
     record.pool.refresh(view, now_ms)
 
--- a/src/cuminhatch/services/_dispatch_state.py
+++ b/src/cuminhatch/services/_dispatch_state.py
@@ -35,6 +35,7 @@
         :param choose: the choice of backend servers.
         """
         self.kernel = kernel
+        self.clock = kernel.clock
         self.send = kernel.send
         self.instance_id = instance_id
         self.choose = choose
--- a/src/cuminhatch/services/_request.py
+++ b/src/cuminhatch/services/_request.py
@@ -2,6 +2,7 @@
 
 from enum import Enum, auto
 from hashlib import sha256
+from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
 from cuminhatch.decisions.configuration import Rule
@@ -14,7 +15,7 @@
 
 DEADLINE_HEADER = b"request-deadline-ms"
 KEY_HEADER = b"idempotency-key"
-_OWN_HEADERS = frozenset({DEADLINE_HEADER, REQUEST_ID_HEADER, b"expect"})
+EXPECT_HEADER = b"expect"
 
 # Kept for a retry; more is streamed. With 1000 requests in progress this is
 # a quarter of the daemon's memory.
@@ -34,9 +35,7 @@
 KEYED_MARGIN_MS = 100.0
 MARGIN_SHARE_MAX = 0.25
 
-_SAFE_BYTES = frozenset(
-    b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.:/+="
-)
+_SAFE_BYTES = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789-_.:/+="
 
 
 class Phase(Enum):
@@ -65,6 +64,7 @@
         "claim_id",
         "deadline_ms",
         "due_ms",
+        "forwarded_headers",
         "head",
         "is_body_complete",
         "is_body_kept",
@@ -91,21 +91,26 @@
     )
 
     def __init__(
-        self, message: RequestReceived, rule: Rule, pool: ServerPool, trace_id: bytes
+        self,
+        message: RequestReceived,
+        facts: "RequestFacts",
+        rule: Rule,
+        pool: ServerPool,
     ) -> None:
         """
         Start before anything is decided.
 
         :param message: the request as received.
+        :param facts: what its headers tell, with a trace id.
         :param rule: rule that it falls under.
         :param pool: state of its service.
-        :param trace_id: value of ``X-Request-Id``.
         """
         self.request_id = message.request_id
         self.head = message.head
         self.rule = rule
         self.pool = pool
-        self.trace_id = trace_id
+        self.trace_id = facts.trace_id
+        self.forwarded_headers = facts.headers
         self.received_ms = message.received_ms
         # Sequence of the configuration that the request follows.
         self.note_sequence = 0
@@ -117,12 +122,10 @@
         self.phase = Phase.QUEUED
         self.key = b""
         self.is_keyed = False
-        if not rule.is_idempotent:
-            key = find_key(message.head)
-            if key is not None:
-                self.key = key
-                self.is_keyed = True
-        budget_ms = find_deadline_ms(message.head, rule.deadline_ms)
+        if facts.key is not None and not rule.is_idempotent:
+            self.key = facts.key
+            self.is_keyed = True
+        budget_ms = rule.deadline_ms if facts.budget_ms is None else facts.budget_ms
         margin_ms = KEYED_MARGIN_MS if self.is_keyed else MARGIN_MS
         self.deadline_ms = self.received_ms + budget_ms
         # Work not started by then is refused.
@@ -191,50 +194,71 @@
         )
 
 
-def find_key(head: RequestHead) -> bytes | None:
+class RequestFacts(NamedTuple):
     """
-    Return the idempotency key of a request, None without one.
+    What the headers of a request tell the gateway.
 
-    :param head: head of the request.
+    ``key`` is None without an idempotency key; ``budget_ms`` is the time
+    that the caller waits, None where it gives none or no number;
+    ``trace_id`` is empty where none can be used; ``headers`` are those to
+    forward.
     """
-    for name, value in head.headers:
-        if name == KEY_HEADER:
-            return value.strip()
-    return None
 
+    key: bytes | None
+    budget_ms: float | None
+    trace_id: bytes
+    headers: tuple[Header, ...]
 
-def find_deadline_ms(head: RequestHead, default_ms: float) -> float:
+
+def read_request_facts(head: RequestHead) -> RequestFacts:
     """
-    Return the time that the caller waits.
+    Read the headers that concern the gateway, in one pass.
+
+    Of headers that are given more than once, the first holds. The trace id
+    goes to logs, headers and the timeline, so only a bounded length of safe
+    characters is taken.
 
     :param head: head of the request.
-    :param default_ms: time by the rule, where the caller gives none or no
-        number.
     """
-    for name, value in head.headers:
+    key = budget_ms = trace_id = None
+    kept = []
+    for header in head.headers:
+        name, value = header
         if name == DEADLINE_HEADER:
-            text = value.strip()
-            if text.isdigit() and len(text) <= 9:
-                return float(min(int(text), DEADLINE_MAX_MS))
-    return default_ms
-
+            if budget_ms is None:
+                budget_ms = parse_deadline(value)
+        elif name == REQUEST_ID_HEADER:
+            if trace_id is None:
+                trace_id = value
+        elif name != EXPECT_HEADER:
+            kept.append(header)
+            if name == KEY_HEADER and key is None:
+                key = value.strip()
+    if trace_id is None or not is_trace_id_safe(trace_id):
+        trace_id = b""
+    return RequestFacts(key, budget_ms, trace_id, tuple(kept))
+
+
+def parse_deadline(value: bytes) -> float | None:
+    """
+    Return the time in a deadline header in ms, None if it is no number.
 
-def find_trace_id(head: RequestHead) -> bytes | None:
+    :param value: value of the header.
     """
-    Return the caller's request id, None if there is none to be used.
+    text = value.strip()
+    if text.isdigit() and len(text) <= 9:
+        return float(min(int(text), DEADLINE_MAX_MS))
+    return None
 
-    It goes to logs, headers and the timeline, so only a bounded length of
-    safe characters is taken.
 
-    :param head: head of the request.
+def is_trace_id_safe(value: bytes) -> bool:
     """
-    for name, value in head.headers:
-        if name == REQUEST_ID_HEADER:
-            is_safe = 0 < len(value) <= TRACE_ID_BYTES_MAX and _SAFE_BYTES.issuperset(
-                value
-            )
-            return value if is_safe else None
-    return None
+    Tell whether a caller's request id may be used.
+
+    :param value: value of ``X-Request-Id``.
+    """
+    is_short = 0 < len(value) <= TRACE_ID_BYTES_MAX
+    return is_short and not value.translate(None, _SAFE_BYTES)
 
 
 def request_digest(record: RequestRecord) -> str:
@@ -258,9 +282,10 @@
     :param record: the request.
     :param now_ms: current time.
     """
-    head = record.head
     left_ms = max(0, int(record.deadline_ms - now_ms))
-    headers = [header for header in head.headers if header.name not in _OWN_HEADERS]
-    headers.append(Header(DEADLINE_HEADER, b"%d" % left_ms))
-    headers.append(Header(REQUEST_ID_HEADER, record.trace_id))
-    return RequestHead(head.method, head.target, tuple(headers))
+    added = (
+        Header(DEADLINE_HEADER, b"%d" % left_ms),
+        Header(REQUEST_ID_HEADER, record.trace_id),
+    )
+    head = record.head
+    return RequestHead(head.method, head.target, record.forwarded_headers + added)
--- a/src/cuminhatch/services/_request_deadlines.py
+++ b/src/cuminhatch/services/_request_deadlines.py
@@ -33,7 +33,7 @@
     if record is None or record.timer is None:
         return
     record.timer = None
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     if record.phase is Phase.CLAIMING:
         if now_ms < record.deadline_ms:
             state.arm_timer(record, record.deadline_ms + CLAIM_GRACE_MS)
--- a/src/cuminhatch/services/_request_ends.py
+++ b/src/cuminhatch/services/_request_ends.py
@@ -24,7 +24,7 @@
     else:
         record.phase = Phase.VOIDING
         record.refusal = (503, reason)
-        now_ms = state.kernel.clock.now_ms
+        now_ms = state.clock.now_ms
         state.arm_timer(record, max(record.deadline_ms, now_ms + CLAIM_GRACE_MS))
         state.send("claims", ClaimAbandoned(record.claim_id))
 
--- a/src/cuminhatch/services/_request_intake.py
+++ b/src/cuminhatch/services/_request_intake.py
@@ -17,8 +17,9 @@
 from cuminhatch.services._request import (
     KEPT_BODY_BYTES,
     Phase,
+    RequestFacts,
     RequestRecord,
-    find_trace_id,
+    read_request_facts,
 )
 from cuminhatch.services._request_claims import collect_body, start_keyed
 from cuminhatch.services._request_ends import (
@@ -31,43 +32,47 @@
 def on_request_received(state: DispatchState, message: RequestReceived) -> None:
     """Refuse, claim or admit a new request."""
     head = message.head
+    request_id = message.request_id
+    facts = read_facts_with_id(state, message)
     path = head.target.partition(b"?")[0].decode("latin-1")
     rule = state.table.match_rule(head.method.decode("latin-1"), path)
     if isinstance(rule, NoRoute):
-        refuse_early(state, message, 404, rule.reason)
+        refuse_early(state, request_id, facts.trace_id, 404, rule.reason)
         return
     pool = state.table.pool_of(rule.service_id)
     if pool is None or not pool.views:
-        refuse_early(state, message, 503, "no-backend-server")
+        refuse_early(state, request_id, facts.trace_id, 503, "no-backend-server")
         return
-    record = RequestRecord(message, rule, pool, trace_id_of(state, message))
+    record = RequestRecord(message, facts, rule, pool)
     record.note_sequence = state.table.sequence
-    state.requests[message.request_id] = record
+    state.requests[request_id] = record
     pool.budget.on_request()
-    if record.due_ms <= state.kernel.clock.now_ms:
+    if record.due_ms <= state.clock.now_ms:
         refuse_request(state, record, 503, "deadline-passed")
         return
-    record.timer = state.call_at(record.due_ms, RequestDue(record.request_id))
+    record.timer = state.call_at(record.due_ms, RequestDue(request_id))
     if record.is_keyed:
         start_keyed(state, record)
     else:
         admit_request(state, record)
 
 
-def trace_id_of(state: DispatchState, message: RequestReceived) -> bytes:
-    """Return the caller's request id, or one of this instance."""
-    given = find_trace_id(message.head)
-    return given or f"{state.instance_id}-{message.request_id}".encode()
+def read_facts_with_id(state: DispatchState, message: RequestReceived) -> RequestFacts:
+    """Read the headers; a request without a usable id gets one."""
+    facts = read_request_facts(message.head)
+    if facts.trace_id:
+        return facts
+    given = f"{state.instance_id}-{message.request_id}".encode()
+    return facts._replace(trace_id=given)
 
 
 def refuse_early(
-    state: DispatchState, message: RequestReceived, status: int, reason: str
+    state: DispatchState, request_id: int, trace_id: bytes, status: int, reason: str
 ) -> None:
     """Refuse a request that gets no record."""
-    trace_id = trace_id_of(state, message)
     state.send(
         "callers",
-        RequestRefused(message.request_id, status, Outcome.NOT_RUN, reason, trace_id),
+        RequestRefused(request_id, status, Outcome.NOT_RUN, reason, trace_id),
     )
     state.telemetry.record_refusal(trace_id, reason, state.table.sequence)
 
--- a/src/cuminhatch/services/_server_observations.py
+++ b/src/cuminhatch/services/_server_observations.py
@@ -38,7 +38,7 @@
     state: DispatchState, message: ConfigurationChanged
 ) -> None:
     """Apply a note, and refuse what waits for withdrawn services."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     changed, withdrawn = state.table.apply(message.configuration, now_ms)
     for pool in withdrawn:
         for queue in (pool.short_queue, pool.long_queue):
@@ -53,7 +53,7 @@
     state: DispatchState, message: InstanceListChanged
 ) -> None:
     """Apply which servers the platform lists as leaving."""
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     for pool in state.table.set_leaving(message.leaving_ids, now_ms):
         start_waiting(state, pool)
 
@@ -103,7 +103,7 @@
 def count_failure(state: DispatchState, pool: ServerPool, view: ServerView) -> None:
     """Count a failure of a server, and eject it after several."""
     server_id = view.server.server_id
-    now_ms = state.kernel.clock.now_ms
+    now_ms = state.clock.now_ms
     if note_failure(view, pool.may_eject(server_id), now_ms):
         pool.ejected_ids.add(server_id)
         state.call_at(view.ejected_until_ms, EjectionEnded(server_id))
