Shorten the tests of the callers' port

One recorder of messages and one settle for all tests. Requests that wait for their answer start in one place, and refused requests are grouped by what is wrong with them; the table holds the same 56 byte strings.

--- a/tests/services/_loopback.py
+++ b/tests/services/_loopback.py
@@ -13,6 +13,7 @@
     RequestReceived,
     ResponseStarted,
 )
+from tests.support import settle as settle
 
 MAX_TICKS = 3000
 TICK_S = 0.01
@@ -73,11 +74,6 @@
     raise AssertionError("the condition was never met")
 
 
-def settle(kernel, count=10):
-    for _ in range(count):
-        kernel.tick(0)
-
-
 class Answers(Service):
     """Records what a listener passes on; echoes each complete request."""
 
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -7,7 +7,7 @@
 
 from cuminhatch import ManualClock
 from cuminhatch.codecs.http1 import MAX_HEAD_BYTES
-from cuminhatch.kernel import Kernel
+from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.messages import (
     Address,
     CallerLeft,
@@ -32,8 +32,8 @@
     HttpListener,
     ListenerLimits,
 )
-from tests.proofs.fakes_table import Recorder
-from tests.services._loopback import Answers, connect, run_until, settle
+from tests.services._loopback import Answers, connect, run_until
+from tests.support import Recorder, settle
 
 HOST = b"Host: a\r\n"
 GET = b"GET /%d HTTP/1.1\r\n" + HOST + b"\r\n"
@@ -49,22 +49,29 @@
     def __init__(self, **limits):
         self.kernel = Kernel(ManualClock())
         self.answers = self.kernel.register(Answers(self.kernel))
-        self.listener = self.kernel.register(
-            HttpListener(
-                self.kernel,
-                Address("127.0.0.1", 0),
-                "answers",
-                limits=ListenerLimits(**limits),
-            )
-        )
+        address, limits = Address("127.0.0.1", 0), ListenerLimits(**limits)
+        self.listener = HttpListener(self.kernel, address, "answers", limits=limits)
+        self.kernel.register(self.listener)
         self.kernel.open()
 
     def connect(self):
         return connect(self.kernel, self.listener.address)
 
+    def begin(self, data):
+        """Send a request that is not answered by itself."""
+        self.answers.is_echoing = False
+        peer = self.connect()
+        peer.send(data)
+        run_until(self.kernel, lambda: self.answers.messages)
+        return peer
+
     def send(self, message):
         self.kernel.send("callers", message)
 
+    def record_drain(self):
+        recorder = Recorder(self.kernel, SUPERVISOR, DrainFinished)
+        return self.kernel.register(recorder).received
+
     def wait(self, ms):
         """Let time pass in steps of the sweep."""
         for _ in range(int(ms // SWEEP_INTERVAL_MS) + 1):
@@ -77,6 +84,20 @@
     return Port()
 
 
+def fill(peer, part_after):
+    """Send until nothing more is taken, which must be before the size."""
+    sent, idle = 0, 0
+    while idle < 50:
+        try:
+            sent += peer.sock.send(part_after(sent))
+            idle = 0
+        except BlockingIOError:
+            idle += 1
+        peer.kernel.tick(0)
+        assert sent < SIZE
+    return sent
+
+
 def answers_in(data):
     return [int(n) for n in re.findall(rb"x-answer: (\d+)", data)]
 
@@ -117,74 +138,80 @@
     assert len(port.answers.heads) == 2
 
 
+LENGTH = POST + b"Content-Length: "
+ENCODING = POST + b"Transfer-Encoding: "
+LINE = b"GET / HTTP/1.1\r\n"
+LAST = b"\r\n\r\n0\r\n\r\n"
 BAD = [
-    (400, POST + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
-    (400, POST + b"Transfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n0\r\n\r\n"),
-    (400, POST + b"Content-Length: 1\r\nContent-Length: 1\r\n\r\na"),
-    (400, POST + b"Content-Length: 1, 1\r\n\r\na"),
-    (400, POST + b"Content-Length: +1\r\n\r\na"),
-    (400, POST + b"Content-Length: -1\r\n\r\na"),
-    (400, POST + b"Content-Length: 0x1\r\n\r\na"),
-    (400, POST + b"Content-Length: 1 1\r\n\r\na"),
-    (400, POST + b"Content-Length: 99999999999999999999999\r\n\r\na"),
-    (400, POST + b"Content-Length:\r\n\r\na"),
-    (400, POST + b"Content-Length : 1\r\n\r\na"),
-    (400, POST + b"Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n"),
-    (400, POST + b"Transfer-Encoding: gzip\r\n\r\na"),
-    (400, POST + b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n"),
-    (400, POST + b"Transfer-Encoding: identity\r\nContent-Length: 1\r\n\r\na"),
-    (
-        400,
-        POST + b"Transfer-Encoding: x\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    LENGTH + b"1\r\nTransfer-Encoding: chunked" + LAST,
+    ENCODING + b"chunked\r\nContent-Length: 1" + LAST,
+    LENGTH + b"1\r\nContent-Length: 1\r\n\r\na",
+    *(
+        LENGTH + value + b"\r\n\r\na"
+        for value in (b"1, 1", b"+1", b"-1", b"0x1", b"1 1", b"9" * 23)
+    ),
+    POST + b"Content-Length:\r\n\r\na",
+    POST + b"Content-Length : 1\r\n\r\na",
+    POST + b"Transfer-Encoding : chunked" + LAST,
+    ENCODING + b"gzip\r\n\r\na",
+    ENCODING + b"gzip, chunked" + LAST,
+    ENCODING + b"identity\r\nContent-Length: 1\r\n\r\na",
+    ENCODING + b"x\r\nTransfer-Encoding: chunked" + LAST,
+    ENCODING.replace(b"1.1", b"1.0") + b"chunked" + LAST,
+    b"GET / HTTP/1.1\n" + HOST + b"\r\n",
+    LINE + b"Host: a\n\r\n",
+    LINE + HOST + b"\n",
+    b"\n" + LINE + HOST + b"\r\n",
+    *(
+        LINE + HOST + header + b"\r\n\r\n"
+        for header in (b"X: a\rY: b", b"X: a\r\n b", b"X: a\x00b", b": b", b"Host: a")
     ),
-    (
-        400,
-        POST.replace(b"1.1", b"1.0") + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    LINE + b" Host: a\r\n\r\n",
+    LINE + b"\r\n",
+    *(
+        line + b"\r\n" + HOST + b"\r\n"
+        for line in (
+            b"GET / HTTP/2.0",
+            b"GET / HTTP/0.9",
+            b"get / HTTP/1.1",
+            b"GET /a b HTTP/1.1",
+            b"CONNECT a:1 HTTP/1.1",
+        )
+    ),
+    b"GET /\r\n\r\n",
+    b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n",
+    b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03",
+    POST + b"Upgrade: x\r\nConnection: upgrade\r\nContent-Length: 1\r\n\r\na",
+    *(
+        CHUNKED + size + b"\r\nabc\r\n0\r\n\r\n"
+        for size in (b"3 ", b"-3", b"0x3", b"3;a\nb")
     ),
-    (400, b"GET / HTTP/1.1\nHost: a\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\n\n"),
-    (400, b"\nGET / HTTP/1.1\r\nHost: a\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\rY: b\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\r\n b\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\nX: a\x00b\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\n: b\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\n Host: a\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\n\r\n"),
-    (400, b"GET / HTTP/1.1\r\nHost: a\r\nHost: a\r\n\r\n"),
-    (400, b"GET / HTTP/2.0\r\nHost: a\r\n\r\n"),
-    (400, b"GET / HTTP/0.9\r\nHost: a\r\n\r\n"),
-    (400, b"GET /\r\n\r\n"),
-    (400, b"get / HTTP/1.1\r\nHost: a\r\n\r\n"),
-    (400, b"GET /a b HTTP/1.1\r\nHost: a\r\n\r\n"),
-    (400, b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\n"),
-    (400, b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
-    (400, b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03"),
-    (400, POST + b"Upgrade: x\r\nConnection: upgrade\r\nContent-Length: 1\r\n\r\na"),
-    (400, CHUNKED + b"3\nabc\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"3\r\nabc\n0\r\n\r\n"),
-    (400, CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"3 \r\nabc\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"-3\r\nabc\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"0x3\r\nabc\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"3;a\nb\r\nabc\r\n0\r\n\r\n"),
-    (400, CHUNKED + b"fffffffffffffffff\r\nabc"),
-    (400, CHUNKED + b"\r\n"),
-    (400, CHUNKED + b"0\r\nA : b\r\n\r\n"),
-    (400, CHUNKED + b"0\r\nA: b\nC: d\r\n\r\n"),
-    (400, CHUNKED + b"0\r\nContent-Length: 1\r\n\r\n"),
-    (431, POST + b"X: " + b"a" * 2 * MAX_HEAD_BYTES + b"\r\n\r\n"),
-    (431, POST + b"X" * 2 * MAX_HEAD_BYTES),
-    (431, POST + b"X: a\r\n" * 101 + b"\r\n"),
-    (431, b"GET /" + b"a" * 2 * MAX_HEAD_BYTES + b" HTTP/1.1\r\nHost: a\r\n\r\n"),
-    (431, CHUNKED + b"1;" + b"a" * 16 * MAX_HEAD_BYTES),
-    (431, CHUNKED + b"0\r\n" + b"X: a\r\n" * MAX_HEAD_BYTES),
-    (431, b"\r\n" * 16 * MAX_HEAD_BYTES),
+    CHUNKED + b"3\nabc\r\n0\r\n\r\n",
+    CHUNKED + b"3\r\nabc\n0\r\n\r\n",
+    CHUNKED + b"3\r\nabcd\r\n0\r\n\r\n",
+    CHUNKED + b"fffffffffffffffff\r\nabc",
+    CHUNKED + b"\r\n",
+    *(
+        CHUNKED + b"0\r\n" + trailer + b"\r\n\r\n"
+        for trailer in (b"A : b", b"A: b\nC: d", b"Content-Length: 1")
+    ),
+]
+TOO_LARGE = [
+    POST + b"X: " + b"a" * 2 * MAX_HEAD_BYTES + b"\r\n\r\n",
+    POST + b"X" * 2 * MAX_HEAD_BYTES,
+    POST + b"X: a\r\n" * 101 + b"\r\n",
+    b"GET /" + b"a" * 2 * MAX_HEAD_BYTES + b" HTTP/1.1\r\n" + HOST + b"\r\n",
+    CHUNKED + b"1;" + b"a" * 16 * MAX_HEAD_BYTES,
+    CHUNKED + b"0\r\n" + b"X: a\r\n" * MAX_HEAD_BYTES,
+    b"\r\n" * 16 * MAX_HEAD_BYTES,
 ]
 
 
 @pytest.mark.parametrize("step", [0, 1])
-@pytest.mark.parametrize(("status", "data"), BAD)
+@pytest.mark.parametrize(
+    ("status", "data"),
+    [(400, data) for data in BAD] + [(431, data) for data in TOO_LARGE],
+)
 def test_broken_framing_is_refused_and_nothing_passed_on(port, status, data, step):
     """Guards against requests that two parsers would split differently."""
     if step and len(data) > 1000:
@@ -260,23 +287,12 @@
 @pytest.mark.parametrize("is_paused", [False, True])
 def test_big_request_body_waits_for_its_receiver(port, is_paused):
     """Guards against a body that fills the daemon's memory."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(POST + b"Content-Length: %d\r\n\r\n" % SIZE)
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(POST + b"Content-Length: %d\r\n\r\n" % SIZE)
     if is_paused:
         port.send(RequestReadResumed(1))
         port.send(RequestReadPaused(1))
         settle(port.kernel)
-    sent, idle = 0, 0
-    while sent < SIZE and idle < 50:
-        try:
-            sent += peer.sock.send(BIG[: SIZE - sent])
-            idle = 0
-        except BlockingIOError:
-            idle += 1
-        port.kernel.tick(0)
-    assert sent < SIZE
+    sent = fill(peer, lambda sent: BIG[: SIZE - sent])
     passed = len(port.answers.bodies[1])
     assert passed <= (0 if is_paused else 2 * MAX_UNASKED_BYTES)
     # A caller that is held back is not too slow.
@@ -289,10 +305,7 @@
 
 def test_slow_reader_stalls_the_answer_and_gets_all_of_it(port):
     """Guards against answers that pile up in memory or lose parts."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(GET % 1)
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(GET % 1)
     port.answers.answer(1, b"", is_complete=False, length=None)
     parts = 0
     while not port.answers.count(CallerStalled):
@@ -316,26 +329,14 @@
     """Guards against complete answers that pile up in memory."""
     peer = port.connect()
     request = POST + b"Content-Length: 60000\r\n\r\n" + b"x" * 60000
-    sent, idle = 0, 0
-    while idle < 50:
-        try:
-            part = request[sent % len(request) :]
-            sent += peer.sock.send(part)
-            idle = 0
-        except BlockingIOError:
-            idle += 1
-        port.kernel.tick(0)
-        assert sent < SIZE
+    fill(peer, lambda sent: request[sent % len(request) :])
     port.wait(DEFAULT_LIMITS.answer_progress_ms + 2 * SWEEP_INTERVAL_MS)
     assert port.listener.connection_count == 0
 
 
 def test_caller_that_leaves_is_reported_once(port):
     """Guards against work for nobody."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(GET % 1)
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(GET % 1)
     assert port.listener.exchange_count == 1
     peer.sock.close()
     run_until(port.kernel, lambda: port.answers.count(CallerLeft))
@@ -352,10 +353,7 @@
 @pytest.mark.parametrize("version", [b"1.0", b"1.1"])
 def test_answer_that_breaks_off_is_not_taken_for_whole(port, version, end):
     """Guards against a truncated answer, above all one without a length."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(GET.replace(b"1.1", version) % 1)
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(GET.replace(b"1.1", version) % 1)
     port.answers.answer(1, b"part", is_complete=False, length=None)
     peer.run_until(lambda: b"part" in peer.received)
     port.send(end)
@@ -365,10 +363,7 @@
 
 def test_answer_without_length_to_http_1_0_ends_with_the_connection(port):
     """Guards against chunks sent to a caller that does not know them."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
     port.answers.answer(1, b"part", is_complete=False, length=None)
     port.send(ResponseBody(1, b"end", True))
     peer.run_until(lambda: peer.is_closed)
@@ -378,10 +373,7 @@
 
 def test_early_answer_reaches_a_caller_that_is_still_sending(port):
     """Guards against a reset that destroys an answer in flight."""
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(POST + b"Content-Length: 10000000\r\n\r\n")
-    run_until(port.kernel, lambda: port.answers.messages)
+    peer = port.begin(POST + b"Content-Length: 10000000\r\n\r\n")
     port.send(RequestRefused(1, 503, Outcome.NOT_RUN, "no-capacity"))
     peer.send(b"x" * 3_000_000)
     peer.run_until(lambda: peer.is_closed)
@@ -479,12 +471,8 @@
 
 def test_drain_is_finished_when_the_last_connection_has_closed(port):
     """Guards against a daemon that ends too early, or only at its limit."""
-    supervisor = Recorder(port.kernel, "supervisor", (DrainFinished,))
-    reports = port.kernel.register(supervisor).received
-    port.answers.is_echoing = False
-    peer = port.connect()
-    peer.send(GET % 1)
-    run_until(port.kernel, lambda: port.answers.messages)
+    reports = port.record_drain()
+    peer = port.begin(GET % 1)
     port.send(DrainStarted())
     settle(port.kernel)
     assert reports == []
@@ -499,8 +487,7 @@
 
 def test_drain_without_connections_is_finished_at_once(port):
     """Guards against a stop that waits for callers which do not exist."""
-    supervisor = Recorder(port.kernel, "supervisor", (DrainFinished,))
-    reports = port.kernel.register(supervisor).received
+    reports = port.record_drain()
     port.send(DrainStarted())
     settle(port.kernel)
     assert reports == [DrainFinished("callers")]
--- a/tests/support.py
+++ b/tests/support.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any, NamedTuple
 
+from cuminhatch.kernel import Service
 from cuminhatch.messages import Address
 
 SOURCE = Path(__file__).parent.parent / "src"
@@ -49,6 +50,18 @@
         assert answer.status == 200, answer.body
 
 
+class Recorder(Service):
+    """Keeps the messages of some kinds, in place of a named service."""
+
+    def __init__(self, kernel, name, *kinds):
+        super().__init__(kernel, name)
+        self.kinds = kinds
+        self.received = []
+
+    def message_handlers(self):
+        return dict.fromkeys(self.kinds, self.received.append)
+
+
 def free_port() -> int:
     """Return a TCP port that was free a moment ago."""
     with socket.socket() as sock:
@@ -164,6 +177,12 @@
     return False
 
 
+def settle(kernel, count=10):
+    """Tick without waiting."""
+    for _ in range(count):
+        kernel.tick(0)
+
+
 def run_until(kernel, is_reached):
     """
     Run a kernel of this process until a condition holds.
