Shorten the tests of services that open connections

The shared recorder takes the place of three classes, and steps that most tests begin with are methods of their beds.

--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -13,7 +13,7 @@
     Configuration,
     ServiceSpec,
 )
-from cuminhatch.kernel import Kernel, Service
+from cuminhatch.kernel import Kernel
 from cuminhatch.messages import (
     Address,
     AttemptBody,
@@ -29,44 +29,24 @@
     ConfigurationChanged,
 )
 from cuminhatch.services.backends import IDLE_AGE_MS, BackendConnections
-from tests.services._loopback import Peer, run_until, settle
+from tests.services._loopback import Peer, run_until
+from tests.support import Recorder, settle
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 TIMEOUT_MS = 1000.0
 
 
-class Asker(Service):
-    """Records what the service of backend connections reports."""
-
-    name = "dispatch"
-
-    def __init__(self, kernel):
-        super().__init__(kernel)
-        self.messages = []
-
-    def message_handlers(self):
-        kinds = (AttemptResponse, AttemptBody, AttemptFailed)
-        kinds += (AttemptStalled, AttemptResumed)
-        return dict.fromkeys(kinds, self.messages.append)
-
-    def of(self, attempt_id, kind):
-        found = [m for m in self.messages if m.attempt_id == attempt_id]
-        return [m for m in found if type(m) is kind]
-
-    def body_of(self, attempt_id):
-        parts = self.of(attempt_id, AttemptResponse) + self.of(attempt_id, AttemptBody)
-        return b"".join(part.data for part in parts)
+REPORTS = (AttemptResponse, AttemptBody, AttemptFailed, AttemptStalled, AttemptResumed)
 
 
 class Pool:
     """A kernel with the service, and the listening socket of a server."""
 
-    def __init__(self, **parameters):
+    def __init__(self):
         self.kernel = Kernel(ManualClock())
-        self.asker = self.kernel.register(Asker(self.kernel))
-        self.backends = self.kernel.register(
-            BackendConnections(self.kernel, **parameters)
-        )
+        asker = self.kernel.register(Recorder(self.kernel, "dispatch", *REPORTS))
+        self.messages = asker.received
+        self.backends = self.kernel.register(BackendConnections(self.kernel))
         self.kernel.open()
         self.sock = socket.create_server(("127.0.0.1", 0))
         self.sock.setblocking(False)
@@ -77,15 +57,27 @@
     def connections(self):
         return self.backends.connection_count("server")
 
+    def of(self, attempt_id, kind):
+        found = [m for m in self.messages if m.attempt_id == attempt_id]
+        return [m for m in found if type(m) is kind]
+
+    def failures_of(self, attempt_id):
+        return self.of(attempt_id, AttemptFailed)
+
+    def body_of(self, attempt_id):
+        parts = self.of(attempt_id, AttemptResponse) + self.of(attempt_id, AttemptBody)
+        return b"".join(part.data for part in parts)
+
+    def wait_ok(self, attempt_id):
+        run_until(self.kernel, lambda: self.body_of(attempt_id) == b"ok")
+
     def accept(self):
-        peer = None
         for _ in range(100):
             self.kernel.tick(0)
             try:
-                peer = Peer(self.kernel, self.sock.accept()[0])
+                return Peer(self.kernel, self.sock.accept()[0])
             except BlockingIOError:
-                continue
-            return peer
+                pass
         raise AssertionError("no connection was opened")
 
     def request(self, method=b"GET", **changes):
@@ -106,7 +98,7 @@
         peer = self.accept()
         peer.run_until(lambda: peer.received)
         peer.send(OK)
-        run_until(self.kernel, lambda: self.asker.body_of(attempt_id) == b"ok")
+        self.wait_ok(attempt_id)
         return peer
 
     def serve(self, peer, data=OK, step=0, **changes):
@@ -158,13 +150,13 @@
 def test_whole_response_is_reported(pool, peer, data, body, is_kept, step):
     """Guards against wrong or mixed-up answers on a reused connection."""
     attempt_id = pool.serve(peer, data, step)
-    assert pool.asker.body_of(attempt_id) == body
-    last = pool.asker.messages[-1]
+    assert pool.body_of(attempt_id) == body
+    last = pool.messages[-1]
     assert last.attempt_id == attempt_id and last.is_complete
     assert pool.connections == is_kept
     if is_kept:
-        assert pool.asker.body_of(pool.serve(peer)) == b"ok"
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+        assert pool.body_of(pool.serve(peer)) == b"ok"
+    assert pool.failures_of(attempt_id) == []
 
 
 @pytest.mark.parametrize(
@@ -183,22 +175,22 @@
     peer.sock.close()
     run_until(pool.kernel, lambda: pool.connections == 0)
     settle(pool.kernel)
-    failures = pool.asker.of(attempt_id, AttemptFailed)
+    failures = pool.failures_of(attempt_id)
     if is_complete:
         assert failures == []
-        assert pool.asker.messages[-1].is_complete
+        assert pool.messages[-1].is_complete
     else:
         assert failures == [AttemptFailed(attempt_id, "connection closed", True, True)]
-        assert not any(m.is_complete for m in pool.asker.of(attempt_id, AttemptBody))
+        assert not any(m.is_complete for m in pool.of(attempt_id, AttemptBody))
 
 
 def test_refused_connection_is_reported_as_not_sent(pool):
     """Guards against a "may have run" that prevents a safe retry."""
     pool.sock.close()
     attempt_id = pool.request()
-    run_until(pool.kernel, lambda: pool.asker.messages)
+    run_until(pool.kernel, lambda: pool.messages)
     failed = AttemptFailed(attempt_id, "connection refused", False, False)
-    assert pool.asker.messages == [failed]
+    assert pool.messages == [failed]
     assert pool.connections == 0
 
 
@@ -207,14 +199,14 @@
     attempt_id = pool.request()
     settle(pool.kernel)
     pool.wait(TIMEOUT_MS - 1)
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+    assert pool.failures_of(attempt_id) == []
     pool.wait(1)
-    failures = pool.asker.of(attempt_id, AttemptFailed)
-    assert failures == [AttemptFailed(attempt_id, "timeout", True, True)]
+    failed = AttemptFailed(attempt_id, "timeout", True, True)
+    assert pool.failures_of(attempt_id) == [failed]
     again = pool.request(is_fresh_wanted=True)
     fresh = pool.accept()
     fresh.send(OK)
-    run_until(pool.kernel, lambda: pool.asker.body_of(again) == b"ok")
+    pool.wait_ok(again)
 
 
 @pytest.mark.parametrize("data", [b"", b"HTTP/1.1 408 Request Timeout\r\n\r\n"])
@@ -227,8 +219,8 @@
     fresh = pool.accept()
     fresh.run_until(lambda: fresh.received)
     fresh.send(OK)
-    run_until(pool.kernel, lambda: pool.asker.body_of(attempt_id) == b"ok")
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+    pool.wait_ok(attempt_id)
+    assert pool.failures_of(attempt_id) == []
 
 
 def test_each_part_of_a_response_has_its_own_time(pool, peer):
@@ -238,9 +230,9 @@
         pool.wait(TIMEOUT_MS - 1)
         peer.send(b"x")
         settle(pool.kernel)
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+    assert pool.failures_of(attempt_id) == []
     pool.wait(TIMEOUT_MS)
-    failures = pool.asker.of(attempt_id, AttemptFailed)
+    failures = pool.failures_of(attempt_id)
     assert [failed.reason for failed in failures] == ["timeout"]
 
 
@@ -256,10 +248,10 @@
     pool.send(AttemptReadPaused(attempt_id))
     peer.send(OK[-1:])
     pool.wait(10 * TIMEOUT_MS)
-    assert pool.asker.body_of(attempt_id) == b"o"
+    assert pool.body_of(attempt_id) == b"o"
     pool.send(AttemptReadResumed(attempt_id))
-    run_until(pool.kernel, lambda: pool.asker.body_of(attempt_id) == b"ok")
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+    pool.wait_ok(attempt_id)
+    assert pool.failures_of(attempt_id) == []
 
 
 def test_big_request_stalls_and_arrives_whole(pool, peer):
@@ -269,11 +261,11 @@
     attempt_id = pool.request(
         b"POST", body_length=None, data=b"", is_complete=False, timeout_ms=1e9
     )
-    while not pool.asker.of(attempt_id, AttemptStalled):
+    while not pool.of(attempt_id, AttemptStalled):
         pool.send(AttemptBodySent(attempt_id, part, False))
         sent += 1
     pool.send(AttemptBodySent(attempt_id, b"", True))
-    peer.run_until(lambda: pool.asker.of(attempt_id, AttemptResumed))
+    peer.run_until(lambda: pool.of(attempt_id, AttemptResumed))
     peer.run_until(lambda: peer.received.endswith(b"\r\n0\r\n\r\n"))
     body = peer.received.partition(b"\r\n\r\n")[2]
     assert body == (b"10000\r\n" + part + b"\r\n") * sent + b"0\r\n\r\n"
@@ -287,7 +279,7 @@
     peer.sock.close()
     for _ in range(3):
         pool.kernel.send("backends", AttemptBodySent(attempt_id, b"x" * 1000, False))
-    run_until(pool.kernel, lambda: pool.asker.body_of(attempt_id) == b"ok")
+    pool.wait_ok(attempt_id)
     assert pool.connections == 0
 
 
@@ -298,7 +290,7 @@
     pool.send(AttemptCancelled(attempt_id))
     peer.run_until(lambda: peer.is_closed)
     assert pool.connections == 0
-    assert pool.asker.of(attempt_id, AttemptFailed) == []
+    assert pool.failures_of(attempt_id) == []
 
 
 def test_limit_counts_busy_and_idle_connections():
@@ -317,17 +309,17 @@
     third = pool.request()
     settle(pool.kernel)
     failed = AttemptFailed(third, "connection limit", False, False)
-    assert pool.asker.messages == [failed]
+    assert pool.messages == [failed]
     peers[0].send(OK)
-    run_until(pool.kernel, lambda: pool.asker.body_of(first) == b"ok")
+    pool.wait_ok(first)
     moved = socket.create_server(("127.0.0.1", 0))
     pool.request(address=Address(*moved.getsockname()))
     peers[0].run_until(lambda: peers[0].is_closed)
     assert pool.connections == 2
-    assert pool.asker.of(second, AttemptFailed) == []
+    assert pool.failures_of(second) == []
     # A note that lowers the share closes what is idle above it.
     peers[1].send(OK)
-    run_until(pool.kernel, lambda: pool.asker.body_of(second) == b"ok")
+    pool.wait_ok(second)
     servers = MappingProxyType({"server": server._replace(connections=24)})
     pool.send(ConfigurationChanged(configuration._replace(servers=servers)))
     assert pool.connections == 1
--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cuminhatch import ManualClock
-from cuminhatch.kernel import Kernel, Service
+from cuminhatch.kernel import Kernel
 from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.services import HttpClient
 from cuminhatch.services.http_client import (
@@ -15,55 +15,44 @@
     MAX_WAITING_PER_ADDRESS,
     SWEEP_INTERVAL_MS,
 )
-from tests.support import refusing_address, run_until
+from tests.support import Recorder, refusing_address, run_until, settle
 
 OK = b"HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nhi"
 TIMEOUT_MS = 1000.0
 
 
-class Requester(Service):
-    """Keeps the replies it gets."""
-
-    name = "requester"
-
-    def __init__(self, kernel):
-        super().__init__(kernel)
-        self.replies = []
-
-    def message_handlers(self):
-        return {HttpReplied: self.replies.append, HttpFailed: self.replies.append}
-
-
 class Bed:
     """A client, its kernel with a manual clock, and a listening socket."""
 
     def __init__(self):
         self.kernel = Kernel(ManualClock())
-        self.client = self.kernel.register(
-            HttpClient(self.kernel, max_response_bytes=1000)
-        )
-        self.requester = self.kernel.register(Requester(self.kernel))
+        self.client = HttpClient(self.kernel, max_response_bytes=1000)
+        self.kernel.register(self.client)
+        requester = Recorder(self.kernel, "requester", HttpReplied, HttpFailed)
+        self.replies = self.kernel.register(requester).received
         self.kernel.open()
         self.server = socket.create_server(("127.0.0.1", 0))
         self.address = Address(*self.server.getsockname())
         self.accepted = []
 
-    def request(self, token, method=b"GET", body=b"", address=None):
-        self.kernel.send(
-            "http_client",
-            HttpRequested(
-                "requester",
-                token,
-                address or self.address,
-                method,
-                b"/x",
-                (),
-                body,
-                TIMEOUT_MS,
-            ),
-        )
-        for _ in range(3):
-            self.kernel.tick()
+    def send(self, token, method=b"GET", body=b"", address=None, timeout_ms=TIMEOUT_MS):
+        request = ("requester", token, address or self.address, method, b"/x", (), body)
+        self.kernel.send("http_client", HttpRequested(*request, timeout_ms))
+
+    def request(self, *arguments):
+        self.send(*arguments)
+        settle(self.kernel, 3)
+
+    def begin(self, token):
+        """Send a request on a new connection, which is returned."""
+        self.request(token)
+        connection = self.accept()
+        self.receive(connection)
+        return connection
+
+    @property
+    def connection_count(self):
+        return self.client.connection_count(self.address)
 
     def wait_readable(self, sock):
         run_until(self.kernel, lambda: select([sock], [], [], 0)[0])
@@ -79,13 +68,12 @@
         return connection.recv(4096)
 
     def next_reply(self):
-        run_until(self.kernel, lambda: self.requester.replies)
-        return self.requester.replies.pop(0)
+        run_until(self.kernel, lambda: self.replies)
+        return self.replies.pop(0)
 
     def pass_time(self, ms):
         self.kernel.clock.advance(ms)
-        for _ in range(3):
-            self.kernel.tick()
+        settle(self.kernel, 3)
 
 
 @pytest.fixture
@@ -96,10 +84,8 @@
         connection.close()
 
 
-def exchange(bed, connection, token):
-    bed.request(token)
-    connection = connection or bed.accept()
-    bed.receive(connection)
+def exchange(bed, token):
+    connection = bed.begin(token)
     connection.sendall(OK)
     assert bed.next_reply() == HttpReplied(token, 200, (), b"hi")
     return connection
@@ -107,15 +93,14 @@
 
 def test_connection_is_kept_and_parts_are_joined(bed):
     """Guards against a response cut short and a connection per request."""
-    connection = exchange(bed, None, 1)
+    connection = exchange(bed, 1)
     bed.request(2, b"POST", b"abc")
     data = bed.receive(connection)
     assert data.startswith(b"POST /x HTTP/1.1\r\nhost: 127.0.0.1:")
     assert data.endswith(b"content-length: 3\r\n\r\nabc")
     head = b"HTTP/1.1 201 Created\r\ntransfer-encoding: chunked\r\n\r\n3\r\nabc\r\n"
     connection.sendall(head)
-    for _ in range(3):
-        bed.kernel.tick()
+    settle(bed.kernel, 3)
     connection.sendall(b"1\r\nd\r\n0\r\n\r\n")
     assert bed.next_reply() == HttpReplied(2, 201, (), b"abcd")
 
@@ -130,17 +115,17 @@
 
 def test_lost_connection_counts_as_sent_and_post_is_not_repeated(bed):
     """Guards against a transaction that is sent twice."""
-    connection = exchange(bed, None, 1)
+    connection = exchange(bed, 1)
     bed.request(2, b"POST", b"abc")
     bed.receive(connection)
     connection.close()
     assert bed.next_reply() == HttpFailed(2, "connection closed", True)
-    assert bed.client.connection_count(bed.address) == 0
+    assert bed.connection_count == 0
 
 
 def test_get_on_reused_connection_is_repeated_once(bed):
     """Guards against reads that fail as the server closes an idle one."""
-    connection = exchange(bed, None, 1)
+    connection = exchange(bed, 1)
     bed.request(2)
     bed.receive(connection)
     connection.close()
@@ -152,7 +137,7 @@
 
 def test_deadline_closes_silent_connections(bed):
     """Guards against a pool in which every connection is silent."""
-    first = exchange(bed, None, 1)
+    first = exchange(bed, 1)
     bed.request(2)
     bed.request(3)
     second = bed.accept()
@@ -164,14 +149,12 @@
     assert bed.receive(first).startswith(b"GET /x")
     assert bed.receive(first) == b""
     assert bed.receive(second) == b""
-    exchange(bed, None, 4)
+    exchange(bed, 4)
 
 
 def test_deadline_bounds_a_response_that_trickles(bed):
     """Guards against a store that holds a request by single bytes."""
-    bed.request(1)
-    connection = bed.accept()
-    bed.receive(connection)
+    connection = bed.begin(1)
     for byte in OK[:10]:
         connection.sendall(bytes([byte]))
         bed.pass_time(TIMEOUT_MS / 10)
@@ -187,19 +170,17 @@
 )
 def test_bad_response_fails_and_closes(bed, response, reason):
     """Guards against unbounded memory and a connection out of step."""
-    bed.request(1)
-    connection = bed.accept()
-    bed.receive(connection)
+    connection = bed.begin(1)
     connection.sendall(response)
     assert bed.next_reply() == HttpFailed(1, reason, True)
-    assert bed.client.connection_count(bed.address) == 0
+    assert bed.connection_count == 0
 
 
 def test_connections_are_capped_and_waiting_requests_are_not_sent(bed):
     """Guards against a slow store that takes all file descriptors."""
     for token in range(MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS):
         bed.request(token)
-    assert bed.client.connection_count(bed.address) == MAX_CONNECTIONS_PER_ADDRESS
+    assert bed.connection_count == MAX_CONNECTIONS_PER_ADDRESS
     bed.request(999)
     assert bed.next_reply() == HttpFailed(999, "too many requests waiting", False)
     connection = bed.accept()
@@ -209,8 +190,8 @@
     # The freed connection serves the first request that waited.
     assert bed.receive(connection).startswith(b"GET /x")
     bed.pass_time(TIMEOUT_MS)
-    run_until(bed.kernel, lambda: len(bed.requester.replies) == 271)
-    sent = [reply.is_sent for reply in bed.requester.replies]
+    run_until(bed.kernel, lambda: len(bed.replies) == 271)
+    sent = [reply.is_sent for reply in bed.replies]
     assert sent.count(True) == MAX_CONNECTIONS_PER_ADDRESS
 
 
@@ -219,27 +200,21 @@
     count = MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS
     with refusing_address() as address:
         for token in range(count):
-            request = HttpRequested(
-                "requester", token, address, b"GET", b"/", (), b"", TIMEOUT_MS
-            )
-            bed.kernel.send("http_client", request)
-        run_until(bed.kernel, lambda: len(bed.requester.replies) == count)
-    assert not any(reply.is_sent for reply in bed.requester.replies)
+            bed.send(token, address=address)
+        run_until(bed.kernel, lambda: len(bed.replies) == count)
+    assert not any(reply.is_sent for reply in bed.replies)
 
 
 def test_request_without_time_left_is_not_sent(bed):
     """Guards against a request that is sent when it can only time out."""
-    message = HttpRequested(
-        "requester", 1, bed.address, b"POST", b"/x", (), b"abc", timeout_ms=0.0
-    )
-    bed.kernel.send("http_client", message)
+    bed.send(1, b"POST", b"abc", timeout_ms=0.0)
     assert bed.next_reply() == HttpFailed(1, "timeout", False)
-    assert bed.client.connection_count(bed.address) == 0
+    assert bed.connection_count == 0
 
 
 def test_old_idle_connection_is_closed(bed):
     """Guards against a request that meets a connection being closed."""
-    connection = exchange(bed, None, 1)
+    connection = exchange(bed, 1)
     bed.pass_time(IDLE_AGE_MS + SWEEP_INTERVAL_MS)
     assert bed.receive(connection) == b""
-    assert bed.client.connection_count(bed.address) == 0
+    assert bed.connection_count == 0
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -22,7 +22,7 @@
     TableTransaction,
     TableUnavailable,
 )
-from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel
 from cuminhatch.messages import (
     Address,
     HttpFailed,
@@ -48,7 +48,7 @@
     PlatformTimeouts,
 )
 from cuminhatch.services.platform import MAX_IN_FLIGHT
-from tests.support import GIVE_UP_S, run_until, running_standin
+from tests.support import GIVE_UP_S, Recorder, run_until, running_standin, settle
 
 ADDRESSES = PlatformAddresses(*(Address("127.0.0.1", port) for port in (1, 2, 3)))
 OUTAGE = TableUnavailable("store outage known", False)
@@ -62,38 +62,19 @@
 )
 
 
-class Requester(Service):
-    """Keeps the results by token, and failed handlers."""
-
-    name = SUPERVISOR
-
-    def __init__(self, kernel):
-        super().__init__(kernel)
-        self.results = {}
-        self.failures = []
-
-    def message_handlers(self):
-        return {
-            **dict.fromkeys(REPLIES, self._on_reply),
-            HandlerFailed: self.failures.append,
-        }
-
-    def _on_reply(self, message):
-        assert message.token not in self.results
-        self.results[message.token] = message.result
-
-
-class FakeClient(Service):
-    """Keeps HTTP requests until the test answers them."""
-
-    name = "http_client"
+class Requester(Recorder):
+    """Keeps the replies, and failed handlers."""
 
     def __init__(self, kernel):
-        super().__init__(kernel)
-        self.requests = []
+        super().__init__(kernel, SUPERVISOR, *REPLIES, HandlerFailed)
 
-    def message_handlers(self):
-        return {HttpRequested: self.requests.append}
+    @property
+    def results(self):
+        """Return the results by token; a second reply is an error."""
+        assert not any(type(reply) is HandlerFailed for reply in self.received)
+        results = {reply.token: reply.result for reply in self.received}
+        assert len(results) == len(self.received)
+        return results
 
 
 class Bed:
@@ -102,19 +83,19 @@
     def __init__(self):
         self.kernel = Kernel(ManualClock())
         self.requester = self.kernel.register(Requester(self.kernel))
-        self.client = self.kernel.register(FakeClient(self.kernel))
+        client = Recorder(self.kernel, "http_client", HttpRequested)
+        self.requests = self.kernel.register(client).received
         self.kernel.register(Platform(self.kernel, ADDRESSES))
 
     def run(self):
-        for _ in range(4):
-            self.kernel.tick()
-        assert self.requester.failures == []
+        settle(self.kernel, 4)
+        assert self.requester.results is not None
 
     def request(self, message):
         """Pass a request on and return the HTTP request it gave, if any."""
         self.kernel.send("platform", message)
         self.run()
-        return self.client.requests.pop() if self.client.requests else None
+        return self.requests.pop() if self.requests else None
 
     def result_of(self, token, answer):
         """Pass an HTTP answer on and return the result of the request."""
@@ -148,7 +129,7 @@
     """Guards against a false "not run" after a lost reply."""
     expected = TableUnavailable("timeout", is_sent)
     assert bed.fail(1, is_sent=is_sent) == expected
-    assert bed.client.requests == []
+    assert bed.requests == []
 
 
 @pytest.mark.parametrize(
@@ -199,9 +180,9 @@
     for token in range(MAX_IN_FLIGHT):
         bed.kernel.send("platform", read(token))
     bed.run()
-    assert len(bed.client.requests) == MAX_IN_FLIGHT
-    first = bed.client.requests[0]
-    bed.client.requests.clear()
+    assert len(bed.requests) == MAX_IN_FLIGHT
+    first = bed.requests[0]
+    bed.requests.clear()
     assert bed.request(transact(900)) is None
     result = bed.requester.results[900]
     assert result == TableUnavailable("too many requests in flight", False)
@@ -231,11 +212,9 @@
         self.kernel.open()
 
     def ask(self, message):
-        results = self.requester.results
         self.kernel.send("platform", message)
-        run_until(self.kernel, lambda: message.token in results)
-        assert self.requester.failures == []
-        return results[message.token]
+        run_until(self.kernel, lambda: message.token in self.requester.results)
+        return self.requester.results[message.token]
 
 
 @pytest.fixture(scope="module")
