Shorten the tests of stand-ins and of the kernel

The shared recorder takes the place of five classes; one actor with a function takes the place of four subclasses in the kernel's tests.

--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -10,6 +10,7 @@
 
 from cuminhatch import KernelError, ManualClock
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+from tests.support import Recorder, settle
 
 
 class Ping(NamedTuple):
@@ -18,21 +19,18 @@
     number: int
 
 
-class Recorder(Service):
-    """Keeps the messages it gets; number 13 fails."""
+class Actor(Recorder):
+    """Calls a function for each message, then keeps the message."""
 
-    name = "recorder"
-
-    def __init__(self, kernel, name=None):
-        super().__init__(kernel, name)
-        self.received = []
+    def __init__(self, kernel, name, act):
+        super().__init__(kernel, name, Ping)
+        self.act = act
 
     def message_handlers(self):
-        return {Ping: self._on_ping, HandlerFailed: self.received.append}
+        return {Ping: self._on_ping}
 
     def _on_ping(self, message):
-        if message.number == 13:
-            raise ValueError("unlucky")
+        self.act(self, message)
         self.received.append(message)
 
 
@@ -41,76 +39,69 @@
     return Kernel(ManualClock())
 
 
-def run_ticks(kernel, count=5):
-    for _ in range(count):
-        kernel.tick()
+@pytest.fixture
+def recorder(kernel):
+    return kernel.register(Recorder(kernel, "recorder", Ping))
 
 
-def test_messages_arrive_in_order(kernel):
+def test_messages_arrive_in_order(kernel, recorder):
     """Guards against reordering, which would mix up the parts of a body."""
-    recorder = kernel.register(Recorder(kernel))
     for number in range(5):
         kernel.send("recorder", Ping(number))
-    run_ticks(kernel)
+    settle(kernel, 5)
     assert recorder.received == [Ping(number) for number in range(5)]
 
 
 def test_failed_handler_is_reported_and_service_goes_on(kernel):
     """Guards against one bad message that ends a daemon."""
-    recorder = kernel.register(Recorder(kernel))
-    supervisor = kernel.register(Recorder(kernel, SUPERVISOR))
-    kernel.send("recorder", Ping(13))
-    kernel.send("recorder", Ping(1))
-    run_ticks(kernel)
-    assert recorder.received == [Ping(1)]
-    assert [failed.message for failed in supervisor.received] == [Ping(13)]
+    actor = Actor(kernel, "actor", lambda _, ping: 1 / ping.number)
+    kernel.register(actor)
+    supervisor = kernel.register(Recorder(kernel, SUPERVISOR, HandlerFailed))
+    kernel.send("actor", Ping(0))
+    kernel.send("actor", Ping(1))
+    settle(kernel, 5)
+    assert actor.received == [Ping(1)]
+    assert [failed.message for failed in supervisor.received] == [Ping(0)]
 
 
-def test_deadlines_fire_in_order_unless_cancelled(kernel):
+def test_deadlines_fire_in_order_unless_cancelled(kernel, recorder):
     """Guards against timers that fire early, late or after being cancelled."""
-    recorder = kernel.register(Recorder(kernel))
     kernel.call_at(20, "recorder", Ping(2))
     kernel.call_at(10, "recorder", Ping(1))
     token = kernel.call_at(15, "recorder", Ping(9))
     kernel.cancel(token)
-    run_ticks(kernel)
+    settle(kernel, 5)
     assert recorder.received == []
     kernel.clock.advance(10)
-    run_ticks(kernel)
+    settle(kernel, 5)
     assert recorder.received == [Ping(1)]
     kernel.clock.advance(10)
-    run_ticks(kernel)
+    settle(kernel, 5)
     assert recorder.received == [Ping(1), Ping(2)]
 
 
-def test_second_service_of_a_name_is_refused(kernel):
+def test_second_service_of_a_name_is_refused(kernel, recorder):
     """Guards against two services that both answer to one name."""
-    kernel.register(Recorder(kernel))
     with pytest.raises(KernelError):
-        kernel.register(Recorder(kernel))
+        kernel.register(Recorder(kernel, "recorder", Ping))
 
 
 def test_service_that_overwrites_circuits_state_is_refused(kernel):
     """Guards against attributes that break event delivery silently."""
-    service = Recorder(kernel)
+    service = Service(kernel)
     service._queue = []
     with pytest.raises(KernelError):
         kernel.register(service)
 
 
-def test_endless_messages_leave_time_for_deadlines(kernel):
+def test_endless_messages_leave_time_for_deadlines(kernel, recorder):
     """Guards against two services that talk and starve everything else."""
-
-    class Talker(Recorder):
-        def _on_ping(self, message):
-            self.received.append(message)
-            self.send("talker", message)
-
-    kernel.register(Talker(kernel, "talker"))
-    recorder = kernel.register(Recorder(kernel))
+    kernel.register(
+        Actor(kernel, "talker", lambda service, ping: service.send("talker", ping))
+    )
     kernel.send("talker", Ping(1))
     kernel.call_at(0, "recorder", Ping(2))
-    run_ticks(kernel)
+    settle(kernel, 5)
     assert recorder.received == [Ping(2)]
 
 
@@ -148,12 +139,7 @@
 )
 def test_poller_does_not_wait_past_what_a_handler_started(kernel, act, wait_s):
     """Guards against events and deadlines that wait for the next socket."""
-
-    class Actor(Recorder):
-        def _on_ping(self, message):
-            act(self)
-
-    kernel.register(Actor(kernel))
+    kernel.register(Actor(kernel, "recorder", lambda service, _: act(service)))
     recorder = WaitRecorder().register(kernel.root)
     kernel.tick()
     recorder.waits_s.clear()
@@ -166,12 +152,7 @@
 
 def test_handler_can_stop_the_kernel(kernel):
     """Guards against a daemon that has drained and never ends."""
-
-    class Stopper(Recorder):
-        def _on_ping(self, message):
-            self.kernel.stop()
-
-    kernel.register(Stopper(kernel))
+    kernel.register(Actor(kernel, "recorder", lambda service, _: kernel.stop()))
     kernel.send("recorder", Ping(1))
     # Outside the main thread the kernel leaves the signal handlers alone.
     thread = Thread(target=kernel.run, daemon=True)
--- a/tests/kernel/test_poller.py
+++ b/tests/kernel/test_poller.py
@@ -12,6 +12,7 @@
 
 from cuminhatch import ManualClock
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
+from tests.support import Recorder, settle
 
 WAIT_FOR_EVER = """
 from cuminhatch.kernel import Kernel
@@ -21,19 +22,6 @@
 """
 
 
-class Supervisor(Service):
-    """Keeps the failures reported."""
-
-    name = SUPERVISOR
-
-    def __init__(self, kernel):
-        super().__init__(kernel)
-        self.failures = []
-
-    def message_handlers(self):
-        return {HandlerFailed: self.failures.append}
-
-
 class CircuitsReader(BaseComponent):
     """Stands for ``circuits.web``, which gets its sockets' events."""
 
@@ -91,7 +79,7 @@
 
 def test_failed_callback_is_reported_and_others_run(kernel, pair):
     """Guards against one bad connection that ends a daemon."""
-    supervisor = kernel.register(Supervisor(kernel))
+    supervisor = kernel.register(Recorder(kernel, SUPERVISOR, HandlerFailed))
     service = kernel.register(Service(kernel))
     calls = []
     service.watch_write(pair[0], lambda: [][0])
@@ -99,7 +87,7 @@
     kernel.tick()
     kernel.tick()
     assert calls
-    assert type(supervisor.failures[0].error) is IndexError
+    assert type(supervisor.received[0].error) is IndexError
 
 
 def test_other_circuits_components_get_their_events(kernel, pair):
@@ -107,8 +95,7 @@
     component = CircuitsReader().register(kernel.root)
     kernel.poller.addReader(component, pair[0])
     pair[1].send(b"abc")
-    for _ in range(3):
-        kernel.tick()
+    settle(kernel, 3)
     assert component.received == b"abc"
 
 
--- a/tests/services/test_platform.py
+++ b/tests/services/test_platform.py
@@ -68,13 +68,16 @@
     def __init__(self, kernel):
         super().__init__(kernel, SUPERVISOR, *REPLIES, HandlerFailed)
 
+    def check(self):
+        """Check that no handler failed and each token got one reply."""
+        assert not any(type(reply) is HandlerFailed for reply in self.received)
+        assert len({reply.token for reply in self.received}) == len(self.received)
+
     @property
     def results(self):
-        """Return the results by token; a second reply is an error."""
-        assert not any(type(reply) is HandlerFailed for reply in self.received)
-        results = {reply.token: reply.result for reply in self.received}
-        assert len(results) == len(self.received)
-        return results
+        """Return the results by token."""
+        self.check()
+        return {reply.token: reply.result for reply in self.received}
 
 
 class Bed:
@@ -89,7 +92,7 @@
 
     def run(self):
         settle(self.kernel, 4)
-        assert self.requester.results is not None
+        self.requester.check()
 
     def request(self, message):
         """Pass a request on and return the HTTP request it gave, if any."""
--- a/tests/standins/test_backend_server.py
+++ b/tests/standins/test_backend_server.py
@@ -27,45 +27,40 @@
     BackendServer,
     BackendSettings,
 )
-from tests.support import GIVE_UP_S, run_until, running_standin
+from tests.support import GIVE_UP_S, Recorder, run_until, running_standin, settle
 
 REQUEST = b"GET /work HTTP/1.1\r\nHost: x\r\n\r\n"
 SETTINGS = BackendSettings(slots=2, queue=1, work_ms=10.0)
 
 
-class Recorder(Service):
+class Callers(Service):
     """Takes the place of the listener and keeps the answers."""
 
     name = "callers"
+    is_slow = False
 
-    def __init__(self, kernel, name=None):
-        super().__init__(kernel, name)
+    def __init__(self, kernel):
+        super().__init__(kernel)
         self.heads = {}
         self.bodies = {}
         self.aborted = []
-        self.failures = []
-        self.is_slow = False
 
     def message_handlers(self):
         return {
             ResponseStarted: self._on_started,
             ResponseBody: self._on_body,
             ResponseAborted: lambda message: self.aborted.append(message.request_id),
-            HandlerFailed: self.failures.append,
         }
 
     def _on_started(self, message):
         self.heads[message.request_id] = message.head
-        self.bodies[message.request_id] = message.data
-        self._stall(message.request_id)
+        self.bodies[message.request_id] = b""
+        self._on_body(message)
 
     def _on_body(self, message):
         self.bodies[message.request_id] += message.data
-        self._stall(message.request_id)
-
-    def _stall(self, request_id):
         if self.is_slow:
-            self.send("backend_server", CallerStalled(request_id))
+            self.send("backend_server", CallerStalled(message.request_id))
 
 
 class Bed:
@@ -73,28 +68,27 @@
 
     def __init__(self, settings=SETTINGS):
         self.kernel = Kernel(ManualClock())
-        self.recorder = self.kernel.register(Recorder(self.kernel))
-        self.supervisor = self.kernel.register(Recorder(self.kernel, SUPERVISOR))
+        self.callers = self.kernel.register(Callers(self.kernel))
+        supervisor = Recorder(self.kernel, SUPERVISOR, HandlerFailed)
+        self.failures = self.kernel.register(supervisor).received
         self.kernel.register(BackendServer(self.kernel, settings))
         self.faults = faults_off(FAULTS)
+        self.next_id = 1000
 
     def run(self, ms=0.0):
         self.kernel.clock.advance(ms)
-        for _ in range(20):
-            self.kernel.tick()
-        assert self.supervisor.failures == []
+        settle(self.kernel, 20)
+        assert self.failures == []
 
     def request(self, request_id, target="/work", method="GET", headers=(), **query):
-        message = WholeRequest(
-            request_id,
-            method,
-            target,
-            {name: str(value) for name, value in query.items()},
-            tuple(Header(*header) for header in headers),
-            b"",
-            self.kernel.clock.now_ms,
-        )
-        self.send(message)
+        query = {name: str(value) for name, value in query.items()}
+        headers, now_ms = tuple(Header(*h) for h in headers), self.kernel.clock.now_ms
+        request = WholeRequest(request_id, method, target, query, headers, b"", now_ms)
+        self.send(request)
+
+    def request_all(self, *request_ids):
+        for request_id in request_ids:
+            self.request(request_id)
 
     def send(self, message):
         self.kernel.send("backend_server", message)
@@ -106,19 +100,24 @@
         self.send(FaultsChanged(frozenset(faults), self.faults))
 
     def status(self, request_id):
-        head = self.recorder.heads.get(request_id)
+        head = self.callers.heads.get(request_id)
         return None if head is None else head.status
 
+    def statuses(self, *request_ids):
+        return [self.status(request_id) for request_id in request_ids]
+
     def header(self, request_id, name):
-        return find_header(self.recorder.heads[request_id].headers, name)
+        return find_header(self.callers.heads[request_id].headers, name)
 
-    def runs(self, request_id=1000):
-        self.request(request_id, "/runs")
-        return json.loads(self.recorder.bodies[request_id])
+    def ask(self, target):
+        """Send a request of an id of its own and return the value answered."""
+        self.next_id += 1
+        self.request(self.next_id, target)
+        return json.loads(self.callers.bodies[self.next_id])
 
-    def load(self, request_id):
-        self.request(request_id, "/load")
-        return json.loads(self.recorder.bodies[request_id])
+    def is_refused_as_not_run(self, request_id):
+        outcome = self.header(request_id, b"request-outcome")
+        return (self.status(request_id), outcome) == (503, b"not-run")
 
 
 @pytest.fixture
@@ -131,13 +130,12 @@
     for request_id in range(1, 5):
         key = str(request_id).encode()
         bed.request(request_id, headers=[(b"idempotency-key", key)])
-    assert bed.status(4) == 503
-    assert bed.header(4, b"request-outcome") == b"not-run"
-    assert [run["key"] for run in bed.runs()] == ["1", "2"]
-    assert bed.load(50) == {"in_flight": 2, "queued": 1, "slots": 2}
+    assert bed.is_refused_as_not_run(4)
+    assert [run["key"] for run in bed.ask("/runs")] == ["1", "2"]
+    assert bed.ask("/load") == {"in_flight": 2, "queued": 1, "slots": 2}
     bed.run(10)
-    assert [bed.status(request_id) for request_id in (1, 2, 3)] == [200, 200, None]
-    assert [run["key"] for run in bed.runs()] == ["1", "2", "3"]
+    assert bed.statuses(1, 2, 3) == [200, 200, None]
+    assert [run["key"] for run in bed.ask("/runs")] == ["1", "2", "3"]
     bed.run(10)
     assert bed.status(3) == 200
     assert bed.header(3, b"load-report") == b"in_flight=0, queued=0, slots=2"
@@ -145,42 +143,36 @@
 
 def test_deadline_before_the_start_is_not_run(bed):
     """Guards against work that starts when nobody waits for it."""
-    bed.request(1)
-    bed.request(2)
+    bed.request_all(1, 2)
     bed.request(3, headers=[(b"request-deadline-ms", b"5")])
     bed.run(5)
-    assert bed.status(3) == 503
-    assert bed.header(3, b"request-outcome") == b"not-run"
+    assert bed.is_refused_as_not_run(3)
     bed.run(5)
     bed.request(4, headers=[(b"request-deadline-ms", b"0")])
     assert bed.status(4) == 503
-    assert len(bed.runs()) == 2
+    assert len(bed.ask("/runs")) == 2
 
 
 def test_cancelled_work_frees_its_slot(bed):
     """Guards against slots that leak when callers leave."""
-    for request_id in (1, 2, 3):
-        bed.request(request_id)
+    bed.request_all(1, 2, 3)
     bed.send(CallerLeft(1))
-    assert bed.load(50) == {"in_flight": 2, "queued": 0, "slots": 2}
+    assert bed.ask("/load") == {"in_flight": 2, "queued": 0, "slots": 2}
     bed.run(10)
-    assert bed.status(1) is None
-    assert bed.status(3) == 200
-    assert bed.load(51)["in_flight"] == 0
+    assert bed.statuses(1, 3) == [None, 200]
+    assert bed.ask("/load")["in_flight"] == 0
 
 
 def test_drain_refuses_new_work_and_finishes_the_rest(bed):
     """Guards against running work that is cut off by a drain."""
-    for request_id in (1, 2, 3):
-        bed.request(request_id)
+    bed.request_all(1, 2, 3)
     bed.request(4, "/drain", "POST")
     bed.request(5)
     bed.request(6, "/health")
     bed.run(10)
     bed.run(10)
-    assert [bed.status(request_id) for request_id in (1, 2, 3)] == [200] * 3
-    assert (bed.status(5), bed.status(6)) == (503, 503)
-    assert bed.header(5, b"request-outcome") == b"not-run"
+    assert bed.statuses(1, 2, 3, 5, 6) == [200, 200, 200, 503, 503]
+    assert bed.is_refused_as_not_run(5)
     for request_id in (1, 2, 3, 4, 5, 6):
         assert bed.header(request_id, b"server-state") == b"draining"
 
@@ -207,17 +199,17 @@
     bed.request(1)
     bed.set_faults(stale_load=True)
     bed.run(10)
-    assert bed.load(50)["in_flight"] == 1
+    assert bed.ask("/load")["in_flight"] == 1
     bed.set_faults(stale_load=7)
     bed.request(2)
     bed.run(6)
-    assert bed.load(51)["in_flight"] == 0
+    assert bed.ask("/load")["in_flight"] == 0
     bed.run(1)
-    assert bed.load(52)["in_flight"] == 1
+    assert bed.ask("/load")["in_flight"] == 1
     bed.run(3)
-    assert bed.load(53)["in_flight"] == 1
+    assert bed.ask("/load")["in_flight"] == 1
     bed.set_faults(stale_load=False)
-    assert bed.load(54)["in_flight"] == 0
+    assert bed.ask("/load")["in_flight"] == 0
 
 
 def test_shed_and_fail_fast_are_no_runs(bed):
@@ -226,10 +218,10 @@
     bed.request(1)
     bed.set_faults(shed=False, fail_fast=True)
     bed.request(2)
-    assert (bed.status(1), bed.status(2)) == (503, 500)
-    assert bed.header(1, b"request-outcome") == b"not-run"
+    assert bed.is_refused_as_not_run(1)
+    assert bed.status(2) == 500
     assert bed.header(2, b"request-outcome") is None
-    assert bed.runs() == []
+    assert bed.ask("/runs") == []
 
 
 def test_frozen_work_has_run_but_is_not_answered(bed):
@@ -238,7 +230,7 @@
     bed.set_faults(freeze=True)
     bed.run(10)
     assert bed.status(1) is None
-    assert len(bed.runs()) == 1
+    assert len(bed.ask("/runs")) == 1
 
 
 def test_cut_answer_is_aborted_after_its_head(bed):
@@ -246,8 +238,8 @@
     bed.set_faults(cut=True)
     bed.request(1, bytes=0)
     bed.run(10)
-    assert (bed.status(1), bed.recorder.bodies[1]) == (200, b"")
-    assert bed.recorder.aborted == [1]
+    assert (bed.status(1), bed.callers.bodies[1]) == (200, b"")
+    assert bed.callers.aborted == [1]
 
 
 def test_large_answer_stops_while_the_caller_is_stalled(bed):
@@ -256,27 +248,27 @@
     bed.request(1, bytes=size)
     bed.send(CallerStalled(1))
     bed.run(10)
-    sent = len(bed.recorder.bodies[1])
+    sent = len(bed.callers.bodies[1])
     assert sent <= 2 * PART_BYTES
-    assert bed.load(50)["in_flight"] == 1
+    assert bed.ask("/load")["in_flight"] == 1
     bed.send(CallerResumed(1))
     for _ in range(20):
         bed.run()
-    assert len(bed.recorder.bodies[1]) == size
-    assert bed.load(51)["in_flight"] == 0
+    assert len(bed.callers.bodies[1]) == size
+    assert bed.ask("/load")["in_flight"] == 0
 
 
 def test_caller_that_stalls_briefly_gets_one_series_of_parts(bed):
     """Guards against parts that multiply with every stall of the caller."""
-    bed.recorder.is_slow = True
+    bed.callers.is_slow = True
     bed.request(1, bytes=1000 * PART_BYTES)
     bed.run(10)
-    before = len(bed.recorder.bodies[1])
+    before = len(bed.callers.bodies[1])
     for _ in range(10):
         bed.kernel.send("backend_server", CallerStalled(1))
         bed.kernel.send("backend_server", CallerResumed(1))
     bed.run()
-    sent = len(bed.recorder.bodies[1]) - before
+    sent = len(bed.callers.bodies[1]) - before
     # One series hands over one part before the stall that the part causes
     # arrives, and one behind it.
     assert 0 < sent <= 2 * PART_BYTES
@@ -292,6 +284,12 @@
 # With HTTP
 
 
+def assert_silent(sock):
+    sock.setblocking(False)
+    with pytest.raises(BlockingIOError):
+        sock.recv(100)
+
+
 @pytest.fixture(scope="module")
 def server():
     with running_standin("backend_server", slots=4, work_ms=0) as server:
@@ -328,9 +326,7 @@
         server.set_faults(silent=True)
         old.sendall(REQUEST)
         assert server.request("GET", "/work").status == 200
-        old.setblocking(False)
-        with pytest.raises(BlockingIOError):
-            old.recv(100)
+        assert_silent(old)
         server.set_faults(silent=False)
         # Closed by now, perhaps with a reset, since a request was unread.
         old.settimeout(GIVE_UP_S)
@@ -350,11 +346,9 @@
     kernel.open()
 
     def finish_work():
-        for _ in range(10):
-            kernel.tick()
+        settle(kernel)
         kernel.clock.advance(SETTINGS.work_ms)
-        for _ in range(10):
-            kernel.tick()
+        settle(kernel)
 
     with (
         socket.create_connection(listener.address, GIVE_UP_S) as old,
@@ -368,9 +362,7 @@
         run_until(kernel, lambda: listener.exchange_count == 1)
         kernel.send(listener.name, ConnectionsSilenced())
         finish_work()
-        old.setblocking(False)
-        with pytest.raises(BlockingIOError):
-            old.recv(100)
+        assert_silent(old)
 
 
 def test_frozen_server_accepts_and_thaws_for_new_requests(server):
@@ -380,17 +372,14 @@
         caller.sendall(b"GET /load HTTP/1.1\r\nHost: x\r\n\r\n")
         server.set_faults(freeze=False)
         assert server.request("GET", "/load").status == 200
-        caller.setblocking(False)
-        with pytest.raises(BlockingIOError):
-            caller.recv(100)
+        assert_silent(caller)
 
 
 def test_stats_list_each_probe_and_no_other_request(bed):
     """Guards against a probe count that hides probes above the budget."""
-    bed.load(1)
+    bed.ask("/load")
     bed.run(250.0)
-    bed.load(2)
-    bed.request(3)
-    bed.request(4, "/stats")
-    first_ms, second_ms = json.loads(bed.recorder.bodies[4])["probes_ms"]
+    bed.ask("/load")
+    bed.request(1)
+    first_ms, second_ms = bed.ask("/stats")["probes_ms"]
     assert second_ms - first_ms == 250.0
--- a/tests/standins/test_platform_standins.py
+++ b/tests/standins/test_platform_standins.py
@@ -6,13 +6,13 @@
 import pytest
 
 from cuminhatch import ManualClock
-from cuminhatch.kernel import Kernel, Service
+from cuminhatch.kernel import Kernel
 from cuminhatch.messages import ResponseAborted, ResponseStarted
 from cuminhatch_standins._answers import WholeRequest
 from cuminhatch_standins._front import FaultsChanged
 from cuminhatch_standins.instance_list import InstanceListStandin
 from cuminhatch_standins.table_service import TableService
-from tests.support import is_closed_without_answer, running_standin
+from tests.support import Recorder, is_closed_without_answer, running_standin, settle
 
 
 @pytest.fixture(scope="module")
@@ -32,6 +32,10 @@
     return json.dumps({"id": "t", "checks": checks, "puts": puts, "deletes": []})
 
 
+def is_lost(table, body):
+    return is_closed_without_answer(table.address, "POST", "/transact", body)
+
+
 def test_table_speaks_the_protocol_of_the_design(table):
     """Guards against a client and a table that share one mistake."""
     answer = table.request("POST", "/transact", transaction("a/b"))
@@ -55,13 +59,11 @@
     """Guards against a lost reply whose write is lost as well."""
     table.set_faults(reply_lost=2)
     for key in ("lost/1", "lost/2"):
-        body = transaction(key)
-        assert is_closed_without_answer(table.address, "POST", "/transact", body)
+        assert is_lost(table, transaction(key))
         assert table.request("GET", "/rows/" + key.replace("/", "%2F")).status == 200
     assert table.request("POST", "/transact", transaction("lost/3")).status == 200
     table.set_faults(reply_lost=1.0)
-    body = transaction("lost/4")
-    assert is_closed_without_answer(table.address, "POST", "/transact", body)
+    assert is_lost(table, transaction("lost/4"))
     table.set_faults(reply_lost=0)
 
 
@@ -70,7 +72,7 @@
     before = table.request("GET", "/stats").value
     table.set_faults(outage=True)
     body = transaction("outage")
-    assert is_closed_without_answer(table.address, "POST", "/transact", body)
+    assert is_lost(table, body)
     assert is_closed_without_answer(table.address, "GET", "/rows/outage")
     table.set_faults(outage=False, slow=1)
     assert table.request("GET", "/rows/outage").status == 404
@@ -98,27 +100,13 @@
     assert objects.request("GET", "/objects/a%2Fb").status == 404
 
 
-class Recorder(Service):
-    """Takes the place of the listener and keeps the last answer."""
-
-    name = "callers"
-
-    def message_handlers(self):
-        return {
-            ResponseStarted: self._on_answer,
-            ResponseAborted: self._on_answer,
-        }
-
-    def _on_answer(self, message):
-        self.answer = message
-
-
 class Bed:
     """A stand-in's own service with a manual clock, without HTTP."""
 
     def __init__(self, make_service):
         self.kernel = Kernel(ManualClock())
-        self.recorder = self.kernel.register(Recorder(self.kernel))
+        callers = Recorder(self.kernel, "callers", ResponseStarted, ResponseAborted)
+        self.answers = self.kernel.register(callers).received
         self.service = self.kernel.register(make_service(self.kernel))
 
     def send(self, message):
@@ -127,12 +115,11 @@
 
     def pass_time(self, ms):
         self.kernel.clock.advance(ms)
-        for _ in range(4):
-            self.kernel.tick()
+        settle(self.kernel, 4)
 
     def request(self, method, path, body=""):
         self.send(WholeRequest(1, method, path, {}, (), body.encode(), 0.0))
-        return self.recorder.answer
+        return self.answers[-1]
 
     def value(self, path):
         return json.loads(self.request("GET", path).data)
