Write lists that fit on one line on one line

Trailing commas are dropped where they only kept a list open. tests/cli/test_plans.py 163 -> 157 lines, tests/codecs/test_note_toml.py 139 -> 138, tests/services/test_operators.py 211 -> 208, tests/services/test_permits.py 159 -> 155.

--- a/tests/cli/test_plans.py
+++ b/tests/cli/test_plans.py
@@ -3,13 +3,7 @@
 import pytest
 
 from cuminhatch.address import Address
-from cuminhatch.cli.plans import (
-    ApiFailed,
-    ApiReply,
-    CommandError,
-    Options,
-    make_plan,
-)
+from cuminhatch.cli.plans import ApiFailed, ApiReply, CommandError, Options, make_plan
 
 FIRST, SECOND = Address("127.0.0.1", 8081), Address("127.0.0.1", 8181)
 OPTIONS = Options((FIRST, SECOND), "", 0, 200)
--- a/tests/codecs/test_note_toml.py
+++ b/tests/codecs/test_note_toml.py
@@ -79,8 +79,7 @@
 
 
 @pytest.mark.parametrize(
-    "value",
-    [None, {}, {"sequence": "1"}, {"sequence": 1, "note": {"id": 3}}],
+    "value", [None, {}, {"sequence": "1"}, {"sequence": 1, "note": {"id": 3}}]
 )
 def test_malformed_row_is_a_codec_error(value):
     """Guards against a malformed row that ends the replay unexplained."""
--- a/tests/services/test_operators.py
+++ b/tests/services/test_operators.py
@@ -126,10 +126,7 @@
     """Guards against callers that are sent to an instance not ready."""
     report = StatusReported("readiness", {"ready": True, "not_ready": {}})
     kernel.send("operators", report)
-    assert ask_json(kernel, "GET", "/health") == (
-        200,
-        {"ready": True, "not_ready": {}},
-    )
+    assert ask_json(kernel, "GET", "/health") == (200, {"ready": True, "not_ready": {}})
 
 
 @pytest.mark.parametrize(
--- a/tests/services/test_permits.py
+++ b/tests/services/test_permits.py
@@ -2,11 +2,7 @@
 
 import pytest
 
-from cuminhatch.decisions.configuration import (
-    BackendServer,
-    Configuration,
-    ServiceSpec,
-)
+from cuminhatch.decisions.configuration import BackendServer, Configuration, ServiceSpec
 from cuminhatch.decisions.permits import LONG, PROBE, Permit
 from cuminhatch.messages import (
     ConfigurationChanged,
