--- a/tests/services/test_operators.py
+++ b/tests/services/test_operators.py
@@ -9,7 +9,7 @@
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.notes import NoteAccepted, NoteOutcomeUnknown, NoteRefused
 from cuminhatch.decisions.timeline import TimelineEvent
-from cuminhatch.kernel import SUPERVISOR, Kernel, Service
+from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.messages import (
     Address,
     DrainRequested,
@@ -27,45 +27,26 @@
     REQUEST_LIMIT_MS,
     Operators,
 )
+from tests.support import Recorder
 
 KEY = "operators-key"
 NOTE = b'id = "n1"\nauthor = "ann"\nsummary = "first"\n'
 EVENT = TimelineEvent(Stamp(5, 0), "i1", "notes", "note-applied", "", 1, {})
 
 
-class FakePart(Service):
-    """Answers for notes, timeline, metrics and supervisor."""
-
-    result = NoteAccepted(1, False)
-
-    def __init__(self, kernel, name):
-        super().__init__(kernel, name)
-        self.received = []
-
-    def message_handlers(self):
-        return {
-            NoteSubmitted: self._on_note,
-            TimelineRequested: self._on_timeline,
-            MetricsRequested: self._on_metrics,
-            DrainRequested: self.received.append,
-        }
-
-    def _on_note(self, message):
-        self.send(message.reply_to, NoteDecided(message.token, self.result))
-
-    def _on_timeline(self, message):
-        self.send(message.reply_to, TimelineReplied(message.token, (EVENT,)))
-
-    def _on_metrics(self, message):
-        reply = MetricsReplied(message.token, "text/plain", b"m 1\n")
-        self.send(message.reply_to, reply)
+REPLIES = {
+    NoteSubmitted: lambda asked: NoteDecided(asked.token, NoteAccepted(1, False)),
+    TimelineRequested: lambda asked: TimelineReplied(asked.token, (EVENT,)),
+    MetricsRequested: lambda asked: MetricsReplied(asked.token, "text/plain", b"m 1\n"),
+}
+METRICS = (200, b"m 1\n")
 
 
 @pytest.fixture
 def kernel():
     kernel = Kernel(ManualClock())
     for name in ("notes", "timeline", "metrics", SUPERVISOR):
-        kernel.register(FakePart(kernel, name))
+        kernel.register(Recorder(kernel, name, DrainRequested, replies=REPLIES))
     kernel.register(Operators(kernel, Address("127.0.0.1", 0), KEY, "i1"))
     kernel.open()
     return kernel
@@ -99,11 +80,10 @@
 
 
 def ask(kernel, method, target, body=b"", key=KEY):
-    sock = connect(kernel)
     head = f"{method} {target} HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {key}\r\n"
-    sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
-    answer = pump(kernel, sock)
-    sock.close()
+    with connect(kernel) as sock:
+        sock.sendall(f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body)
+        answer = pump(kernel, sock)
     head, _, body = answer.partition(b"\r\n\r\n")
     return int(head.split()[1]), body
 
@@ -139,18 +119,17 @@
 )
 def test_submission_tells_the_outcome(kernel, result, status, outcome):
     """Guards against an operator who believes the wrong outcome."""
-    part(kernel, "notes").result = result
+    replies = part(kernel, "notes").replies
+    replies[NoteSubmitted] = lambda asked: NoteDecided(asked.token, result)
     answer = ask_json(kernel, "POST", "/notes", NOTE)
     assert (answer[0], answer[1]["outcome"]) == (status, outcome)
 
 
 def test_replies_of_other_services(kernel):
     """Guards against answers that are never sent or belong to another."""
-    assert ask_json(kernel, "GET", "/timeline?note=1")[1]["events"][0]["stamp"] == [
-        5,
-        0,
-    ]
-    assert ask(kernel, "GET", "/metrics") == (200, b"m 1\n")
+    events = ask_json(kernel, "GET", "/timeline?note=1")[1]["events"]
+    assert events[0]["stamp"] == [5, 0]
+    assert ask(kernel, "GET", "/metrics") == METRICS
     assert ask(kernel, "POST", "/drain")[0] == 200
     assert part(kernel, SUPERVISOR).received == [DrainRequested("operator")]
     assert ask(kernel, "GET", "/nowhere")[0] == 404
@@ -171,11 +150,10 @@
 )
 def test_hostile_input_changes_nothing(kernel, data):
     """Guards against bytes that stop the port for everyone else."""
-    sock = connect(kernel)
-    sock.sendall(data)
-    pump(kernel, sock)
-    sock.close()
-    assert ask(kernel, "GET", "/metrics") == (200, b"m 1\n")
+    with connect(kernel) as sock:
+        sock.sendall(data)
+        pump(kernel, sock)
+    assert ask(kernel, "GET", "/metrics") == METRICS
 
 
 def test_slow_client_is_closed_and_blocks_nobody(kernel):
@@ -184,7 +162,7 @@
     for byte in b"GET /health HTTP/1.1\r\nHo":
         slow.sendall(bytes([byte]))
         kernel.tick(0.001)
-    assert ask(kernel, "GET", "/metrics") == (200, b"m 1\n")
+    assert ask(kernel, "GET", "/metrics") == METRICS
     kernel.clock.advance(REQUEST_LIMIT_MS)
     assert pump(kernel, slow) is None
 
--- a/tests/services/test_peers.py
+++ b/tests/services/test_peers.py
@@ -6,7 +6,7 @@
 
 from cuminhatch import ManualClock
 from cuminhatch.decisions.notes import AcceptedNote, Note, NoteItem
-from cuminhatch.kernel import Kernel, Service
+from cuminhatch.kernel import Kernel
 from cuminhatch.messages import (
     Address,
     HeadChanged,
@@ -23,36 +23,22 @@
 )
 from cuminhatch.services.note_transfer import NoteTransfer
 from cuminhatch.services.peers import HEARTBEAT_INTERVAL_MS, Peers
+from tests.support import Recorder
 
 LOCAL = Address("127.0.0.1", 0)
 NOTE = Note("n1", "ann", "first", (NoteItem("withdraw", "rule", "r1", {}),))
 
 
-class FakePart(Service):
-    """Keeps messages; answers requests for notes."""
+KINDS = (HeadHeard, LoadObserved, MembershipChanged, NotesOffered, PermitWanted)
 
-    def __init__(self, kernel, name):
-        super().__init__(kernel, name)
-        self.received = []
 
-    def message_handlers(self):
-        kinds = (
-            HeadHeard,
-            LoadObserved,
-            MembershipChanged,
-            NotesOffered,
-            PermitWanted,
-            StampHeard,
-        )
-        table = dict.fromkeys(kinds, self.received.append)
-        return {**table, NotesRequested: self._on_notes_requested}
+def reply_to_notes_requested(message):
+    numbers = [message.after + n for n in range(1, min(message.limit, 3) + 1)]
+    notes = tuple(AcceptedNote(sequence, NOTE) for sequence in numbers)
+    return NotesReplied(message.token, notes)
 
-    def _on_notes_requested(self, message):
-        notes = tuple(
-            AcceptedNote(sequence, NOTE)
-            for sequence in range(message.after + 1, message.after + 1 + message.limit)
-        )
-        self.send(message.reply_to, NotesReplied(message.token, notes[:3]))
+
+REPLIES = {NotesRequested: reply_to_notes_requested}
 
 
 class Instance:
@@ -60,13 +46,12 @@
 
     def __init__(self, name, seeds=(), key="key"):
         self.kernel = Kernel(ManualClock(1000.0))
-        self.parts = {
-            part: self.kernel.register(FakePart(self.kernel, part))
-            for part in ("notes", "dispatch", "permits", "timeline")
-        }
-        self.peers = self.kernel.register(
-            Peers(self.kernel, LOCAL, key, name, seeds, Random(1))
-        )
+        self.parts = {}
+        for part in ("notes", "dispatch", "permits", "timeline"):
+            recorder = Recorder(self.kernel, part, *KINDS, StampHeard, replies=REPLIES)
+            self.parts[part] = self.kernel.register(recorder)
+        self.peers = Peers(self.kernel, LOCAL, key, name, seeds, Random(1))
+        self.kernel.register(self.peers)
         self.transfer = self.kernel.register(NoteTransfer(self.kernel, LOCAL, key))
         self.kernel.open()
 
@@ -108,14 +93,13 @@
 def test_probed_load_and_wishes_reach_the_other(pair):
     """Guards against probes whose results stay on one instance."""
     first, second = pair
-    first.kernel.send(
-        "peers",
-        LoadObserved("b1", 2, 1, 3, 4.0, False, first.kernel.clock.now_ms, "probe"),
-    )
+    observed = ("b1", 2, 1, 3, 4.0, False)
+    now_ms = first.kernel.clock.now_ms
+    first.kernel.send("peers", LoadObserved(*observed, now_ms, "probe"))
     first.kernel.send("peers", PermitNeeded("i2", "long", "b1"))
     run(first, second, step_ms=HEARTBEAT_INTERVAL_MS / 5)
     sample = second.received("dispatch", LoadObserved)[0]
-    assert sample[:6] == ("b1", 2, 1, 3, 4.0, False)
+    assert sample[:6] == observed
     assert PermitWanted("i1", "long", "b1") in second.received("permits", PermitWanted)
 
 
--- a/tests/services/test_permits.py
+++ b/tests/services/test_permits.py
@@ -19,6 +19,7 @@
 SERVERS = {
     id_: BackendServer(id_, "s", "127.0.0.1", 1, "leith", 3, 200) for id_ in "bc"
 }
+FIRST = Permit(LONG, "b", 0)
 CONFIGURATION = Configuration(1, {"s": ServiceSpec("s")}, SERVERS, {})
 
 
@@ -66,7 +67,7 @@
     """Guards against long work that waits while another server is free."""
     pair.request(0, 1)
     pair.request(1, 2, ("b", "c"))
-    assert pair.nodes[0].heard == [PermitGranted(1, Permit(LONG, "b", 0))]
+    assert pair.nodes[0].heard == [PermitGranted(1, FIRST)]
     assert pair.nodes[1].heard == [PermitGranted(2, Permit(LONG, "c", 0))]
 
 
@@ -79,18 +80,18 @@
     holder.send("permits", PermitWanted("i1", LONG, "b"))
     pair.advance(100)
     assert not asking.heard
-    holder.send("permits", PermitReturned(Permit(LONG, "b", 0)))
+    holder.send("permits", PermitReturned(FIRST))
     holder.send("permits", PermitWanted("i1", LONG, "b"))
     pair.settle()
     for _ in range(4):
         pair.advance(100)
-    assert asking.heard == [PermitGranted(2, Permit(LONG, "b", 0))]
+    assert asking.heard == [PermitGranted(2, FIRST)]
 
 
 def test_idle_permit_serves_the_next_request_without_a_write(pair):
     """Guards against two writes for each request in a run of long work."""
     pair.request(0, 1)
-    pair.nodes[0].send("permits", PermitReturned(Permit(LONG, "b", 0)))
+    pair.nodes[0].send("permits", PermitReturned(FIRST))
     pair.request(0, 2)
     assert [message.token for message in pair.nodes[0].heard] == [1, 2]
     assert pair.platform.table.writes == 1
@@ -118,13 +119,12 @@
     pair.request(0, 1, deadline_ms=300.0)
     pair.request(0, 1)
     pair.advance(300)
-    assert pair.nodes[0].heard == [PermitGranted(1, Permit(LONG, "b", 0))]
+    assert pair.nodes[0].heard == [PermitGranted(1, FIRST)]
 
 
 def test_outage_is_named_in_the_refusal(pair):
     """Guards against an outage reported as work of others."""
-    message = PermitRequested("user", 1, LONG, ("b",), 300.0)
-    pair.nodes[0].send("permits", message)
+    pair.nodes[0].send("permits", PermitRequested("user", 1, LONG, ("b",), 300.0))
     pair.platform.unsent(0)
     pair.nodes[0].advance(300)
     assert pair.nodes[0].heard == [PermitRefused(1, "store-outage")]
--- a/tests/support.py
+++ b/tests/support.py
@@ -51,15 +51,25 @@
 
 
 class Recorder(Service):
-    """Keeps the messages of some kinds, in place of a named service."""
+    """
+    Keeps messages and replies to others, in place of a named service.
+
+    :param kinds: types of the messages to keep.
+    :param replies: functions that make the reply, by type of the message.
+    """
 
-    def __init__(self, kernel, name, *kinds):
+    def __init__(self, kernel, name, *kinds, replies=None):
         super().__init__(kernel, name)
         self.kinds = kinds
+        self.replies = dict(replies or {})
         self.received = []
 
     def message_handlers(self):
-        return dict.fromkeys(self.kinds, self.received.append)
+        handlers = dict.fromkeys(self.kinds, self.received.append)
+        return handlers | dict.fromkeys(self.replies, self._reply)
+
+    def _reply(self, message):
+        self.send(message.reply_to, self.replies[type(message)](message))
 
 
 def free_port() -> int:
