Shorten the tests of decisions and of the command line

Builders of a backend server and of its fields in place of copies; items of a wrong note are listed by the reason that is expected. A test of the drain dropped its connection, which closed it before the drain could; it now keeps it and sees it closed.

--- a/tests/cli/test_plans.py
+++ b/tests/cli/test_plans.py
@@ -11,6 +11,8 @@
     'id = "n1"\nauthor = "ann"\nsummary = "first"\n'
     '[[rule]]\nid = "r1"\naction = "withdraw"\n'
 )
+ACCEPTED = {"outcome": "accepted", "sequence": 4, "repeated": False}
+REFUSED = {"outcome": "refused", "reason": "rule r1: conflict"}
 
 
 @pytest.fixture
@@ -21,45 +23,23 @@
 
 
 def make_event(wall_ms, instance, name, **details):
-    return {
-        "stamp": [wall_ms, 0],
-        "instance_id": instance,
-        "part": "notes",
-        "name": name,
-        "request_id": "",
-        "note_sequence": 1,
-        "details": details,
-    }
+    event = {"stamp": [wall_ms, 0], "instance_id": instance, "part": "notes"}
+    event |= {"name": name, "request_id": "", "note_sequence": 1}
+    return {**event, "details": details}
 
 
 def make_status(instance, sequence, not_ready):
-    return {
-        "instance": instance,
-        "note_sequence": sequence,
-        "backend_servers": 26,
-        "parts": {"readiness": {"ready": not not_ready, "not_ready": not_ready}},
-    }
+    readiness = {"ready": not not_ready, "not_ready": not_ready}
+    status = {"instance": instance, "note_sequence": sequence, "backend_servers": 26}
+    return {**status, "parts": {"readiness": readiness}}
 
 
 @pytest.mark.parametrize(
     ("reply", "status"),
     [
-        (
-            ApiReply(
-                FIRST, 200, {"outcome": "accepted", "sequence": 4, "repeated": False}
-            ),
-            0,
-        ),
-        (
-            ApiReply(
-                FIRST, 200, {"outcome": "accepted", "sequence": 4, "repeated": True}
-            ),
-            0,
-        ),
-        (
-            ApiReply(FIRST, 409, {"outcome": "refused", "reason": "rule r1: conflict"}),
-            1,
-        ),
+        (ApiReply(FIRST, 200, ACCEPTED), 0),
+        (ApiReply(FIRST, 200, {**ACCEPTED, "repeated": True}), 0),
+        (ApiReply(FIRST, 409, REFUSED), 1),
         (ApiReply(FIRST, 504, {"outcome": "unknown", "reason": "store outage"}), 3),
         (ApiReply(FIRST, 401, {"error": "send the operators' key"}), 1),
         (ApiFailed(FIRST, "connection failed", False), 1),
@@ -97,32 +77,19 @@
 
 def test_timeline_merges_daemons_by_stamp(snapshot):
     """Guards against events shown in the order of the daemons asked."""
-    plan = make_plan(OPTIONS, ["timeline"])
-    output = plan.show(
-        [
-            ApiReply(FIRST, 200, {"events": [make_event(2000, "entry-1", "decided")]}),
-            ApiReply(
-                SECOND,
-                200,
-                {
-                    "events": [
-                        make_event(1000, "entry-2", "started", reason="test"),
-                        make_event(3000, "entry-2", "applied"),
-                    ]
-                },
-            ),
-        ]
-    )
-    assert output.text == snapshot
+    first = [make_event(2000, "entry-1", "decided")]
+    second = [make_event(1000, "entry-2", "started", reason="test")]
+    second += [make_event(3000, "entry-2", "applied")]
+    replies = [ApiReply(FIRST, 200, {"events": first})]
+    replies += [ApiReply(SECOND, 200, {"events": second})]
+    assert make_plan(OPTIONS, ["timeline"]).show(replies).text == snapshot
 
 
 def test_history_is_a_table(snapshot):
     """Guards against columns that do not line up."""
+    note = {"author": "ann", "summary": "s", "items": [1] * 3}
     notes = [
-        {
-            "sequence": sequence,
-            "note": {"id": name, "author": "ann", "summary": "s", "items": [1] * 3},
-        }
+        {"sequence": sequence, "note": {"id": name, **note}}
         for sequence, name in ((1, "first"), (10, "storm-2026"))
     ]
     plan = make_plan(OPTIONS, ["note", "history"])
--- a/tests/decisions/test_choice.py
+++ b/tests/decisions/test_choice.py
@@ -12,8 +12,8 @@
     random_choice,
     round_robin,
 )
-from cuminhatch.decisions.configuration import BackendServer
 from cuminhatch.decisions.servers import LoadReport, ServerView, note_report
+from tests.decisions._builders import make_server
 
 POLICIES = {
     "power_of_d": lambda: power_of_d(2, Random(1)),
@@ -25,10 +25,7 @@
 
 def make_views(count, near=()):
     return [
-        ServerView(
-            BackendServer(f"b{n}", "s", "127.0.0.1", n, "a", 3, 200), 8, n in near
-        )
-        for n in range(count)
+        ServerView(make_server(f"b{n}", port=n), 8, n in near) for n in range(count)
     ]
 
 
--- a/tests/decisions/test_configuration.py
+++ b/tests/decisions/test_configuration.py
@@ -9,15 +9,9 @@
     servers_of,
 )
 from cuminhatch.decisions.notes import AcceptedNote, Note, NoteItem
+from tests.decisions._builders import SERVER_FIELDS
 
-SERVER = {
-    "service_id": "desk",
-    "host": "127.0.0.1",
-    "port": 9101,
-    "failure_domain": "Leith",
-    "slots": 3,
-    "connections": 200,
-}
+RULE = {"service_id": "desk", "method": "GET", "path_prefix": "/status"}
 
 
 def apply_items(configuration, *items):
@@ -30,18 +24,8 @@
     return apply_items(
         EMPTY_CONFIGURATION,
         ("add", "service", "desk", {"probe_rate": 1}),
-        ("add", "backend_server", "desk-1", SERVER),
-        (
-            "add",
-            "rule",
-            "status",
-            {
-                "service_id": "desk",
-                "method": "GET",
-                "path_prefix": "/status",
-                "idempotent": False,
-            },
-        ),
+        ("add", "backend_server", "desk-1", SERVER_FIELDS),
+        ("add", "rule", "status", {**RULE, "idempotent": False}),
     )
 
 
--- a/tests/decisions/test_idempotency.py
+++ b/tests/decisions/test_idempotency.py
@@ -46,6 +46,10 @@
 LOST = TableUnavailable("no reply", True)
 UNSENT = TableUnavailable("outage", False)
 ANSWER = StoredAnswer(200, ((b"a", b"b"),), b"released")
+NOT_KEPT = ANSWER._replace(is_body_kept=False)
+BODILESS = NOT_KEPT._replace(body=b"")
+REFERENCE = AnswerReference(200, (), "answer/x", "")
+OUTAGE = Refuse(Outcome.NOT_RUN, 503, "store-outage")
 OWN = ClaimRow(CLAIMED, "c", "d")
 OWN_VOID = ClaimRow(VOID, "c", "d")
 OTHER = ClaimRow(CLAIMED, "x", "d")
@@ -72,11 +76,8 @@
     ("row", "action"),
     [
         (found(RAN, ANSWER), Refuse(Outcome.RAN, 200, "stored-answer", ANSWER)),
-        (
-            found(RAN, ANSWER._replace(is_body_kept=False)),
-            Refuse(Outcome.RAN, 504, "answer-not-kept"),
-        ),
-        (found(RAN, AnswerReference(200, (), "answer/x", "")), FetchObject("answer/x")),
+        (found(RAN, NOT_KEPT), Refuse(Outcome.RAN, 504, "answer-not-kept")),
+        (found(RAN, REFERENCE), FetchObject("answer/x")),
         (found(RAN, ANSWER, "e"), Refuse(Outcome.NOT_RUN, 422, "key-reused")),
         (found(CLAIMED), ReadRow(50.0)),
         (ClaimRowFound(4, ClaimRow(UNREADABLE, "", "")), ReadRow(50.0)),
@@ -102,19 +103,14 @@
 
 def test_unsent_claim_is_refused_as_not_run():
     """Guards against callers kept waiting in a known outage."""
-    step = on_transact_result(claiming(), UNSENT, 0.0)
-    assert step.actions == (Refuse(Outcome.NOT_RUN, 503, "store-outage"),)
+    assert on_transact_result(claiming(), UNSENT, 0.0).actions == (OUTAGE,)
 
 
 @pytest.mark.parametrize(
     ("result", "phase", "action"),
     [
-        (ClaimRowWritten(1), ENDED, Refuse(Outcome.NOT_RUN, 503, "store-outage")),
-        (
-            ClaimRowFound(1, OWN_VOID),
-            ENDED,
-            Refuse(Outcome.NOT_RUN, 503, "store-outage"),
-        ),
+        (ClaimRowWritten(1), ENDED, OUTAGE),
+        (ClaimRowFound(1, OWN_VOID), ENDED, OUTAGE),
         (ClaimRowFound(1, OWN), HELD, Grant()),
         (LOST, SETTLING, WriteRow(0, OWN_VOID, 50.0)),
         (UNSENT, SETTLING, WriteRow(0, OWN_VOID, 50.0)),
@@ -163,16 +159,15 @@
     step = on_answered(held(), large, 0.0)
     assert step.actions == (PutObject("answer/c", large.body),)
     failed = on_object_put(step.claim, ObjectUnavailable("outage")).actions[0]
-    assert failed.row.answer == StoredAnswer(200, ANSWER.headers, b"", False)
+    assert failed.row.answer == BODILESS
     huge = ANSWER._replace(body=bytes(KEPT_BODY_BYTES + 1))
     written = on_answered(held(), huge, 0.0).actions[0]
-    assert written.row.answer == StoredAnswer(200, ANSWER.headers, b"", False)
+    assert written.row.answer == BODILESS
 
 
 def test_answer_without_its_body_is_not_cut_short():
     """Guards against a stored answer given without its body."""
-    row = found(RAN, AnswerReference(200, (), "answer/x", ""))
-    claim = on_transact_result(claiming(), row, 0.0).claim
+    claim = on_transact_result(claiming(), found(RAN, REFERENCE), 0.0).claim
     step = on_object_fetched(claim, ObjectAbsent())
     assert step.actions == (Refuse(Outcome.RAN, 504, "answer-unavailable"),)
 
--- a/tests/decisions/test_notes.py
+++ b/tests/decisions/test_notes.py
@@ -34,15 +34,8 @@
     RowAbsent,
     TableUnavailable,
 )
+from tests.decisions._builders import SERVER_FIELDS
 
-SERVER = {
-    "service_id": "desk",
-    "host": "127.0.0.1",
-    "port": 9101,
-    "failure_domain": "Leith",
-    "slots": 3,
-    "connections": 30,
-}
 RULE = {"service_id": "desk", "method": "GET", "path_prefix": "/status"}
 LOST = TableUnavailable("no reply", True)
 NOT_SENT = TableUnavailable("down", False)
@@ -59,66 +52,57 @@
         1,
         make_note(
             ("add", "service", "desk", {}),
-            ("add", "backend_server", "desk-1", SERVER),
+            ("add", "backend_server", "desk-1", SERVER_FIELDS),
             ("add", "rule", "status", RULE),
         ),
     ),
 )
 
 
-@pytest.mark.parametrize(
-    ("items", "expected"),
-    [
-        ([], "no items"),
-        ([("add", "server", "x", {})], "server x: unknown kind"),
-        ([("remove", "rule", "x", {})], "rule x: unknown action 'remove'"),
-        ([("add", "service", "a/b", {})], "service a/b: id must be"),
-        ([("add", "service", "x", {"slots": 1})], "service x: unknown field slots"),
-        ([("change", "service", "desk", {})], "needs at least one field"),
-        ([("withdraw", "rule", "status", RULE)], "a withdrawal has no fields"),
-        ([("add", "rule", "x", {"method": "GET"})], "field service_id is missing"),
-        ([("change", "service", "x", {"probe_rate": 1})], "service x: does not exist"),
-        ([("withdraw", "rule", "x", {})], "rule x: does not exist"),
-        ([("add", "service", "desk", {})], "service desk: exists already"),
-        (
-            [("withdraw", "rule", "status", {}), ("add", "rule", "status", RULE)],
-            "rule status: named by two items",
-        ),
-        (
-            [("add", "rule", "x", {**RULE, "service_id": "no", "method": "PUT"})],
-            "rule x: service no does not exist",
-        ),
-        (
-            [("change", "backend_server", "desk-1", {"service_id": "no"})],
-            "backend_server desk-1: service no does not exist",
-        ),
-        (
-            [("withdraw", "service", "desk", {})],
-            "service desk: backend_server desk-1 still uses it",
-        ),
-        (
-            [
-                ("withdraw", "service", "desk", {}),
-                ("withdraw", "backend_server", "desk-1", {}),
-            ],
-            "service desk: rule status still uses it",
-        ),
-        (
-            [("change", "service", "desk", {"instances_max": 31})],
-            "desk-1: 30 connections are fewer than instances_max 31",
-        ),
-        (
-            [("change", "backend_server", "desk-1", {"connections": 23})],
-            "desk-1: 23 connections are fewer than instances_max 24",
-        ),
-        (
-            [("change", "service", "desk", {"long_slots": 3})],
-            "desk-1: long_slots 3 of service desk must be below its slots 3",
-        ),
-        ([("add", "rule", "x", RULE)], "rule x: rule status has the same method"),
+WRONG_ITEMS = {
+    "no items": [],
+    "server x: unknown kind": [("add", "server", "x", {})],
+    "rule x: unknown action 'remove'": [("remove", "rule", "x", {})],
+    "service a/b: id must be": [("add", "service", "a/b", {})],
+    "service x: unknown field slots": [("add", "service", "x", {"slots": 1})],
+    "needs at least one field": [("change", "service", "desk", {})],
+    "a withdrawal has no fields": [("withdraw", "rule", "status", RULE)],
+    "field service_id is missing": [("add", "rule", "x", {"method": "GET"})],
+    "service x: does not exist": [("change", "service", "x", {"probe_rate": 1})],
+    "rule x: does not exist": [("withdraw", "rule", "x", {})],
+    "service desk: exists already": [("add", "service", "desk", {})],
+    "rule status: named by two items": [
+        ("withdraw", "rule", "status", {}),
+        ("add", "rule", "status", RULE),
     ],
-)
-def test_wrong_note_is_refused_by_item(items, expected):
+    "rule x: service no does not exist": [
+        ("add", "rule", "x", {**RULE, "service_id": "no", "method": "PUT"})
+    ],
+    "backend_server desk-1: service no does not exist": [
+        ("change", "backend_server", "desk-1", {"service_id": "no"})
+    ],
+    "service desk: backend_server desk-1 still uses it": [
+        ("withdraw", "service", "desk", {})
+    ],
+    "service desk: rule status still uses it": [
+        ("withdraw", "service", "desk", {}),
+        ("withdraw", "backend_server", "desk-1", {}),
+    ],
+    "desk-1: 30 connections are fewer than instances_max 31": [
+        ("change", "service", "desk", {"instances_max": 31})
+    ],
+    "desk-1: 23 connections are fewer than instances_max 24": [
+        ("change", "backend_server", "desk-1", {"connections": 23})
+    ],
+    "desk-1: long_slots 3 of service desk must be below its slots 3": [
+        ("change", "service", "desk", {"long_slots": 3})
+    ],
+    "rule x: rule status has the same method": [("add", "rule", "x", RULE)],
+}
+
+
+@pytest.mark.parametrize(("expected", "items"), WRONG_ITEMS.items())
+def test_wrong_note_is_refused_by_item(expected, items):
     """Guards against notes that leave the configuration inconsistent."""
     assert expected in check_note(CONFIGURATION, make_note(*items)).reason
 
@@ -157,12 +141,9 @@
 def test_items_of_one_note_may_depend_on_each_other():
     """Guards against a check that depends on the order of the items."""
     new = {**RULE, "service_id": "new", "path_prefix": "/new"}
+    withdrawn = ("service", "desk"), ("backend_server", "desk-1"), ("rule", "status")
     items = [("add", "rule", "r", new), ("add", "service", "new", {})]
-    items += [
-        ("withdraw", "service", "desk", {}),
-        ("withdraw", "backend_server", "desk-1", {}),
-        ("withdraw", "rule", "status", {}),
-    ]
+    items += [("withdraw", *entry, {}) for entry in withdrawn]
     assert check_note(CONFIGURATION, make_note(*items)) is None
     assert check_note(CONFIGURATION, make_note(*items[::-1])) is None
 
@@ -182,11 +163,8 @@
     note = make_note()
     transaction = plan_append(7, 4, note, {}, "d", "s1")
     assert dict(transaction.checks) == {"head": 7, note_id_key("n1"): 0}
-    assert {put.key for put in transaction.puts} == {
-        "head",
-        note_key(5),
-        note_id_key("n1"),
-    }
+    written = {put.key for put in transaction.puts}
+    assert written == {"head", note_key(5), note_id_key("n1")}
     assert note_key(9) < note_key(10) < note_key(10**9) < "note0"
 
 
--- a/tests/decisions/test_servers.py
+++ b/tests/decisions/test_servers.py
@@ -2,7 +2,6 @@
 
 import pytest
 
-from cuminhatch.decisions.configuration import BackendServer
 from cuminhatch.decisions.servers import (
     EJECTION_MAX_MS,
     FAILURES_TO_EJECT,
@@ -18,13 +17,13 @@
     note_shed,
     slow_start_share,
 )
+from tests.decisions._builders import make_server
 
 NOW_MS = 10_000.0
 
 
 def make_view(slots=3, share=8, **kwargs):
-    server = BackendServer("b", "s", "127.0.0.1", 80, "a", slots, 200)
-    view = ServerView(server, share, **kwargs)
+    view = ServerView(make_server(slots=slots), share, **kwargs)
     note_answer(view, 10.0, True, NOW_MS)
     return view
 
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -54,14 +54,15 @@
         self.kernel.register(self.listener)
         self.kernel.open()
 
-    def connect(self):
-        return connect(self.kernel, self.listener.address)
+    def connect(self, data=b""):
+        peer = connect(self.kernel, self.listener.address)
+        peer.send(data)
+        return peer
 
     def begin(self, data):
         """Send a request that is not answered by itself."""
         self.answers.is_echoing = False
-        peer = self.connect()
-        peer.send(data)
+        peer = self.connect(data)
         run_until(self.kernel, lambda: self.answers.messages)
         return peer
 
@@ -243,8 +244,7 @@
 
 def test_broken_chunk_after_part_was_passed_on_is_reported_as_unknown(port):
     """Guards against a "not run" for a request that may have run."""
-    peer = port.connect()
-    peer.send(CHUNKED + b"5000\r\n" + b"a" * 0x5000 + b"\r\n")
+    peer = port.connect(CHUNKED + b"5000\r\n" + b"a" * 0x5000 + b"\r\n")
     run_until(port.kernel, lambda: port.answers.messages)
     peer.send(b"zz\r\n")
     peer.run_until(lambda: peer.is_closed)
@@ -256,8 +256,9 @@
 
 def test_many_pipelined_requests_are_answered_in_order(port):
     """Guards against a backlog that stops reading for good."""
-    peer = port.connect()
-    peer.send(b"".join(GET % n for n in range(500)) + CHUNKED + b"1\r\na\r\n0\r\n\r\n")
+    peer = port.connect(
+        b"".join(GET % n for n in range(500)) + CHUNKED + b"1\r\na\r\n0\r\n\r\n"
+    )
     peer.run_until(lambda: len(answers_in(peer.received)) == 501)
     assert answers_in(peer.received) == list(range(1, 502))
 
@@ -265,8 +266,7 @@
 def test_continue_is_sent_when_the_body_is_asked_for(port):
     """Guards against bodies sent for requests that are refused."""
     head = POST + b"Content-Length: 3\r\nExpect: 100-continue\r\n\r\n"
-    peer = port.connect()
-    peer.send(head)
+    peer = port.connect(head)
     settle(port.kernel)
     peer.read()
     assert peer.received == b""
@@ -274,8 +274,7 @@
     peer.run_until(lambda: peer.received == b"HTTP/1.1 100 Continue\r\n\r\n")
     peer.send(b"abc")
     peer.run_until(lambda: peer.received.endswith(b"\r\n\r\nabc"))
-    refused = port.connect()
-    refused.send(head)
+    refused = port.connect(head)
     settle(port.kernel)
     port.send(RequestRefused(2, 503, Outcome.NOT_RUN, "no-capacity", b"r-2"))
     refused.run_until(lambda: refused.is_closed)
@@ -395,14 +394,14 @@
 )
 def test_callers_without_progress_are_closed(port, data, limit):
     """Guards against connections that are held for ever."""
-    peer = port.connect()
-    peer.send(data)
+    peer = port.connect(data)
     settle(port.kernel)
     limit_ms = getattr(DEFAULT_LIMITS, limit)
     port.wait(limit_ms - 2 * SWEEP_INTERVAL_MS)
     assert port.listener.connection_count == 1
     port.wait(2 * SWEEP_INTERVAL_MS)
     assert port.listener.connection_count == port.listener.exchange_count == 0
+    peer.run_until(lambda: peer.is_closed)
 
 
 def test_head_sent_byte_by_byte_has_a_deadline(port):
@@ -462,11 +461,12 @@
 def test_drain_closes_connections_that_never_send():
     """Guards against a drain that waits for callers without a request."""
     port = Port(drain_first_request_ms=1000)
-    port.connect()
+    peer = port.connect()
     run_until(port.kernel, lambda: port.listener.connection_count)
     port.send(DrainStarted())
     port.wait(1000)
     assert port.listener.connection_count == 0
+    peer.run_until(lambda: peer.is_closed)
 
 
 def test_drain_is_finished_when_the_last_connection_has_closed(port):
