--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -19,6 +19,9 @@
 )
 
 OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+TWO = OK + b"Content-Length: 2\r\n\r\n"
 
 
 def feed(parser, data, step):
@@ -62,29 +65,15 @@
 @pytest.mark.parametrize(
     ("data", "is_head_request", "body", "length", "is_keep_alive"),
     [
-        (OK + b"Content-Length: 2\r\n\r\nab", False, b"ab", 2, True),
-        (OK + b"Content-Length: 2\r\n\r\n", True, b"", 2, True),
-        (OK + b"Transfer-Encoding: chunked\r\n\r\n", True, b"", None, True),
+        (TWO + b"ab", False, b"ab", 2, True),
+        (TWO, True, b"", 2, True),
+        (CHUNKED, True, b"", None, True),
         (OK + b"Content-Length: 0\r\nConnection: close\r\n\r\n", False, b"", 0, False),
         (b"HTTP/1.1 204 No\r\n\r\n", False, b"", 0, True),
         (b"HTTP/1.1 304 No\r\nContent-Length: 9\r\n\r\n", False, b"", 0, True),
         (b"HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\na", False, b"a", 1, False),
-        (
-            OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\nX: y\r\n\r\n",
-            False,
-            b"ab",
-            None,
-            True,
-        ),
-        (
-            b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
-            + OK
-            + b"Content-Length: 1\r\n\r\na",
-            False,
-            b"a",
-            1,
-            True,
-        ),
+        (CHUNKED + b"2\r\nab\r\n0\r\nX: y\r\n\r\n", False, b"ab", None, True),
+        (INTERIM + OK + b"Content-Length: 1\r\n\r\na", False, b"a", 1, True),
     ],
 )
 def test_response_is_parsed(data, is_head_request, body, length, is_keep_alive, step):
@@ -104,15 +93,12 @@
 @pytest.mark.parametrize(
     ("data", "is_head_request"),
     [
-        (OK + b"Content-Length: 2\r\n\r\nabcd", False),
-        (OK + b"Content-Length: 2\r\n\r\nab" + OK, False),
-        (
-            OK + b"Content-Length: 2\r\n\r\nab" + OK + b"Content-Length: 0\r\n\r\n",
-            False,
-        ),
+        (TWO + b"abcd", False),
+        (TWO + b"ab" + OK, False),
+        (TWO + b"ab" + OK + b"Content-Length: 0\r\n\r\n", False),
         (OK + b"Content-Length: 2\r\nConnection: close\r\n\r\nabcd", False),
-        (OK + b"Content-Length: 2\r\n\r\nab", True),
-        (OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n", True),
+        (TWO + b"ab", True),
+        (CHUNKED + b"0\r\n\r\n", True),
         (b"HTTP/1.1 204 No\r\nContent-Length: 2\r\n\r\nab", False),
     ],
 )
@@ -141,7 +127,7 @@
         b"SSH-2.0-x\r\n",
         b"HTTP/1.1 100 Continue\r\n\r\n" * 10_000,
         OK + b"X: " + b"a" * 100_000,
-        OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n" + b"X: y\r\n" * 100_000,
+        CHUNKED + b"0\r\n" + b"X: y\r\n" * 100_000,
     ],
 )
 @pytest.mark.parametrize("step", [0, 1000])
--- a/tests/codecs/test_note_toml.py
+++ b/tests/codecs/test_note_toml.py
@@ -23,6 +23,7 @@
 from cuminhatch.decisions.notes import AcceptedNote, check_note
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+BLUE_MAHOE = {"status-board": 10, "dispatch-ledger": 6, "archive-depot": 10}
 HEAD = 'id = "n1"\nauthor = "rhea"\nsummary = "s"\n'
 
 
@@ -110,11 +111,7 @@
 @pytest.mark.parametrize(
     ("name", "first_port", "counts"),
     [
-        (
-            "blue-mahoe.toml",
-            9101,
-            {"status-board": 10, "dispatch-ledger": 6, "archive-depot": 10},
-        ),
+        ("blue-mahoe.toml", 9101, BLUE_MAHOE),
         ("macaulay.toml", 9201, {"stockd": 14, "tillbox": 9, "reelhouse": 14}),
     ],
 )
--- a/tests/codecs/test_peers_thrift.py
+++ b/tests/codecs/test_peers_thrift.py
@@ -23,15 +23,13 @@
     def make_entry(n):
         return Entry(f"entry-{n}", "10.11.12.13", 8082, 1_780_000_000_000, n, False)
 
+    load = (2, 1, 3, 1.5, False, 200.0)
     return Heartbeat(
         make_entry(0),
         28_000,
         Stamp(1_780_000_000_123, 4),
         tuple(make_entry(n) for n in range(1, members + 1)),
-        tuple(
-            LoadSample(f"status-board-{n}", 2, 1, 3, 1.5, False, 200.0)
-            for n in range(samples)
-        ),
+        tuple(LoadSample(f"status-board-{n}", *load) for n in range(samples)),
         (PermitWish("entry-0", "long", "archive-depot-1"),),
     )
 
--- a/tests/decisions/test_admission.py
+++ b/tests/decisions/test_admission.py
@@ -38,9 +38,8 @@
     assert late == NotAdmitted("deadline-too-near")
     # An earlier deadline is served before them.
     assert queue.offer(21, now_ms + 50.0, 5.0, now_ms) == Queued()
-    assert queue.offer(22, now_ms + 3.0, 5.0, now_ms) == NotAdmitted(
-        "deadline-too-near"
-    )
+    late = queue.offer(22, now_ms + 3.0, 5.0, now_ms)
+    assert late == NotAdmitted("deadline-too-near")
 
 
 def test_burst_after_a_quiet_time_is_not_refused():
--- a/tests/decisions/test_membership.py
+++ b/tests/decisions/test_membership.py
@@ -60,10 +60,8 @@
 
 def test_lonely_instance_asks_its_contacts():
     """Guards against a new instance that waits to be found."""
-    assert pick_targets({}, ("a:1", "b:2"), 2, 0, Random(1)) in (
-        ("a:1", "b:2"),
-        ("b:2", "a:1"),
-    )
+    targets = pick_targets({}, ("a:1", "b:2"), 2, 0, Random(1))
+    assert targets in (("a:1", "b:2"), ("b:2", "a:1"))
 
 
 def test_silent_instances_are_not_relayed():
