--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -10,7 +10,6 @@
 from cuminhatch.decisions.configuration import (
     EMPTY_CONFIGURATION,
     BackendServer,
-    Configuration,
     ServiceSpec,
 )
 from cuminhatch.kernel import Kernel
@@ -33,6 +32,7 @@
 from tests.support import Recorder, settle
 
 OK = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 TIMEOUT_MS = 1000.0
 
 
@@ -139,12 +139,7 @@
         (OK + b"surplus", b"ok", False),
         (OK + OK, b"ok", False),
         (OK.replace(b"OK\r\n", b"OK\r\nConnection: close\r\n"), b"ok", False),
-        (
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            b"1\r\no\r\n1;x=y\r\nk\r\n0\r\nX: y\r\n\r\n",
-            b"ok",
-            True,
-        ),
+        (CHUNKED + b"1\r\no\r\n1;x=y\r\nk\r\n0\r\nX: y\r\n\r\n", b"ok", True),
     ],
 )
 def test_whole_response_is_reported(pool, peer, data, body, is_kept, step):
@@ -164,7 +159,7 @@
     [
         (b"HTTP/1.1 200 OK\r\n\r\nabc", True),
         (b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", False),
-        (b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", False),
+        (CHUNKED + b"3\r\nabc\r\n", False),
         (b"HTTP/1.1 200 OK\r\nContent-Le", False),
         (b"", False),
     ],
@@ -297,11 +292,10 @@
     """Guards against more connections than a server's share for one daemon."""
     pool = Pool()
     server = BackendServer("server", "s", *pool.address, "a", 3, 48)
-    configuration = Configuration(
-        1,
-        MappingProxyType({"s": ServiceSpec("s")}),
-        MappingProxyType({"server": server}),
-        MappingProxyType({}),
+    configuration = EMPTY_CONFIGURATION._replace(
+        sequence=1,
+        services=MappingProxyType({"s": ServiceSpec("s")}),
+        servers=MappingProxyType({"server": server}),
     )
     pool.send(ConfigurationChanged(configuration))
     first, second = pool.request(), pool.request()
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -99,6 +99,19 @@
     return sent
 
 
+def read_body(client, peer):
+    """Read one answer by another parser and return its body."""
+    body = b""
+    while type(event := client.next_event()) is not h11.EndOfMessage:
+        if event is h11.NEED_DATA:
+            peer.run_until(lambda: peer.received)
+            client.receive_data(peer.received)
+            peer.received = b""
+        elif type(event) is h11.Data:
+            body += event.data
+    return body
+
+
 def answers_in(data):
     return [int(n) for n in re.findall(rb"x-answer: (\d+)", data)]
 
@@ -123,17 +136,7 @@
             data += client.send(h11.Data(body[:2])) + client.send(h11.Data(body[2:]))
         data += client.send(h11.EndOfMessage())
         peer.send(data, step)
-        events = []
-        while type(events[-1:][0] if events else None) is not h11.EndOfMessage:
-            event = client.next_event()
-            if event is h11.NEED_DATA:
-                peer.run_until(lambda: peer.received)
-                client.receive_data(peer.received)
-                peer.received = b""
-            else:
-                events.append(event)
-        got = b"".join(e.data for e in events if type(e) is h11.Data)
-        assert got == (b"" if method == "HEAD" else body or b"")
+        assert read_body(client, peer) == (b"" if method == "HEAD" else body or b"")
         assert port.answers.heads[-1].headers == ((b"host", b"a"),)
         client.start_next_cycle()
     assert len(port.answers.heads) == 2
@@ -317,11 +320,7 @@
     client = h11.Connection(h11.CLIENT)
     client.send(h11.Request(method="GET", target="/", headers=[("Host", "a")]))
     client.send(h11.EndOfMessage())
-    client.receive_data(peer.received)
-    body = b""
-    while type(event := client.next_event()) is not h11.EndOfMessage:
-        body += getattr(event, "data", b"")
-    assert body == BIG[:WRITE_HIGH_BYTES] * parts + b"the end"
+    assert read_body(client, peer) == BIG[:WRITE_HIGH_BYTES] * parts + b"the end"
 
 
 def test_pipelining_caller_that_does_not_read_is_bounded(port):
@@ -416,9 +415,7 @@
 def test_callers_above_the_limit_wait_for_a_place():
     """Guards against more connections than the memory is meant for."""
     port = Port(connections=2)
-    peers = [port.connect() for _ in range(3)]
-    for peer in peers:
-        peer.send(GET % 1)
+    peers = [port.connect(GET % 1) for _ in range(3)]
     settle(port.kernel)
     assert port.listener.connection_count == 2
     assert port.answers.count(RequestReceived) == 2
