--- a/tests/services/_loopback.py
+++ b/tests/services/_loopback.py
@@ -13,7 +13,6 @@
     RequestReceived,
     ResponseStarted,
 )
-from tests.support import settle as settle
 
 MAX_TICKS = 3000
 TICK_S = 0.01
