--- a/tests/codecs/test_note_toml.py
+++ b/tests/codecs/test_note_toml.py
@@ -23,6 +23,7 @@
 from cuminhatch.decisions.notes import AcceptedNote, check_note
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+BLUE_MAHOE = {"status-board": 10, "dispatch-ledger": 6, "archive-depot": 10}
 HEAD = 'id = "n1"\nauthor = "rhea"\nsummary = "s"\n'
 
 
@@ -79,8 +80,7 @@
 
 
 @pytest.mark.parametrize(
-    "value",
-    [None, {}, {"sequence": "1"}, {"sequence": 1, "note": {"id": 3}}],
+    "value", [None, {}, {"sequence": "1"}, {"sequence": 1, "note": {"id": 3}}]
 )
 def test_malformed_row_is_a_codec_error(value):
     """Guards against a malformed row that ends the replay unexplained."""
@@ -111,11 +111,7 @@
 @pytest.mark.parametrize(
     ("name", "first_port", "counts"),
     [
-        (
-            "blue-mahoe.toml",
-            9101,
-            {"status-board": 10, "dispatch-ledger": 6, "archive-depot": 10},
-        ),
+        ("blue-mahoe.toml", 9101, BLUE_MAHOE),
         ("macaulay.toml", 9201, {"stockd": 14, "tillbox": 9, "reelhouse": 14}),
     ],
 )
--- a/tests/services/_loopback.py
+++ b/tests/services/_loopback.py
@@ -73,11 +73,6 @@
     raise AssertionError("the condition was never met")
 
 
-def settle(kernel, count=10):
-    for _ in range(count):
-        kernel.tick(0)
-
-
 class Answers(Service):
     """Records what a listener passes on; echoes each complete request."""
 
