--- a/tests/proofs/test_bounded_resources.py
+++ b/tests/proofs/test_bounded_resources.py
@@ -12,7 +12,7 @@
     NoteTransfer,
 )
 from tests.proofs.fakes_table import Recorder
-from tests.services._loopback import settle
+from tests.support import settle
 
 
 def make_transfer():
--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -32,7 +32,8 @@
 from cuminhatch.services.peers import Peers
 from cuminhatch.services.supervisor import Supervisor
 from tests.proofs.dispatch_world import World, make_server
-from tests.services._loopback import Answers, connect, run_until, settle
+from tests.services._loopback import Answers, connect, run_until
+from tests.support import settle
 
 PROOF = settings(
     derandomize=True,
