--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -52,7 +52,8 @@
 
 LISTEN_BACKLOG = 512
 ACCEPTS_PER_EVENT = 64
-MAX_CONNECTIONS = 4000
+# With 64 KB of unsent answer each, 128 MB of the daemon's 256 MB.
+MAX_CONNECTIONS = 2000
 # Above this the source of an answer is paused; the daemon's whole memory is
 # 256 MB.
 WRITE_HIGH_BYTES = 64 * 1024
