Let a complete operators' request wait for its reply

The limit of 10 s for a request to arrive also ran while a submission waited for the table service, whose own limit is 10 s, so the submitter could be cut off just before the outcome was known. The limit ends with the request now. The new test fails without the change.

--- a/src/cuminhatch/services/operators.py
+++ b/src/cuminhatch/services/operators.py
@@ -157,6 +157,10 @@
         # The HTTP component forgets whole requests only.
         self.http._buffers.pop(sock, None)
 
+    def begin_answer(self, sock: socket) -> None:
+        """Let a complete request wait for its answer without a limit."""
+        self._kernel.cancel(self._timers.pop(sock, None))
+
     def finish_request(self, sock: socket) -> None:
         """Allow the client another request."""
         if sock in self._received:
@@ -248,6 +252,8 @@
     @handler("request", channel=WEB_CHANNEL, priority=1)
     def _on_request(self, event: Any, request: Request, response: Response) -> bool:
         event.stop()
+        # Other services bound the time of their replies.
+        self._web.begin_answer(request.sock)
         waiting = _Waiting(request, response)
         try:
             answer = self._route(waiting)
--- a/tests/services/test_operators.py
+++ b/tests/services/test_operators.py
@@ -167,6 +167,19 @@
     assert pump(kernel, slow) is None
 
 
+def test_complete_request_waits_for_a_late_reply(kernel):
+    """Guards against a submitter cut off just before the outcome is known."""
+    part(kernel, "notes").replies.clear()
+    with connect(kernel) as sock:
+        head = f"POST /notes HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n"
+        sock.sendall(f"{head}Content-Length: {len(NOTE)}\r\n\r\n".encode() + NOTE)
+        assert pump(kernel, sock) == b""
+        kernel.clock.advance(REQUEST_LIMIT_MS)
+        assert pump(kernel, sock) == b""
+        kernel.send("operators", NoteDecided(1, NoteAccepted(1, False)))
+        assert b"accepted" in pump(kernel, sock)
+
+
 def test_clients_and_bytes_are_bounded(kernel):
     """Guards against memory and descriptors that a stranger can use up."""
     sock = connect(kernel)
