--- a/src/cuminhatch/messages/peers.py
+++ b/src/cuminhatch/messages/peers.py
@@ -10,7 +10,8 @@
     What is known of the load of a backend server.
 
     ``observed_ms`` is monotonic time of this process; ``latency_ms`` is that
-    of the probe, 0 if there was none; ``source`` is ``probe`` or ``peer``.
+    of the probe, 0 if there was none; ``source`` is ``probe``, ``answer`` or
+    ``peer``.
     """
 
     server_id: str
--- a/src/cuminhatch/services/dispatch/_attempt_answers.py
+++ b/src/cuminhatch/services/dispatch/_attempt_answers.py
@@ -2,11 +2,18 @@
 
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.leaving import after_observation
-from cuminhatch.decisions.servers import LoadReport, note_answer, note_report, note_shed
+from cuminhatch.decisions.servers import (
+    LoadReport,
+    ServerView,
+    note_answer,
+    note_report,
+    note_shed,
+)
 from cuminhatch.messages import (
     AttemptBody,
     AttemptResponse,
     ClaimAnswered,
+    LoadObserved,
     ResponseBody,
 )
 from cuminhatch.services.dispatch._admission_queues import refresh_view, start_waiting
@@ -60,6 +67,7 @@
         note_report(view, LoadReport(*facts.load, now_ms))
     if facts.is_draining:
         view.signs = after_observation(view.signs, True, now_ms)
+        share_leaving(state, view, facts, now_ms)
     if facts.is_shed:
         note_shed(view, now_ms)
         state.telemetry.count("shed_total", {"server": view.server.server_id})
@@ -74,6 +82,18 @@
     note_answer(view, latency_ms, not record.is_long, now_ms)
 
 
+def share_leaving(
+    state: DispatchState, view: ServerView, facts: ResponseFacts, now_ms: float
+) -> None:
+    """Tell the other instances, which may not call the server themselves."""
+    server = view.server
+    in_flight, queued, slots = facts.load or (view.in_flight, 0, server.slots)
+    observed = LoadObserved(
+        server.server_id, in_flight, queued, slots, 0.0, True, now_ms, "answer"
+    )
+    state.send("peers", observed)
+
+
 def forward_head(
     state: DispatchState,
     record: RequestRecord,
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -422,12 +422,14 @@
 
 def test_draining_server_keeps_its_work_and_gets_nothing_new(make_world):
     """Guards against new work for a server that is leaving."""
-    world = make_world(servers=2)
+    world = make_world("peers", servers=2)
     world.request("pull")
     (first,) = world.attempts()
     head = ResponseHead(200, b"", (Header(b"server-state", b"draining"),))
     world.tell(AttemptResponse(first.attempt_id, head, 2, b"o", False))
     assert world.take("backends") == []
+    [shared] = world.take("peers", LoadObserved)
+    assert (shared.server_id, shared.is_leaving) == (first.server_id, True)
     for _ in range(3):
         world.request("read")
     assert first.server_id not in {a.server_id for a in world.attempts()}
