--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -12,6 +12,7 @@
 from bench.control import count_probes, measure_control
 from bench.crest import measure_capacity, measure_crest
 from bench.fleet import Fleet, open_fleet
+from bench.plots import draw_series
 from bench.sizes import DEPLOYMENTS, SINGLE, Deployment, write_note
 from bench.table import Row, format_table
 from cuminhatch.decisions.choice import BASELINES, POWER_OF_D
@@ -35,6 +36,7 @@
 )
 SECONDS = flags.DEFINE_float("seconds", 2.0, "Length of each phase.", lower_bound=0.5)
 SEED = flags.DEFINE_integer("seed", 1, "Seed of the arrivals.")
+PLOTS = flags.DEFINE_string("plots", None, "Directory for plots of the crest as SVG.")
 JSON = flags.DEFINE_string("json", None, "File for the rows as JSON.")
 
 
@@ -50,6 +52,7 @@
     :param seed: seed of the arrivals.
     """
     rows: list[Row] = []
+    series: dict[str, dict[str, int]] = {}
     with open_fleet(BASE_PORTS[deployment.name]) as fleet:
         callers = _start(deployment, fleet)
         time.sleep(SETTLE_S)
@@ -75,13 +78,18 @@
             place = (deployment, fleet, policy, callers[policy])
             if "crest" in measures:
                 _report(f"{deployment.name}: crest, {policy}")
-                rows += measure_crest(*place, seconds, seed)
+                rows += measure_crest(*place, seconds, seed, series)
             if "blocking" in measures:
                 _report(f"{deployment.name}: blocking, {policy}")
                 rows += measure_blocking(*place, seconds, seed)
                 rows += measure_uneven(*place, seconds, seed)
         if "probes" in measures:
             rows += count_probes(deployment, fleet)
+    if PLOTS.value and series:
+        directory = Path(PLOTS.value)
+        directory.mkdir(parents=True, exist_ok=True)
+        svg = draw_series(deployment.name, series, deployment.capacity)
+        (directory / f"crest-{deployment.name}.svg").write_text(svg)
     return rows
 
 
--- a/bench/crest.py
+++ b/bench/crest.py
@@ -47,6 +47,7 @@
     callers: list[str],
     seconds: float,
     seed: int,
+    series: dict[str, dict[str, int]],
 ) -> list[Row]:
     """
     Raise the load to three times the capacity and lower it again.
@@ -57,12 +58,14 @@
     :param callers: their ports.
     :param seconds: length of each of the three phases.
     :param seed: seed of the arrivals.
+    :param series: gets the useful answers per bucket of this policy.
     """
     loads = (USUAL_LOAD, CREST_LOAD, USUAL_LOAD)
     phases: list[Phase] = [
         {"seconds": seconds, "rate": deployment.capacity * load} for load in loads
     ]
     report = run_streams(fleet, [short_stream(callers, phases)], seed)["short"]
+    series[policy] = report["useful_per_bucket"]
     rows = []
     for number, name in enumerate(("before", "during", "after")):
         rate = _useful_rate(report, seconds * number, seconds * (number + 1))
