Decode accepted notes in one place; drop code that nothing calls

The notes of a peer had a decoder of their own beside that of table rows, and it let a KeyError through for a reply without a note; both use the checks of rows now. An unused constant goes too.

--- a/src/cuminhatch/codecs/configuration_json.py
+++ b/src/cuminhatch/codecs/configuration_json.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from cuminhatch.codecs.note_json import note_from_dict, note_to_dict
+from cuminhatch.codecs.note_json import accepted_from_row, note_to_dict
 from cuminhatch.decisions.configuration import Configuration
 from cuminhatch.decisions.notes import AcceptedNote
 from cuminhatch.errors import CodecError
@@ -58,8 +58,6 @@
     :raises CodecError: the data is not such JSON.
     """
     try:
-        value = orjson.loads(data)
-        sequence = int(value["sequence"])
-    except (orjson.JSONDecodeError, KeyError, TypeError, ValueError) as error:
-        raise CodecError(f"not an accepted note: {error!r}") from error
-    return AcceptedNote(sequence, note_from_dict(value["note"]))
+        return accepted_from_row(orjson.loads(data))
+    except orjson.JSONDecodeError as error:
+        raise CodecError(f"not an accepted note: {error}") from error
--- a/src/cuminhatch/decisions/leaving.py
+++ b/src/cuminhatch/decisions/leaving.py
@@ -1,6 +1,5 @@
-"""Whether a backend server, or this daemon, is leaving."""
+"""Whether a backend server is leaving."""
 
-from enum import StrEnum
 from typing import NamedTuple
 
 # One refused connection may be a full listen queue; several in a row mean
@@ -79,43 +78,3 @@
     :returns: the signs, with one refused connection less.
     """
     return signs._replace(refused_count=max(0, signs.refused_count - 1))
-
-
-class DrainPhase(StrEnum):
-    """Where a daemon is on its way out."""
-
-    SERVING = "serving"
-    ANNOUNCING = "announcing"
-    DRAINING = "draining"
-    ENDED = "ended"
-
-
-class DrainState(NamedTuple):
-    """
-    The drain of this daemon.
-
-    ``requested_ms`` is None while no drain is requested; ``announce_ms`` and
-    ``limit_ms`` are counted from it. ``in_flight`` counts requests.
-    """
-
-    requested_ms: float | None
-    announce_ms: float
-    limit_ms: float
-    in_flight: int
-
-
-def drain_phase(state: DrainState, now_ms: float) -> DrainPhase:
-    """
-    Return the phase of this daemon's drain.
-
-    :param state: the drain so far.
-    :param now_ms: current time.
-    """
-    if state.requested_ms is None:
-        return DrainPhase.SERVING
-    age_ms = now_ms - state.requested_ms
-    if age_ms >= state.limit_ms:
-        return DrainPhase.ENDED
-    if age_ms < state.announce_ms:
-        return DrainPhase.ANNOUNCING
-    return DrainPhase.DRAINING if state.in_flight else DrainPhase.ENDED
--- a/src/cuminhatch/services/dispatch/service.py
+++ b/src/cuminhatch/services/dispatch/service.py
@@ -140,7 +140,7 @@
 
     @property
     def request_count(self) -> int:
-        """Return the requests in progress, for the drain of the daemon."""
+        """Return how many requests are in progress."""
         return len(self._state.requests)
 
     def in_flight_of(self, server_id: str) -> int:
--- a/src/cuminhatch/services/operators.py
+++ b/src/cuminhatch/services/operators.py
@@ -47,7 +47,6 @@
 
 WEB_CHANNEL = "web"
 JSON_TYPE = "application/json"
-TEXT_TYPE = "text/plain"
 MAX_CLIENTS = 64
 READ_BYTES = 64 * 1024
 # A note of the largest configuration (20,000 backend servers, about 150
--- a/tests/decisions/test_leaving.py
+++ b/tests/decisions/test_leaving.py
@@ -1,14 +1,11 @@
-"""Tests of the signs of leaving and of this daemon's drain."""
+"""Tests of the signs that a backend server is leaving."""
 
 import pytest
 
 from cuminhatch.decisions.leaving import (
     NO_SIGNS,
-    DrainPhase,
-    DrainState,
     after_observation,
     after_pause,
-    drain_phase,
     is_server_leaving,
 )
 
@@ -50,15 +47,3 @@
     """Guards against a restarted server that never gets work again."""
     signs = NO_SIGNS._replace(refused_count=2)
     assert not is_server_leaving(after_pause(signs))
-
-
-def test_drain_phases():
-    """Guards against refusing callers while the list still names us."""
-    idle = DrainState(None, 2000.0, 10_000.0, 0)
-    assert drain_phase(idle, 99.0) is DrainPhase.SERVING
-    busy = DrainState(1000.0, 2000.0, 10_000.0, 3)
-    empty = busy._replace(in_flight=0)
-    assert drain_phase(empty, 2999.0) is DrainPhase.ANNOUNCING
-    assert drain_phase(busy, 3000.0) is DrainPhase.DRAINING
-    assert drain_phase(empty, 3000.0) is DrainPhase.ENDED
-    assert drain_phase(busy, 11_000.0) is DrainPhase.ENDED
