--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -47,3 +47,46 @@
 struct NotesReply {
   1: list<binary> notes
 }
+
+struct CatalogMember {
+  1: string instance_id
+  2: string host
+  3: i32 port
+}
+
+struct ServerRegistration {
+  1: string server_id
+  2: string service_id
+  3: string host
+  4: i32 port
+  5: string failure_domain
+  6: i32 slots
+  7: i32 connections
+  8: bool is_draining
+  9: i32 warmup_left_ms
+  10: i64 started_ms
+  11: i64 row_version
+}
+
+struct CatalogNews {
+  1: CatalogMember sender
+  2: i64 previous_version
+  3: i64 version
+  4: i64 configuration_version
+  5: list<ServerRegistration> changed
+  6: list<string> removed_ids
+  7: bool is_pull_needed
+}
+
+struct Greeting {
+  1: CatalogMember sender
+  2: list<CatalogMember> members
+  3: bool is_reply_wanted
+}
+
+struct CatalogState {
+  1: i64 version
+  2: list<ServerRegistration> registrations
+  3: i64 configuration_version
+  4: binary configuration
+}
--- /dev/null
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -0,0 +1,209 @@
+"""Messages between daemons about registered servers and the configuration."""
+
+from typing import Any, NamedTuple
+
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from cuminhatch.codecs.gen.peers.ttypes import (
+    CatalogMember as ThriftMember,
+    CatalogNews as ThriftNews,
+    CatalogState as ThriftState,
+    Greeting as ThriftGreeting,
+    ServerRegistration as ThriftRegistration,
+)
+from cuminhatch.codecs.signing import PeerMessageError, check_payload, sign_payload
+from cuminhatch.decisions.catalog import CatalogChange, Registration
+from cuminhatch.decisions.configuration import BackendServer
+
+_FACTORY = TCompactProtocolAcceleratedFactory()
+
+
+class CatalogMember(NamedTuple):
+    """An instance, and where the others reach it."""
+
+    instance_id: str
+    host: str
+    port: int
+
+
+class CatalogNews(NamedTuple):
+    """
+    What a reading of the store has shown.
+
+    ``is_pull_needed`` tells that the change is too long for a datagram and
+    has to be pulled as a whole.
+    """
+
+    sender: CatalogMember
+    change: CatalogChange
+    configuration_version: int
+    is_pull_needed: bool
+
+
+class Greeting(NamedTuple):
+    """An instance introduces itself and the others that it knows."""
+
+    sender: CatalogMember
+    members: tuple[CatalogMember, ...]
+    is_reply_wanted: bool
+
+
+class CatalogState(NamedTuple):
+    """
+    All that an instance knows of the catalog.
+
+    ``configuration`` is the document as stored, empty where the receiver
+    knows that version.
+    """
+
+    version: int
+    registrations: tuple[Registration, ...]
+    configuration_version: int
+    configuration: bytes
+
+
+CatalogMessage = CatalogNews | Greeting | CatalogState
+
+
+def _registration_to_thrift(registration: Registration) -> ThriftRegistration:
+    server = registration.server
+    return ThriftRegistration(
+        server.server_id,
+        server.service_id,
+        server.host,
+        server.port,
+        server.failure_domain,
+        server.slots,
+        server.connections,
+        server.is_draining,
+        int(server.warmup_left_ms),
+        server.started_ms,
+        registration.row_version,
+    )
+
+
+def _registration_from_thrift(data: ThriftRegistration) -> Registration:
+    server = BackendServer(
+        data.server_id,
+        data.service_id,
+        data.host,
+        data.port,
+        data.failure_domain,
+        data.slots,
+        data.connections,
+        data.is_draining,
+        float(data.warmup_left_ms),
+        data.started_ms,
+    )
+    return Registration(server, data.row_version)
+
+
+def _member_from_thrift(data: ThriftMember) -> CatalogMember:
+    return CatalogMember(data.instance_id, data.host, data.port)
+
+
+def _news_to_thrift(message: CatalogNews) -> ThriftNews:
+    change = message.change
+    return ThriftNews(
+        ThriftMember(*message.sender),
+        change.previous_version,
+        change.version,
+        message.configuration_version,
+        [_registration_to_thrift(item) for item in change.changed],
+        list(change.removed_ids),
+        message.is_pull_needed,
+    )
+
+
+def _news_from_thrift(data: ThriftNews) -> CatalogNews:
+    change = CatalogChange(
+        data.previous_version,
+        data.version,
+        tuple(_registration_from_thrift(item) for item in data.changed),
+        tuple(data.removed_ids),
+    )
+    return CatalogNews(
+        _member_from_thrift(data.sender),
+        change,
+        data.configuration_version,
+        data.is_pull_needed,
+    )
+
+
+def _greeting_to_thrift(message: Greeting) -> ThriftGreeting:
+    return ThriftGreeting(
+        ThriftMember(*message.sender),
+        [ThriftMember(*member) for member in message.members],
+        message.is_reply_wanted,
+    )
+
+
+def _greeting_from_thrift(data: ThriftGreeting) -> Greeting:
+    return Greeting(
+        _member_from_thrift(data.sender),
+        tuple(_member_from_thrift(member) for member in data.members),
+        data.is_reply_wanted,
+    )
+
+
+def _state_to_thrift(message: CatalogState) -> ThriftState:
+    return ThriftState(
+        message.version,
+        [_registration_to_thrift(item) for item in message.registrations],
+        message.configuration_version,
+        message.configuration,
+    )
+
+
+def _state_from_thrift(data: ThriftState) -> CatalogState:
+    return CatalogState(
+        data.version,
+        tuple(_registration_from_thrift(item) for item in data.registrations),
+        data.configuration_version,
+        data.configuration,
+    )
+
+
+_WRITERS: dict[type, tuple[int, Any]] = {
+    CatalogNews: (16, _news_to_thrift),
+    Greeting: (17, _greeting_to_thrift),
+    CatalogState: (18, _state_to_thrift),
+}
+_READERS: dict[int, tuple[Any, Any]] = {
+    16: (ThriftNews, _news_from_thrift),
+    17: (ThriftGreeting, _greeting_from_thrift),
+    18: (ThriftState, _state_from_thrift),
+}
+
+
+def encode_message(message: CatalogMessage, key: bytes) -> bytes:
+    """
+    Encode a message and put its HMAC in front.
+
+    :param message: message to encode.
+    :param key: key shared by all daemons.
+    """
+    kind, convert = _WRITERS[type(message)]
+    payload = bytes([kind]) + serialize(convert(message), _FACTORY)
+    return sign_payload(payload, key)
+
+
+def decode_message(data: bytes, key: bytes) -> CatalogMessage:
+    """
+    Check the HMAC and decode a message.
+
+    :param data: bytes as received.
+    :param key: key shared by all daemons.
+    :raises PeerMessageError: the HMAC does not match or the rest is broken.
+    """
+    payload = check_payload(data, key)
+    reader = _READERS.get(payload[0])
+    if reader is None:
+        raise PeerMessageError(f"unknown kind of message {payload[0]}")
+    make, convert = reader
+    try:
+        return convert(deserialize(make(), payload[1:], _FACTORY))
+    except Exception as error:
+        # The protocol classes raise many kinds of errors on broken input.
+        raise PeerMessageError("malformed message") from error
--- a/src/cuminhatch/codecs/gen/peers/ttypes.py
+++ b/src/cuminhatch/codecs/gen/peers/ttypes.py
@@ -612,6 +612,581 @@
 
     def __ne__(self, other):
         return not (self == other)
+
+
+class CatalogMember(object):
+    """
+    Attributes:
+     - instance_id
+     - host
+     - port
+
+    """
+
+
+    def __init__(self, instance_id=None, host=None, port=None,):
+        self.instance_id = instance_id
+        self.host = host
+        self.port = port
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.instance_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CatalogMember')
+        if self.instance_id is not None:
+            oprot.writeFieldBegin('instance_id', TType.STRING, 1)
+            oprot.writeString(self.instance_id.encode('utf-8') if sys.version_info[0] == 2 else self.instance_id)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 2)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 3)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServerRegistration(object):
+    """
+    Attributes:
+     - server_id
+     - service_id
+     - host
+     - port
+     - failure_domain
+     - slots
+     - connections
+     - is_draining
+     - warmup_left_ms
+     - started_ms
+     - row_version
+
+    """
+
+
+    def __init__(self, server_id=None, service_id=None, host=None, port=None, failure_domain=None, slots=None, connections=None, is_draining=None, warmup_left_ms=None, started_ms=None, row_version=None,):
+        self.server_id = server_id
+        self.service_id = service_id
+        self.host = host
+        self.port = port
+        self.failure_domain = failure_domain
+        self.slots = slots
+        self.connections = connections
+        self.is_draining = is_draining
+        self.warmup_left_ms = warmup_left_ms
+        self.started_ms = started_ms
+        self.row_version = row_version
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.service_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.port = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.slots = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.connections = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_draining = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.warmup_left_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.I64:
+                    self.started_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.I64:
+                    self.row_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServerRegistration')
+        if self.server_id is not None:
+            oprot.writeFieldBegin('server_id', TType.STRING, 1)
+            oprot.writeString(self.server_id.encode('utf-8') if sys.version_info[0] == 2 else self.server_id)
+            oprot.writeFieldEnd()
+        if self.service_id is not None:
+            oprot.writeFieldBegin('service_id', TType.STRING, 2)
+            oprot.writeString(self.service_id.encode('utf-8') if sys.version_info[0] == 2 else self.service_id)
+            oprot.writeFieldEnd()
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 3)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.port is not None:
+            oprot.writeFieldBegin('port', TType.I32, 4)
+            oprot.writeI32(self.port)
+            oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 5)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
+        if self.slots is not None:
+            oprot.writeFieldBegin('slots', TType.I32, 6)
+            oprot.writeI32(self.slots)
+            oprot.writeFieldEnd()
+        if self.connections is not None:
+            oprot.writeFieldBegin('connections', TType.I32, 7)
+            oprot.writeI32(self.connections)
+            oprot.writeFieldEnd()
+        if self.is_draining is not None:
+            oprot.writeFieldBegin('is_draining', TType.BOOL, 8)
+            oprot.writeBool(self.is_draining)
+            oprot.writeFieldEnd()
+        if self.warmup_left_ms is not None:
+            oprot.writeFieldBegin('warmup_left_ms', TType.I32, 9)
+            oprot.writeI32(self.warmup_left_ms)
+            oprot.writeFieldEnd()
+        if self.started_ms is not None:
+            oprot.writeFieldBegin('started_ms', TType.I64, 10)
+            oprot.writeI64(self.started_ms)
+            oprot.writeFieldEnd()
+        if self.row_version is not None:
+            oprot.writeFieldBegin('row_version', TType.I64, 11)
+            oprot.writeI64(self.row_version)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CatalogNews(object):
+    """
+    Attributes:
+     - sender
+     - previous_version
+     - version
+     - configuration_version
+     - changed
+     - removed_ids
+     - is_pull_needed
+
+    """
+
+
+    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None,):
+        self.sender = sender
+        self.previous_version = previous_version
+        self.version = version
+        self.configuration_version = configuration_version
+        self.changed = changed
+        self.removed_ids = removed_ids
+        self.is_pull_needed = is_pull_needed
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = CatalogMember()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.previous_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.LIST:
+                    self.changed = []
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ServerRegistration()
+                        _elem33.read(iprot)
+                        self.changed.append(_elem33)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.removed_ids = []
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed_ids.append(_elem39)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.is_pull_needed = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CatalogNews')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.previous_version is not None:
+            oprot.writeFieldBegin('previous_version', TType.I64, 2)
+            oprot.writeI64(self.previous_version)
+            oprot.writeFieldEnd()
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 3)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 4)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.changed is not None:
+            oprot.writeFieldBegin('changed', TType.LIST, 5)
+            oprot.writeListBegin(TType.STRUCT, len(self.changed))
+            for iter40 in self.changed:
+                iter40.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.removed_ids is not None:
+            oprot.writeFieldBegin('removed_ids', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRING, len(self.removed_ids))
+            for iter41 in self.removed_ids:
+                oprot.writeString(iter41.encode('utf-8') if sys.version_info[0] == 2 else iter41)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_pull_needed is not None:
+            oprot.writeFieldBegin('is_pull_needed', TType.BOOL, 7)
+            oprot.writeBool(self.is_pull_needed)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Greeting(object):
+    """
+    Attributes:
+     - sender
+     - members
+     - is_reply_wanted
+
+    """
+
+
+    def __init__(self, sender=None, members=None, is_reply_wanted=None,):
+        self.sender = sender
+        self.members = members
+        self.is_reply_wanted = is_reply_wanted
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = CatalogMember()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = CatalogMember()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.is_reply_wanted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Greeting')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter48 in self.members:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.is_reply_wanted is not None:
+            oprot.writeFieldBegin('is_reply_wanted', TType.BOOL, 3)
+            oprot.writeBool(self.is_reply_wanted)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CatalogState(object):
+    """
+    Attributes:
+     - version
+     - registrations
+     - configuration_version
+     - configuration
+
+    """
+
+
+    def __init__(self, version=None, registrations=None, configuration_version=None, configuration=None,):
+        self.version = version
+        self.registrations = registrations
+        self.configuration_version = configuration_version
+        self.configuration = configuration
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.registrations = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = ServerRegistration()
+                        _elem54.read(iprot)
+                        self.registrations.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.configuration = iprot.readBinary()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CatalogState')
+        if self.version is not None:
+            oprot.writeFieldBegin('version', TType.I64, 1)
+            oprot.writeI64(self.version)
+            oprot.writeFieldEnd()
+        if self.registrations is not None:
+            oprot.writeFieldBegin('registrations', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.registrations))
+            for iter55 in self.registrations:
+                iter55.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 3)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.configuration is not None:
+            oprot.writeFieldBegin('configuration', TType.STRING, 4)
+            oprot.writeBinary(self.configuration)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, value)
+             for key, value in self.__dict__.items()]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        return isinstance(other, self.__class__) and self.__dict__ == other.__dict__
+
+    def __ne__(self, other):
+        return not (self == other)
 all_structs.append(MemberEntry)
 MemberEntry.thrift_spec = (
     None,  # 0
@@ -662,5 +1237,53 @@
     None,  # 0
     (1, TType.LIST, 'notes', (TType.STRING, 'BINARY', False), None, ),  # 1
 )
+all_structs.append(CatalogMember)
+CatalogMember.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
+    (3, TType.I32, 'port', None, None, ),  # 3
+)
+all_structs.append(ServerRegistration)
+ServerRegistration.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'service_id', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'host', 'UTF8', None, ),  # 3
+    (4, TType.I32, 'port', None, None, ),  # 4
+    (5, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'slots', None, None, ),  # 6
+    (7, TType.I32, 'connections', None, None, ),  # 7
+    (8, TType.BOOL, 'is_draining', None, None, ),  # 8
+    (9, TType.I32, 'warmup_left_ms', None, None, ),  # 9
+    (10, TType.I64, 'started_ms', None, None, ),  # 10
+    (11, TType.I64, 'row_version', None, None, ),  # 11
+)
+all_structs.append(CatalogNews)
+CatalogNews.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [CatalogMember, None], None, ),  # 1
+    (2, TType.I64, 'previous_version', None, None, ),  # 2
+    (3, TType.I64, 'version', None, None, ),  # 3
+    (4, TType.I64, 'configuration_version', None, None, ),  # 4
+    (5, TType.LIST, 'changed', (TType.STRUCT, [ServerRegistration, None], False), None, ),  # 5
+    (6, TType.LIST, 'removed_ids', (TType.STRING, 'UTF8', False), None, ),  # 6
+    (7, TType.BOOL, 'is_pull_needed', None, None, ),  # 7
+)
+all_structs.append(Greeting)
+Greeting.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [CatalogMember, None], None, ),  # 1
+    (2, TType.LIST, 'members', (TType.STRUCT, [CatalogMember, None], False), None, ),  # 2
+    (3, TType.BOOL, 'is_reply_wanted', None, None, ),  # 3
+)
+all_structs.append(CatalogState)
+CatalogState.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'version', None, None, ),  # 1
+    (2, TType.LIST, 'registrations', (TType.STRUCT, [ServerRegistration, None], False), None, ),  # 2
+    (3, TType.I64, 'configuration_version', None, None, ),  # 3
+    (4, TType.STRING, 'configuration', 'BINARY', None, ),  # 4
+)
 fix_spec(all_structs)
 del all_structs
--- a/src/cuminhatch/codecs/note_json.py
+++ b/src/cuminhatch/codecs/note_json.py
@@ -11,6 +11,7 @@
     Configuration,
     Rule,
     ServiceSpec,
+    TrafficPart,
 )
 from cuminhatch.decisions.notes import AcceptedNote, Note, NoteItem
 from cuminhatch.errors import CodecError
@@ -167,9 +168,14 @@
                 for name, kind in (
                     ("services", ServiceSpec),
                     ("servers", BackendServer),
-                    ("rules", Rule),
+                    ("rules", _rule_from_list),
                 )
             ),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise CodecError(f"not a snapshot: {error!r}") from error
+
+
+def _rule_from_list(*fields: Any) -> Rule:
+    rule = Rule(*fields)
+    return rule._replace(parts=tuple(TrafficPart(*part) for part in rule.parts))
--- a/src/cuminhatch/codecs/peers_thrift.py
+++ b/src/cuminhatch/codecs/peers_thrift.py
@@ -6,8 +6,6 @@
 anything.
 """
 
-from hashlib import sha256
-from hmac import compare_digest, digest
 from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -21,11 +19,10 @@
     NotesReply as ThriftNotesReply,
     PermitWish as ThriftPermitWish,
 )
+from cuminhatch.codecs.signing import PeerMessageError, check_payload, sign_payload
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import Entry
-from cuminhatch.errors import CodecError
 
-MAC_BYTES = 32
 # Fits an Ethernet frame, so that datagrams are not fragmented.
 MAX_DATAGRAM_BYTES = 1_400
 US_PER_MS = 1000.0
@@ -33,10 +30,6 @@
 _FACTORY = TCompactProtocolAcceleratedFactory()
 
 
-class PeerMessageError(CodecError):
-    """A message of another daemon is forged, broken or of another kind."""
-
-
 class LoadSample(NamedTuple):
     """Load of a backend server as probed ``age_ms`` ago."""
 
@@ -168,7 +161,7 @@
     """
     kind, convert, _ = _KINDS[type(message)]
     payload = bytes([kind]) + serialize(convert(message), _FACTORY)
-    return digest(key, payload, sha256) + payload
+    return sign_payload(payload, key)
 
 
 def decode_message(data: bytes, key: bytes) -> PeerMessage:
@@ -179,11 +172,7 @@
     :param key: key shared by all daemons.
     :raises PeerMessageError: the HMAC does not match or the rest is broken.
     """
-    payload = data[MAC_BYTES:]
-    if not payload or not compare_digest(
-        digest(key, payload, sha256), data[:MAC_BYTES]
-    ):
-        raise PeerMessageError("HMAC does not match")
+    payload = check_payload(data, key)
     reader = _READERS.get(payload[0])
     if reader is None:
         raise PeerMessageError(f"unknown kind of message {payload[0]}")
--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -16,14 +16,27 @@
     from cuminhatch.decisions.notes import AcceptedNote
 
 
+class TrafficPart(NamedTuple):
+    """A service that takes a share of the requests of a rule."""
+
+    service_id: str
+    weight: float
+
+
 class Rule(NamedTuple):
     """
     How requests of one kind are served.
 
-    A rule matches a request by method (``*`` for any) and by the longest
-    path prefix. ``work_class`` is ``short`` or ``long``. ``deadline_ms`` is
-    used where the caller gives none. ``response_timeout_ms`` bounds the wait
-    for the next part of a response.
+    A rule matches a request by host (empty for any), by method (``*`` for
+    any) and by the longest path prefix. ``work_class`` is ``short`` or
+    ``long``. ``deadline_ms`` is used where the caller gives none.
+    ``response_timeout_ms`` bounds the wait for the next part of a response.
+
+    ``parts`` divide the requests between several services in place of
+    ``service_id``. ``timeout_ms`` is the longest wait of a caller for the
+    answer, None for as long as the caller waits; an answer within
+    ``target_latency_ms`` is worth most. ``priority`` 0 is the highest.
+    ``servers_max`` bounds the backend servers that one request is sent to.
     """
 
     rule_id: str
@@ -34,6 +47,12 @@
     is_idempotent: bool = True
     deadline_ms: float = 2000.0
     response_timeout_ms: float = 1000.0
+    host: str = ""
+    parts: tuple[TrafficPart, ...] = ()
+    timeout_ms: float | None = None
+    target_latency_ms: float = 1000.0
+    priority: int = 0
+    servers_max: int = 3
 
 
 class ServiceSpec(NamedTuple):
@@ -50,10 +69,17 @@
     probe_rate: float = 2.0
     long_slots: int = 0
     slow_start_ms: float = 5000.0
+    health_path: str = "/health"
 
 
 class BackendServer(NamedTuple):
-    """One backend server of a service."""
+    """
+    One backend server of a service.
+
+    ``warmup_left_ms`` is how much longer it is slow after its start.
+    ``started_ms`` is the wall-clock time of its start, 0 if it is not known;
+    a server that starts again under its id has a later one.
+    """
 
     server_id: str
     service_id: str
@@ -62,15 +88,33 @@
     failure_domain: str
     slots: int
     connections: int
+    is_draining: bool = False
+    warmup_left_ms: float = 0.0
+    started_ms: int = 0
+
+
+class CallerLimits(NamedTuple):
+    """What callers may send, and how long they may take or stay idle."""
+
+    head_bytes: int
+    body_bytes: int
+    head_ms: float
+    idle_ms: float
 
 
 class Configuration(NamedTuple):
-    """All services, backend servers and rules in force."""
+    """
+    All services, backend servers and rules in force.
+
+    ``caller_limits`` is None where the limits of the listener's own settings
+    hold.
+    """
 
     sequence: int
     services: MappingProxyType[str, ServiceSpec]
     servers: MappingProxyType[str, BackendServer]
     rules: MappingProxyType[str, Rule]
+    caller_limits: CallerLimits | None = None
 
 
 EMPTY_CONFIGURATION = Configuration(
--- a/src/cuminhatch/messages/requests.py
+++ b/src/cuminhatch/messages/requests.py
@@ -94,6 +94,7 @@
     A request is answered by cuminhatch itself.
 
     ``trace_id`` is the value of ``X-Request-Id``, empty to leave it out.
+    ``retry_after_ms`` is when the caller may come back, None to leave it out.
     """
 
     request_id: int
@@ -101,6 +102,7 @@
     outcome: Outcome
     reason: str
     trace_id: bytes = b""
+    retry_after_ms: float | None = None
 
 
 class RequestReadPaused(NamedTuple):
--- a/src/cuminhatch/services/__init__.py
+++ b/src/cuminhatch/services/__init__.py
@@ -1,20 +1,32 @@
-"""Services: tasks that own sockets and state and talk by messages."""
+"""
+Services: tasks that own sockets and state and talk by messages.
 
-from cuminhatch.services.backends import BackendConnections
-from cuminhatch.services.claims import Claims
-from cuminhatch.services.dispatch import Dispatch
-from cuminhatch.services.http_client import HttpClient
-from cuminhatch.services.http_listener import HttpListener
-from cuminhatch.services.metrics import Metrics
-from cuminhatch.services.note_transfer import NoteTransfer
-from cuminhatch.services.notes import Notes
-from cuminhatch.services.operators import Operators
-from cuminhatch.services.peers import Peers
-from cuminhatch.services.permits import Permits
-from cuminhatch.services.platform import Platform, PlatformAddresses, PlatformTimeouts
-from cuminhatch.services.probes import Probes
-from cuminhatch.services.supervisor import Supervisor
-from cuminhatch.services.timeline import Timeline
+Each is imported when it is first asked for: a daemon loads only the services
+that it registers, which saves memory and time at its start.
+"""
+
+from importlib import import_module
+from typing import Any
+
+_MODULES = {
+    "BackendConnections": "cuminhatch.services.backends",
+    "Claims": "cuminhatch.services.claims",
+    "Dispatch": "cuminhatch.services.dispatch",
+    "HttpClient": "cuminhatch.services.http_client",
+    "HttpListener": "cuminhatch.services.http_listener",
+    "Metrics": "cuminhatch.services.metrics",
+    "NoteTransfer": "cuminhatch.services.note_transfer",
+    "Notes": "cuminhatch.services.notes",
+    "Operators": "cuminhatch.services.operators",
+    "Peers": "cuminhatch.services.peers",
+    "Permits": "cuminhatch.services.permits",
+    "Platform": "cuminhatch.services.platform",
+    "PlatformAddresses": "cuminhatch.services.platform",
+    "PlatformTimeouts": "cuminhatch.services.platform",
+    "Probes": "cuminhatch.services.probes",
+    "Supervisor": "cuminhatch.services.supervisor",
+    "Timeline": "cuminhatch.services.timeline",
+}
 
 __all__ = [
     "BackendConnections",
@@ -34,4 +46,11 @@
     "Probes",
     "Supervisor",
     "Timeline",
-]
+]  # noqa: F822
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(module), name)
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -0,0 +1,167 @@
+"""Starts and ends sends to backend servers, and passes on flow control."""
+
+from cuminhatch.codecs.dialect import Forwarding
+from cuminhatch.decisions.hedging import hedge_after_ms
+from cuminhatch.decisions.placement import Placed
+from cuminhatch.decisions.server_records import note_ended, note_sent
+from cuminhatch.messages import (
+    Address,
+    AttemptCancelled,
+    AttemptReadPaused,
+    AttemptReadResumed,
+    AttemptRequested,
+    AttemptResumed,
+    AttemptStalled,
+    CallerResumed,
+    CallerStalled,
+    RequestReadPaused,
+    RequestReadResumed,
+)
+from cuminhatch.services.forwarding._exchange import (
+    KEPT_BODY_BYTES,
+    Attempt,
+    Exchange,
+    Stage,
+)
+from cuminhatch.services.forwarding._state import ForwardingState
+from cuminhatch.services.forwarding._timers import HedgeDue
+
+
+def start_attempt(state: ForwardingState, exchange: Exchange, placed: Placed) -> None:
+    """Send a request to a backend server."""
+    now_ms = state.clock.now_ms
+    record = placed.record
+    attempt = Attempt(next(state.ids), record, now_ms, exchange.is_hedging)
+    exchange.is_hedging = False
+    exchange.stage = Stage.RUNNING
+    exchange.attempts[attempt.attempt_id] = attempt
+    state.by_attempt[attempt.attempt_id] = exchange
+    if record.server.server_id not in exchange.tried:
+        exchange.tried.append(record.server.server_id)
+    record_placement(state, exchange, attempt, placed)
+    note_sent(record)
+    state.send("backends", make_send(state, exchange, attempt, now_ms))
+    if len(exchange.body) > KEPT_BODY_BYTES:
+        exchange.is_body_kept = False
+        exchange.body = bytearray()
+    if not exchange.is_body_complete:
+        exchange.is_read_paused = False
+        state.send("callers", RequestReadResumed(exchange.request_id))
+    arm_hedge(state, exchange, placed, now_ms)
+
+
+def record_placement(
+    state: ForwardingState, exchange: Exchange, attempt: Attempt, placed: Placed
+) -> None:
+    """Log which server was chosen, by which load of which age."""
+    record = attempt.record
+    load = record.load
+    details = {
+        "server": record.server.server_id,
+        "send": len(exchange.tried),
+        "is_hedge": attempt.is_hedge,
+        "is_near": record.is_near,
+        "predicted_ms": round(placed.predicted_ms, 1),
+        "left_ms": round(exchange.due_ms - attempt.sent_ms, 1),
+    }
+    if load is not None:
+        details |= {
+            "running": load.running,
+            "waiting": load.waiting,
+            "slowdown": load.slowdown,
+            "load_age_ms": round(attempt.sent_ms - load.observed_ms, 1),
+        }
+    state.record("placed", exchange.trace_id, details)
+
+
+def make_send(
+    state: ForwardingState, exchange: Exchange, attempt: Attempt, now_ms: float
+) -> AttemptRequested:
+    """Return the message that sends a request to its server."""
+    server = attempt.record.server
+    left_ms = exchange.due_ms - now_ms
+    forwarding = Forwarding(exchange.facts.request_id, server.server_id, left_ms)
+    head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
+    return AttemptRequested(
+        attempt.attempt_id,
+        server.server_id,
+        Address(server.host, server.port),
+        head,
+        exchange.body_length,
+        bytes(exchange.body),
+        exchange.is_body_complete,
+        max(1.0, left_ms),
+        # A kept connection may be closing just now, and what it swallows may
+        # have run.
+        is_fresh_wanted=not exchange.is_idempotent,
+    )
+
+
+def arm_hedge(
+    state: ForwardingState, exchange: Exchange, placed: Placed, now_ms: float
+) -> None:
+    """Schedule a look at whether the answer is late."""
+    if not exchange.is_idempotent or exchange.hedge_timer is not None:
+        return
+    rule = exchange.rule
+    usual = state.work_times.expect(
+        rule.rule_id, exchange.service_id, rule.target_latency_ms
+    )
+    delay_ms = hedge_after_ms(
+        usual.usual_ms, placed.predicted_ms, rule.target_latency_ms
+    )
+    if now_ms + delay_ms < exchange.due_ms:
+        due = HedgeDue(exchange.request_id)
+        exchange.hedge_timer = state.call_at(now_ms + delay_ms, due)
+
+
+def end_attempt(state: ForwardingState, exchange: Exchange, attempt: Attempt) -> None:
+    """Forget a send; later messages about it are ignored."""
+    state.by_attempt.pop(attempt.attempt_id, None)
+    exchange.attempts.pop(attempt.attempt_id, None)
+    note_ended(attempt.record)
+
+
+def cancel_attempt(
+    state: ForwardingState, exchange: Exchange, attempt: Attempt
+) -> None:
+    """Stop a send whose answer nobody waits for."""
+    state.send("backends", AttemptCancelled(attempt.attempt_id))
+    end_attempt(state, exchange, attempt)
+
+
+def cancel_attempts(
+    state: ForwardingState, exchange: Exchange, kept: Attempt | None = None
+) -> None:
+    """Stop all sends of a request but one."""
+    for attempt in list(exchange.attempts.values()):
+        if attempt is not kept:
+            cancel_attempt(state, exchange, attempt)
+
+
+def on_attempt_stalled(state: ForwardingState, message: AttemptStalled) -> None:
+    """Hold the caller back while the backend server reads slowly."""
+    exchange = state.by_attempt.get(message.attempt_id)
+    if exchange is not None:
+        state.send("callers", RequestReadPaused(exchange.request_id))
+
+
+def on_attempt_resumed(state: ForwardingState, message: AttemptResumed) -> None:
+    """Let the caller send on."""
+    exchange = state.by_attempt.get(message.attempt_id)
+    if exchange is not None:
+        state.send("callers", RequestReadResumed(exchange.request_id))
+
+
+def on_caller_stalled(state: ForwardingState, message: CallerStalled) -> None:
+    """Hold the backend server back while the caller reads slowly."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is not None and exchange.winner is not None:
+        state.send("backends", AttemptReadPaused(exchange.winner.attempt_id))
+
+
+def on_caller_resumed(state: ForwardingState, message: CallerResumed) -> None:
+    """Let the backend server send on."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is not None and exchange.winner is not None:
+        state.send("backends", AttemptReadResumed(exchange.winner.attempt_id))
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_intake.py
@@ -0,0 +1,119 @@
+"""Takes requests and their bodies from callers."""
+
+from cuminhatch.decisions.routing import NoRoute
+from cuminhatch.messages import (
+    AttemptBodySent,
+    CallerLeft,
+    RequestBody,
+    RequestReadPaused,
+    RequestReceived,
+    RequestRefused,
+)
+from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._attempts import cancel_attempts
+from cuminhatch.services.forwarding._ends import finish_exchange
+from cuminhatch.services.forwarding._exchange import (
+    KEPT_BODY_BYTES,
+    Exchange,
+    Stage,
+)
+from cuminhatch.services.forwarding._placing import place_exchange
+from cuminhatch.services.forwarding._state import ForwardingState
+from cuminhatch.services.forwarding._timers import ExchangeDue
+
+# A new instance knows the configuration after one reading of the store.
+NO_CONFIGURATION_RETRY_MS = 500.0
+
+
+def on_request_received(state: ForwardingState, message: RequestReceived) -> None:
+    """Refuse a request, or look for a server."""
+    facts = state.dialect.read_request(message.head)
+    trace_id = facts.request_id.decode("latin-1")
+    if not state.has_configuration:
+        refuse_early(state, message, trace_id, 503, "no-configuration")
+        return
+    path = message.head.target.partition(b"?")[0].decode("latin-1")
+    method = message.head.method.decode("latin-1")
+    rule = state.match_rule(method, path, facts.host)
+    if isinstance(rule, NoRoute):
+        refuse_early(state, message, trace_id, 404, rule.reason)
+        return
+    service_id = state.pick_service(rule)
+    exchange = Exchange(message, facts, rule, service_id)
+    state.exchanges[message.request_id] = exchange
+    details = {
+        "rule": rule.rule_id,
+        "service": service_id,
+        "configuration": state.configuration.sequence,
+        "budget_ms": facts.budget_ms,
+    }
+    state.record("received", trace_id, details)
+    pool = state.pools.get(service_id)
+    if pool is not None:
+        pool.budget.note_request(state.clock.now_ms)
+    due = ExchangeDue(exchange.request_id)
+    exchange.timer = state.call_at(exchange.due_ms, due)
+    place_exchange(state, exchange)
+
+
+def refuse_early(
+    state: ForwardingState,
+    message: RequestReceived,
+    trace_id: str,
+    status: int,
+    reason: str,
+) -> None:
+    """Refuse a request that gets no record."""
+    retry_after_ms = NO_CONFIGURATION_RETRY_MS if status == 503 else None
+    refusal = RequestRefused(
+        message.request_id, status, Outcome.NOT_RUN, reason, b"", retry_after_ms
+    )
+    state.send("callers", refusal)
+    details = {
+        "status": status,
+        "reason": reason,
+        "configuration": state.configuration.sequence,
+    }
+    state.record("refused", trace_id, details)
+    state.count("requests_refused_total", {"reason": reason})
+
+
+def on_request_body(state: ForwardingState, message: RequestBody) -> None:
+    """Forward a part of a body, or keep it while the request waits."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is None or exchange.is_body_complete:
+        return
+    exchange.is_body_complete = message.is_complete
+    if exchange.is_body_kept:
+        exchange.body += message.data
+    if exchange.attempts:
+        for attempt_id in exchange.attempts:
+            part = AttemptBodySent(attempt_id, message.data, message.is_complete)
+            state.send("backends", part)
+        drop_long_body(exchange)
+    elif len(exchange.body) > KEPT_BODY_BYTES and not exchange.is_body_complete:
+        exchange.is_read_paused = True
+        state.send("callers", RequestReadPaused(exchange.request_id))
+
+
+def drop_long_body(exchange: Exchange) -> None:
+    """Give up the body of a request that is too long to be sent again."""
+    if exchange.is_body_kept and len(exchange.body) > KEPT_BODY_BYTES:
+        exchange.is_body_kept = False
+        exchange.body = bytearray()
+
+
+def on_caller_left(state: ForwardingState, message: CallerLeft) -> None:
+    """Stop the work for a caller that has gone."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is None or exchange.is_caller_gone:
+        return
+    exchange.is_caller_gone = True
+    if exchange.attempts and not exchange.is_idempotent:
+        if exchange.stage is not Stage.ANSWERING and exchange.is_body_complete:
+            # It may be running already; a confirmation that is half done
+            # serves nobody, and its record is complete either way.
+            state.record("caller_left", exchange.trace_id, {"is_running": True})
+            return
+    cancel_attempts(state, exchange)
+    finish_exchange(state, exchange, "caller-left")
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -0,0 +1,132 @@
+"""Looks for a backend server for each request."""
+
+from cuminhatch.decisions.placement import (
+    REPORT_MAX_AGE_MS,
+    NotPlaced,
+    Work,
+    choose_server,
+    pick_candidates,
+)
+from cuminhatch.decisions.server_records import ServerRecord, is_left_out
+from cuminhatch.messages import Address
+from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
+from cuminhatch.services.forwarding._attempts import start_attempt
+from cuminhatch.services.forwarding._ends import refuse_unplaced
+from cuminhatch.services.forwarding._exchange import Exchange, Stage
+from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
+
+# A health check takes 1 to 3 ms; what is slower is better not chosen.
+MEASURE_WAIT_MS = 12.0
+BYTES_PER_KB = 1024.0
+
+
+def place_exchange(state: ForwardingState, exchange: Exchange) -> None:
+    """Ask some servers for their load, then choose one of them."""
+    exchange.placements += 1
+    pool = state.pools.get(exchange.service_id)
+    records = pool.usable if pool is not None else []
+    if not records:
+        no_server = NotPlaced("no-backend-server", MEASURE_WAIT_MS)
+        end_placement(state, exchange, no_server)
+        return
+    wanted = len(records) if exchange.is_widened else state.settings.candidates
+    candidates = pick_candidates(
+        records, frozenset(exchange.tried), wanted, state.clock.now_ms, state.rng
+    )
+    measure(state, exchange, candidates)
+
+
+def measure(
+    state: ForwardingState, exchange: Exchange, candidates: list[ServerRecord]
+) -> None:
+    """Ask servers for their load."""
+    measurement_id = next(state.ids)
+    exchange.measurement_id = measurement_id
+    if not exchange.is_hedging:
+        exchange.stage = Stage.MEASURING
+    state.by_measurement[measurement_id] = exchange
+    services = state.configuration.services
+    targets = tuple(
+        LoadTarget(
+            record.server.server_id,
+            Address(record.server.host, record.server.port),
+            services[record.server.service_id].health_path,
+        )
+        for record in candidates
+    )
+    request = LoadsRequested(NAME, measurement_id, targets, MEASURE_WAIT_MS)
+    state.send("loads", request)
+
+
+def on_loads_measured(state: ForwardingState, message: LoadsMeasured) -> None:
+    """Choose a server by the loads that are known now."""
+    exchange = state.by_measurement.pop(message.token, None)
+    if exchange is None or exchange.measurement_id != message.token:
+        return
+    exchange.measurement_id = 0
+    if exchange.request_id not in state.exchanges:
+        return
+    if exchange.is_hedging and not exchange.attempts:
+        # The first send has failed meanwhile; this is its replacement.
+        exchange.is_hedging = False
+    choose_and_send(state, exchange)
+
+
+def choose_and_send(state: ForwardingState, exchange: Exchange) -> None:
+    """Send the request to the best server, or widen the search, or give up."""
+    pool = state.pools.get(exchange.service_id)
+    now_ms = state.clock.now_ms
+    work = expected_work(state, exchange, now_ms)
+    records = recently_measured(pool, exchange, now_ms) if pool is not None else []
+    chosen = choose_server(records, work, now_ms, state.rng)
+    if not isinstance(chosen, NotPlaced):
+        start_attempt(state, exchange, chosen)
+    elif exchange.is_hedging:
+        exchange.is_hedging = False
+    elif exchange.is_widened:
+        end_placement(state, exchange, chosen)
+    else:
+        exchange.is_widened = True
+        place_exchange(state, exchange)
+
+
+def recently_measured(
+    pool: ServicePool, exchange: Exchange, now_ms: float
+) -> list[ServerRecord]:
+    """Return the servers to choose from, without those tried already."""
+    fresh = [r for r in pool.usable if r.server.server_id not in exchange.tried]
+    candidates = fresh or pool.usable
+    sound = [r for r in candidates if is_measured_sound(r, now_ms)]
+    return sound or candidates
+
+
+def is_measured_sound(record: ServerRecord, now_ms: float) -> bool:
+    """Tell whether a server has just answered and is not left out."""
+    load = record.load
+    is_known = load is not None and now_ms - load.observed_ms <= REPORT_MAX_AGE_MS
+    return is_known and not is_left_out(record, now_ms)
+
+
+def expected_work(state: ForwardingState, exchange: Exchange, now_ms: float) -> Work:
+    """Return what is known of a request before it is placed."""
+    rule = exchange.rule
+    target_ms = rule.target_latency_ms
+    usual = state.work_times.expect(rule.rule_id, exchange.service_id, target_ms)
+    per_kb = state.settings.far_charge_ms_per_kb
+    return Work(
+        usual.usual_ms,
+        target_ms,
+        exchange.due_ms - now_ms,
+        usual.answer_bytes / BYTES_PER_KB * per_kb,
+        exchange.is_idempotent,
+    )
+
+
+def end_placement(
+    state: ForwardingState, exchange: Exchange, refusal: NotPlaced
+) -> None:
+    """Tell the caller that no server can take its request."""
+    if exchange.is_hedging or exchange.attempts:
+        exchange.is_hedging = False
+        return
+    refuse_unplaced(state, exchange, refusal)
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -0,0 +1,96 @@
+"""Keeps pools and records of backend servers up to date."""
+
+from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.resending import ResendBudget
+from cuminhatch.decisions.routing import make_router
+from cuminhatch.decisions.server_records import (
+    ServerRecord,
+    note_failure,
+    note_load,
+    note_unreachable,
+)
+from cuminhatch.messages import ConfigurationChanged
+from cuminhatch.messages.catalog import InstancesCounted
+from cuminhatch.messages.loads import ServerObserved, ServerSilent
+from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
+
+
+def on_configuration_changed(
+    state: ForwardingState, message: ConfigurationChanged
+) -> None:
+    """Take a newer configuration or other registered servers."""
+    before, state.configuration = state.configuration, message.configuration
+    if before.rules is not message.configuration.rules:
+        state.match_rule = make_router(message.configuration)
+    for service_id in message.configuration.services:
+        if service_id not in state.pools:
+            budget = ResendBudget(state.settings.resends, state.instances)
+            state.pools[service_id] = ServicePool(budget)
+    for service_id in state.pools.keys() - message.configuration.services.keys():
+        del state.pools[service_id]
+    servers: dict[str, dict[str, BackendServer]] = {}
+    for server_id, server in message.configuration.servers.items():
+        servers.setdefault(server.service_id, {})[server_id] = server
+    for service_id, pool in state.pools.items():
+        update_pool(state, pool, servers.get(service_id, {}))
+
+
+def update_pool(
+    state: ForwardingState, pool: ServicePool, servers: dict[str, BackendServer]
+) -> None:
+    """Take the registered servers of one service."""
+    for server_id in pool.records.keys() - servers.keys():
+        # Running sends keep the record until they end.
+        del pool.records[server_id]
+    for server_id, server in servers.items():
+        record = pool.records.get(server_id)
+        if record is None or is_restarted(record.server, server):
+            is_near = server.failure_domain == state.settings.failure_domain
+            record = ServerRecord(server, is_near, state.clock.now_ms)
+            pool.records[server_id] = record
+        else:
+            record.server = server
+
+
+def is_restarted(before: BackendServer, after: BackendServer) -> bool:
+    """Tell whether a server has started again under its id."""
+    is_moved = (before.host, before.port) != (after.host, after.port)
+    return is_moved or before.started_ms != after.started_ms
+
+
+def on_instances_counted(state: ForwardingState, message: InstancesCounted) -> None:
+    """Divide budgets by another number of instances."""
+    state.instances = message.instances
+    for pool in state.pools.values():
+        pool.budget.set_instances(message.instances)
+
+
+def on_server_observed(state: ForwardingState, message: ServerObserved) -> None:
+    """Take the answer to a health check."""
+    record = state.find_server(message.server_id)
+    if record is None:
+        return
+    if record.is_unhealthy == message.is_healthy:
+        record.is_unhealthy = not message.is_healthy
+        details = {"server": message.server_id, "is_healthy": message.is_healthy}
+        state.record("server_health_changed", "", details)
+    if message.load is not None:
+        note_load(record, message.load)
+
+
+def on_server_silent(state: ForwardingState, message: ServerSilent) -> None:
+    """Take a health check without an answer."""
+    record = state.find_server(message.server_id)
+    if record is None:
+        return
+    now_ms = state.clock.now_ms
+    if message.is_unreachable:
+        note_unreachable(record, now_ms)
+    else:
+        note_failure(record, now_ms)
+    details = {
+        "server": message.server_id,
+        "reason": message.reason,
+        "failures": record.failures,
+    }
+    state.record("server_silent", "", details)
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -0,0 +1,147 @@
+"""The state of forwarding that its functions share."""
+
+from collections.abc import Mapping
+from itertools import count
+from random import Random
+from typing import Any, NamedTuple
+
+from cuminhatch.codecs.dialect import Dialect
+from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION, Configuration
+from cuminhatch.decisions.resending import ResendBudget, ResendLimits
+from cuminhatch.decisions.routing import make_router
+from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.decisions.traffic_split import weighted_rotation
+from cuminhatch.decisions.work_times import WorkTimes
+from cuminhatch.kernel import Kernel
+from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
+from cuminhatch.services.forwarding._exchange import Exchange
+
+NAME = "forwarding"
+
+
+class ForwardingSettings(NamedTuple):
+    """
+    Settings of forwarding.
+
+    ``candidates`` is how many servers are asked for their load before each
+    placement. ``far_charge_ms_per_kb`` is the time that an answer may be
+    later for each kilobyte that stays in its failure domain.
+    """
+
+    failure_domain: str
+    resends: ResendLimits
+    candidates: int
+    far_charge_ms_per_kb: float
+
+
+class ServicePool:
+    """State of one service: its servers and the budget of second sends."""
+
+    def __init__(self, budget: ResendBudget) -> None:
+        """
+        Start without servers.
+
+        :param budget: this instance's part of the budget.
+        """
+        self.records: dict[str, ServerRecord] = {}
+        self.budget = budget
+
+    @property
+    def usable(self) -> list[ServerRecord]:
+        """Return the servers that may get requests."""
+        return [r for r in self.records.values() if not r.server.is_draining]
+
+
+class ForwardingState:
+    """State of forwarding: its requests, attempts and backend servers."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        dialect: Dialect,
+        settings: ForwardingSettings,
+        rng: Random,
+    ) -> None:
+        """
+        Start without a configuration.
+
+        :param kernel: kernel of the process.
+        :param dialect: how heads are read and written.
+        :param settings: settings of forwarding.
+        :param rng: source of randomness.
+        """
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.send = kernel.send
+        self.dialect = dialect
+        self.settings = settings
+        self.rng = rng
+        self.instances = 1
+        self.configuration: Configuration = EMPTY_CONFIGURATION
+        self.match_rule = make_router(EMPTY_CONFIGURATION)
+        self.pick_service = weighted_rotation(rng)
+        self.pools: dict[str, ServicePool] = {}
+        self.work_times = WorkTimes()
+        self.exchanges: dict[int, Exchange] = {}
+        self.by_attempt: dict[int, Exchange] = {}
+        self.by_measurement: dict[int, Exchange] = {}
+        self.ids = count(1)
+
+    @property
+    def has_configuration(self) -> bool:
+        """Tell whether a configuration is known."""
+        return self.configuration is not EMPTY_CONFIGURATION
+
+    def find_server(self, server_id: str) -> ServerRecord | None:
+        """
+        Return the record of a backend server, None if it is unknown.
+
+        :param server_id: id of the backend server.
+        """
+        server = self.configuration.servers.get(server_id)
+        if server is None:
+            return None
+        return self.pools[server.service_id].records.get(server_id)
+
+    def call_at(self, at_ms: float, message: Any) -> int:
+        """
+        Schedule a message to forwarding itself.
+
+        :param at_ms: monotonic time in milliseconds.
+        :param message: message to deliver.
+        :returns: a token for ``kernel.cancel``.
+        """
+        return self.kernel.call_at(at_ms, NAME, message)
+
+    def count(self, name: str, labels: dict[str, str]) -> None:
+        """
+        Raise a counter by one.
+
+        :param name: name of the metric.
+        :param labels: its labels.
+        """
+        self.send("metrics", CounterIncremented(name, labels))
+
+    def observe(self, name: str, labels: dict[str, str], value: float) -> None:
+        """
+        Add a sample to a histogram.
+
+        :param name: name of the metric.
+        :param labels: its labels.
+        :param value: the sample.
+        """
+        self.send("metrics", ValueObserved(name, labels, value))
+
+    def record(
+        self, name: str, trace_id: str, details: Mapping[str, Any] | None = None
+    ) -> None:
+        """
+        Write a line of the event log.
+
+        :param name: name of the event.
+        :param trace_id: the caller's id of the request, empty for events that
+            concern none.
+        :param details: what decided it.
+        """
+        values = dict(details or {})
+        self.send("event_log", EventRecorded(NAME, name, trace_id, 0, values))
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -0,0 +1,106 @@
+"""Moves each request from its caller to a backend server and back."""
+
+from functools import partial
+from random import Random
+
+from cuminhatch.codecs.dialect import Dialect
+from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.messages import (
+    AttemptBody,
+    AttemptFailed,
+    AttemptResponse,
+    AttemptResumed,
+    AttemptStalled,
+    CallerLeft,
+    CallerResumed,
+    CallerStalled,
+    ConfigurationChanged,
+    RequestBody,
+    RequestFailed,
+    RequestReceived,
+)
+from cuminhatch.messages.catalog import InstancesCounted
+from cuminhatch.messages.loads import LoadsMeasured, ServerObserved, ServerSilent
+from cuminhatch.services.forwarding._answers import (
+    on_attempt_body,
+    on_attempt_failed,
+    on_attempt_response,
+)
+from cuminhatch.services.forwarding._attempts import (
+    on_attempt_resumed,
+    on_attempt_stalled,
+    on_caller_resumed,
+    on_caller_stalled,
+)
+from cuminhatch.services.forwarding._ends import on_exchange_due, on_request_failed
+from cuminhatch.services.forwarding._intake import (
+    on_caller_left,
+    on_request_body,
+    on_request_received,
+)
+from cuminhatch.services.forwarding._placing import on_loads_measured
+from cuminhatch.services.forwarding._resending import on_hedge_due
+from cuminhatch.services.forwarding._servers import (
+    on_configuration_changed,
+    on_instances_counted,
+    on_server_observed,
+    on_server_silent,
+)
+from cuminhatch.services.forwarding._state import (
+    NAME,
+    ForwardingSettings,
+    ForwardingState,
+)
+from cuminhatch.services.forwarding._timers import ExchangeDue, HedgeDue
+
+
+class Forwarding(Service):
+    """
+    Owns one record per request, and a record of each backend server.
+
+    The handlers are functions of the state, in modules by their job.
+    """
+
+    name = NAME
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        dialect: Dialect,
+        settings: ForwardingSettings,
+        rng: Random | None = None,
+    ) -> None:
+        """
+        Start without a configuration; requests are refused until one comes.
+
+        :param kernel: kernel of the process.
+        :param dialect: how heads are read and written.
+        :param settings: settings of forwarding.
+        :param rng: source of randomness.
+        """
+        super().__init__(kernel)
+        self._state = ForwardingState(kernel, dialect, settings, rng or Random())
+
+    def message_handlers(self) -> MessageTable:
+        """Return the messages of all services that forwarding works with."""
+        handlers = {
+            ConfigurationChanged: on_configuration_changed,
+            InstancesCounted: on_instances_counted,
+            ServerObserved: on_server_observed,
+            ServerSilent: on_server_silent,
+            LoadsMeasured: on_loads_measured,
+            RequestFailed: on_request_failed,
+            RequestReceived: on_request_received,
+            RequestBody: on_request_body,
+            CallerLeft: on_caller_left,
+            CallerStalled: on_caller_stalled,
+            CallerResumed: on_caller_resumed,
+            ExchangeDue: on_exchange_due,
+            HedgeDue: on_hedge_due,
+            AttemptResponse: on_attempt_response,
+            AttemptBody: on_attempt_body,
+            AttemptFailed: on_attempt_failed,
+            AttemptStalled: on_attempt_stalled,
+            AttemptResumed: on_attempt_resumed,
+        }
+        return {kind: partial(handle, self._state) for kind, handle in handlers.items()}
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -11,6 +11,7 @@
 from socket import socket
 from typing import NamedTuple
 
+from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.codecs.http1 import (
     LAST_CHUNK,
     BodyParsed,
@@ -30,6 +31,7 @@
     CallerLeft,
     CallerResumed,
     CallerStalled,
+    ConfigurationChanged,
     DrainFinished,
     DrainStarted,
     RequestBody,
@@ -79,7 +81,9 @@
     408: b"Request Timeout",
     409: b"Conflict",
     413: b"Content Too Large",
+    421: b"Misdirected Request",
     422: b"Unprocessable Content",
+    429: b"Too Many Requests",
     431: b"Request Header Fields Too Large",
     502: b"Bad Gateway",
     503: b"Service Unavailable",
@@ -206,6 +210,7 @@
             RequestReadPaused: self._on_read_paused,
             RequestReadResumed: self._on_read_resumed,
             DrainStarted: self._on_drain_started,
+            ConfigurationChanged: self._on_configuration_changed,
             SweepDue: self._on_sweep_due,
         }
 
@@ -501,12 +506,22 @@
         )
         if message.trace_id:
             headers += (Header(REQUEST_ID_HEADER, message.trace_id),)
+        if message.retry_after_ms is not None:
+            seconds = b"%.3f" % (message.retry_after_ms / MS_PER_SECOND)
+            headers += (Header(b"retry-after", seconds),)
         phrase = PHRASES.get(message.status, b"Unknown")
         head = ResponseHead(message.status, phrase, headers)
         self._on_response_started(
             ResponseStarted(message.request_id, head, len(body), body, True)
         )
 
+    def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
+        limits = message.configuration.caller_limits
+        if limits is not None:
+            self._limits = self._limits._replace(
+                head_ms=limits.head_ms, idle_age_ms=limits.idle_ms
+            )
+
     # Flow control and ends
 
     def _on_read_paused(self, message: RequestReadPaused) -> None:
--- /dev/null
+++ b/src/cuminhatch/services/loads.py
@@ -0,0 +1,181 @@
+"""Asks backend servers for their load just before a request is placed."""
+
+from itertools import count
+from typing import NamedTuple
+
+from cuminhatch.codecs.dialect import Dialect
+from cuminhatch.codecs.http1 import Header
+from cuminhatch.decisions.probe_allowance import ProbeAllowance
+from cuminhatch.decisions.server_records import ServerLoad
+from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.messages import CounterIncremented, HttpFailed, HttpReplied
+from cuminhatch.messages.catalog import InstancesCounted
+from cuminhatch.messages.http_client import HttpRequested
+from cuminhatch.messages.loads import (
+    LoadsMeasured,
+    LoadsRequested,
+    LoadTarget,
+    ServerObserved,
+    ServerSilent,
+)
+
+# A server that has not answered by then is as good as down; later answers
+# are still read until here.
+PROBE_TIMEOUT_MS = 400.0
+SWEEP_INTERVAL_MS = 30_000.0
+
+
+class WaitOver(NamedTuple):
+    """The time for the answers of one measurement is over."""
+
+    measurement_id: int
+
+
+class SweepDue(NamedTuple):
+    """Allowances of servers that are not asked any more are to be dropped."""
+
+
+class _Measurement:
+    """State of one request for loads."""
+
+    def __init__(self, request: LoadsRequested, timer: int) -> None:
+        self.request = request
+        self.missing = 0
+        self.timer = timer
+
+
+class _Probe(NamedTuple):
+    """A health check under way."""
+
+    server_id: str
+    measurement_id: int
+
+
+class Loads(Service):
+    """Owns the health checks under way and the allowance of each server."""
+
+    name = "loads"
+
+    def __init__(self, kernel: Kernel, dialect: Dialect, probes_per_s: float) -> None:
+        """
+        Start without measurements.
+
+        :param kernel: kernel of the process.
+        :param dialect: how health checks are read.
+        :param probes_per_s: health checks a second that one backend server
+            may get from all instances.
+        """
+        super().__init__(kernel)
+        self._dialect = dialect
+        self._probes_per_s = probes_per_s
+        self._instances = 1
+        self._allowances: dict[str, ProbeAllowance] = {}
+        self._measurements: dict[int, _Measurement] = {}
+        self._probes: dict[int, _Probe] = {}
+        self._ids = count(1)
+
+    def message_handlers(self) -> MessageTable:
+        """Return the messages of ``forwarding`` and the HTTP client."""
+        return {
+            LoadsRequested: self._on_loads_requested,
+            InstancesCounted: self._on_instances_counted,
+            HttpReplied: self._on_http_replied,
+            HttpFailed: self._on_http_failed,
+            WaitOver: self._on_wait_over,
+            SweepDue: self._on_sweep_due,
+        }
+
+    def open(self) -> None:
+        """Start to drop what is not used any more."""
+        self.call_after(SWEEP_INTERVAL_MS, SweepDue())
+
+    def _on_instances_counted(self, message: InstancesCounted) -> None:
+        self._instances = message.instances
+        self._allowances.clear()
+
+    def _on_loads_requested(self, message: LoadsRequested) -> None:
+        now_ms = self.kernel.clock.now_ms
+        measurement_id = next(self._ids)
+        timer = self.call_after(message.wait_ms, WaitOver(measurement_id))
+        measurement = _Measurement(message, timer)
+        self._measurements[measurement_id] = measurement
+        for target in message.targets:
+            if self._allowance(target.server_id, now_ms).take(now_ms):
+                measurement.missing += 1
+                self._send_probe(target, measurement_id)
+        if measurement.missing == 0:
+            self._finish(measurement_id)
+
+    def _allowance(self, server_id: str, now_ms: float) -> ProbeAllowance:
+        allowance = self._allowances.get(server_id)
+        if allowance is None:
+            allowance = ProbeAllowance(self._probes_per_s / self._instances, now_ms)
+            self._allowances[server_id] = allowance
+        return allowance
+
+    def _send_probe(self, target: LoadTarget, measurement_id: int) -> None:
+        token = next(self._ids)
+        self._probes[token] = _Probe(target.server_id, measurement_id)
+        self.send("metrics", CounterIncremented("probes_total", {}))
+        host = f"{target.address.host}:{target.address.port}"
+        self.send(
+            "http_client",
+            HttpRequested(
+                self.name,
+                token,
+                target.address,
+                b"GET",
+                target.path.encode(),
+                (Header(b"host", host.encode()),),
+                b"",
+                PROBE_TIMEOUT_MS,
+                is_repeatable=False,
+            ),
+        )
+
+    def _on_http_replied(self, message: HttpReplied) -> None:
+        probe = self._probes.pop(message.token)
+        facts = self._dialect.read_health(message.status, message.headers)
+        if facts.server_id and facts.server_id != probe.server_id:
+            silent = ServerSilent(probe.server_id, True, "another server answers")
+            self._tell(probe, silent)
+            return
+        load = None
+        if facts.load is not None:
+            load = ServerLoad(*facts.load, self.kernel.clock.now_ms)
+        self._tell(probe, ServerObserved(probe.server_id, facts.is_healthy, load))
+
+    def _on_http_failed(self, message: HttpFailed) -> None:
+        probe = self._probes.pop(message.token)
+        self.send("metrics", CounterIncremented("probe_failures_total", {}))
+        is_unreachable = not message.is_sent and message.reason != "timeout"
+        self._tell(probe, ServerSilent(probe.server_id, is_unreachable, message.reason))
+
+    def _tell(self, probe: _Probe, observation: ServerObserved | ServerSilent) -> None:
+        measurement = self._measurements.get(probe.measurement_id)
+        # Late observations count as well.
+        self.send("forwarding", observation)
+        if measurement is not None:
+            measurement.missing -= 1
+            if measurement.missing == 0:
+                self._finish(probe.measurement_id)
+
+    def _finish(self, measurement_id: int) -> None:
+        measurement = self._measurements.pop(measurement_id)
+        self.kernel.cancel(measurement.timer)
+        request = measurement.request
+        self.send(request.reply_to, LoadsMeasured(request.token))
+
+    def _on_wait_over(self, message: WaitOver) -> None:
+        if message.measurement_id in self._measurements:
+            self._finish(message.measurement_id)
+
+    def _on_sweep_due(self, message: SweepDue) -> None:
+        # A full allowance is what a new one starts with.
+        now_ms = self.kernel.clock.now_ms
+        self._allowances = {
+            server_id: allowance
+            for server_id, allowance in self._allowances.items()
+            if not allowance.is_full(now_ms)
+        }
+        self.call_after(SWEEP_INTERVAL_MS, SweepDue())
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -39,6 +39,7 @@
         announce_ms: float,
         limit_ms: float,
         draining_parts: tuple[str, ...],
+        awaited_part: str = "notes",
     ) -> None:
         """
         Start not ready until every part that reports is ready.
@@ -50,12 +51,13 @@
             milliseconds.
         :param draining_parts: services that report when they have finished.
             Each starts to drain when the one before it has finished.
+        :param awaited_part: service without which the daemon is not ready.
         """
         super().__init__(kernel)
         self._announce_ms = announce_ms
         self._limit_ms = limit_ms
         self._unfinished = list(draining_parts)
-        self._not_ready = {"notes": "no note known yet"}
+        self._not_ready = {awaited_part: "nothing known yet"}
         self._is_draining = False
 
     def message_handlers(self) -> MessageTable:
@@ -81,7 +83,9 @@
         )
         request_id = getattr(message.message, "request_id", None)
         if request_id is not None:
-            self.send("dispatch", RequestFailed(request_id, "internal-error"))
+            # A daemon has one of the two.
+            for name in ("dispatch", "forwarding"):
+                self.send(name, RequestFailed(request_id, "internal-error"))
 
     def _on_readiness_changed(self, message: ReadinessChanged) -> None:
         if message.is_ready:
@@ -91,13 +95,9 @@
         self._report()
 
     def _report(self) -> None:
-        self.send(
-            "operators",
-            StatusReported(
-                "readiness",
-                {"ready": not self._not_ready, "not_ready": dict(self._not_ready)},
-            ),
-        )
+        values = {"ready": not self._not_ready, "not_ready": dict(self._not_ready)}
+        for name in ("operators", "readiness"):
+            self.send(name, StatusReported("readiness", values))
 
     def _on_drain_requested(self, message: DrainRequested) -> None:
         if self._is_draining:
@@ -135,4 +135,5 @@
         self.kernel.stop()
 
     def _record(self, name: str, details: dict[str, Any]) -> None:
-        self.send("timeline", EventRecorded(SUPERVISOR, name, "", 0, details))
+        for log in ("timeline", "event_log"):
+            self.send(log, EventRecorded(SUPERVISOR, name, "", 0, details))
