Hold requests for servers that are not nearly full; close drained connections

Cause of the late answers in bursts: a server with all slots taken works 1.7 times as long on each of them, and requests were sent as long as any answer was expected before the deadline. A request now waits up to an eighth of its target latency for a server below four fifths of its slots; after that it is sent only if its answer is expected within the target, and refused otherwise.

Answers of a draining listener close their connection now; callers send the rest again.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -36,6 +36,11 @@
 # Places in a backend server's queue that one instance fills at most per slot,
 # since others send at the same moment. A full server resets connections.
 QUEUED_PER_SLOT = 1.0
+# Part of the target latency that a request is held for a better server. A
+# refusal after that is cheap for its caller, who still has time to return.
+HOLD_SHARE = 1 / 8
+# Servers whose cost differs by less than this are as good as each other.
+TIE_SHARE = 0.02
 # Part of the time left that a predicted answer may use.
 LEFT_SHARE = 0.9
 # A refused caller finds no room earlier than this, and returns within a third
@@ -49,13 +54,17 @@
 
     ``usual_ms`` is how long its work takes at usual speed. ``far_charge_ms``
     is what its answer's way through another failure domain is taken to cost.
+    ``waited_ms`` is how long it has been held already. ``is_resend`` tells
+    that an earlier send has failed or is late.
     """
 
     usual_ms: float
     target_ms: float
+    waited_ms: float
     left_ms: float
     far_charge_ms: float
     is_idempotent: bool
+    is_resend: bool = False
 
 
 class Placed(NamedTuple):
@@ -65,6 +74,12 @@
     predicted_ms: float
 
 
+class Wait(NamedTuple):
+    """Sentinel: room is expected in a moment; the request looks again."""
+
+    reason: str
+
+
 class NotPlaced(NamedTuple):
     """Sentinel: no server can take the request; room is expected later."""
 
@@ -82,13 +97,9 @@
     """
     load = record.load
     slots = max(1, record.server.slots)
-    if load is None or now_ms - load.observed_ms > REPORT_MAX_AGE_MS:
-        busy = max(slots * UNKNOWN_BUSY_SHARE, record.in_flight)
-        slowdown = 1.0
-    else:
-        slots = max(1, load.slots)
-        busy = load.running + load.waiting + record.sent_since_load
-        slowdown = load.slowdown
+    busy = busy_places(record, now_ms)
+    is_known = load is not None and now_ms - load.observed_ms <= REPORT_MAX_AGE_MS
+    slowdown = load.slowdown if is_known else 1.0
     run_ms = work.usual_ms
     if busy + 1 > slots * NEARLY_FULL_SHARE:
         run_ms *= NEARLY_FULL_FACTOR
@@ -106,26 +117,52 @@
     return min(run_ms * (slowdown - 1.0), SLOW_REST_MS * (1.0 - 1.0 / slowdown))
 
 
-def has_room(record: ServerRecord, now_ms: float) -> bool:
+def busy_places(record: ServerRecord, now_ms: float) -> float:
     """
-    Tell whether a server is sure enough not to reset one more request.
+    Return the requests that a server has, running and waiting.
 
     :param record: the backend server.
     :param now_ms: current time.
     """
     load = record.load
     if load is None or now_ms - load.observed_ms > REPORT_MAX_AGE_MS:
-        return record.in_flight < max(1, record.server.slots)
-    busy = load.running + load.waiting + record.sent_since_load
-    return busy < max(1, load.slots) * (1.0 + QUEUED_PER_SLOT)
+        return max(record.server.slots * UNKNOWN_BUSY_SHARE, record.in_flight)
+    return load.running + load.waiting + record.sent_since_load
+
+
+def is_comfortable(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether one more request leaves a server below the nearly full.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    limit = max(1, int(record.server.slots * NEARLY_FULL_SHARE))
+    return busy_places(record, now_ms) < limit
+
+
+def has_room(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether a server is sure enough not to reset one more request.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    limit = max(1, record.server.slots) * (1.0 + QUEUED_PER_SLOT)
+    return busy_places(record, now_ms) < limit
 
 
 def choose_server(
     records: Sequence[ServerRecord], work: Work, now_ms: float, rng: Random
-) -> Placed | NotPlaced:
+) -> Placed | Wait | NotPlaced:
     """
     Choose the server with the earliest expected answer.
 
+    A server that is nearly full works more slowly for all its requests, so a
+    request waits a moment for one that is not. After that moment it is sent
+    if its answer is expected within the target latency, and refused
+    otherwise: its late answer would make others late as well.
+
     :param records: candidates that may take requests.
     :param work: the request.
     :param now_ms: current time.
@@ -133,11 +170,29 @@
     """
     if not records:
         return NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
-    best = None
+    best, predicted_ms = _find_best(records, work, now_ms, rng)
+    late_ms = predicted_ms - work.left_ms * LEFT_SHARE
+    if late_ms > 0.0:
+        return NotPlaced("no-answer-in-time", max(RETRY_AFTER_MIN_MS, late_ms))
+    if is_comfortable(best, now_ms):
+        return Placed(best, predicted_ms)
+    if not work.is_resend and work.waited_ms < work.target_ms * HOLD_SHARE:
+        return Wait("servers-nearly-full")
+    is_late = work.waited_ms + predicted_ms > work.target_ms
+    if (is_late and not work.is_resend) or not (work.is_idempotent or has_room(best, now_ms)):
+        return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
+    return Placed(best, predicted_ms)
+
+
+def _find_best(
+    records: Sequence[ServerRecord], work: Work, now_ms: float, rng: Random
+) -> tuple[ServerRecord, float]:
+    """Return the server of the lowest cost, and its expected time."""
+    best = records[0]
     best_cost = best_ms = inf
     for record in records:
         expected_ms = predict_ms(record, work, now_ms)
-        cost = expected_ms * (1.0 + 0.02 * rng.random())
+        cost = expected_ms * (1.0 + TIE_SHARE * rng.random())
         if not record.is_near:
             cost += work.far_charge_ms
         cost += failed_share(record, now_ms) * work.target_ms * FAILURE_CHARGE
@@ -145,12 +200,7 @@
             cost += work.target_ms
         if cost < best_cost:
             best, best_cost, best_ms = record, cost, expected_ms
-    late_ms = best_ms - work.left_ms * LEFT_SHARE
-    if late_ms > 0.0:
-        return NotPlaced("no-answer-in-time", max(RETRY_AFTER_MIN_MS, late_ms))
-    if not work.is_idempotent and not has_room(best, now_ms):
-        return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, best_ms / 2.0))
-    return Placed(best, best_ms)
+    return best, best_ms
 
 
 def pick_candidates(
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -19,6 +19,7 @@
     """Where a request is."""
 
     MEASURING = auto()
+    WAITING = auto()
     RUNNING = auto()
     ANSWERING = auto()
 
@@ -126,7 +127,7 @@
         self.is_read_paused = False
         self.stage = Stage.MEASURING
         self.measurement_id = 0
-        # Searches for a server so far.
+        # Searches for a server after a failed send.
         self.placements = 0
         # All servers of the service have been looked at.
         self.is_widened = False
--- a/src/cuminhatch/services/forwarding/_placing.py
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -3,6 +3,8 @@
 from cuminhatch.decisions.placement import (
     REPORT_MAX_AGE_MS,
     NotPlaced,
+    Placed,
+    Wait,
     Work,
     choose_server,
     pick_candidates,
@@ -14,15 +16,17 @@
 from cuminhatch.services.forwarding._ends import refuse_unplaced
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
+from cuminhatch.services.forwarding._timers import PlacementDue
 
 # A health check takes 1 to 3 ms; what is slower is better not chosen.
 MEASURE_WAIT_MS = 12.0
+# Servers end a request about this often when they are nearly full.
+LOOK_INTERVAL_MS = 15.0
 BYTES_PER_KB = 1024.0
 
 
 def place_exchange(state: ForwardingState, exchange: Exchange) -> None:
     """Ask some servers for their load, then choose one of them."""
-    exchange.placements += 1
     pool = state.pools.get(exchange.service_id)
     records = pool.usable if pool is not None else []
     if not records:
@@ -79,10 +83,13 @@
     work = expected_work(state, exchange, now_ms)
     records = recently_measured(pool, exchange, now_ms) if pool is not None else []
     chosen = choose_server(records, work, now_ms, state.rng)
-    if not isinstance(chosen, NotPlaced):
+    if isinstance(chosen, Placed):
         start_attempt(state, exchange, chosen)
     elif exchange.is_hedging:
         exchange.is_hedging = False
+    elif isinstance(chosen, Wait):
+        exchange.is_widened = True
+        look_later(state, exchange)
     elif exchange.is_widened:
         end_placement(state, exchange, chosen)
     else:
@@ -90,6 +97,20 @@
         place_exchange(state, exchange)
 
 
+def look_later(state: ForwardingState, exchange: Exchange) -> None:
+    """Look for a server again in a moment."""
+    exchange.stage = Stage.WAITING
+    due = PlacementDue(exchange.request_id)
+    state.call_at(state.clock.now_ms + LOOK_INTERVAL_MS, due)
+
+
+def on_placement_due(state: ForwardingState, message: PlacementDue) -> None:
+    """Look for a server again."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is not None and exchange.stage is Stage.WAITING:
+        place_exchange(state, exchange)
+
+
 def recently_measured(
     pool: ServicePool, exchange: Exchange, now_ms: float
 ) -> list[ServerRecord]:
@@ -116,9 +137,11 @@
     return Work(
         usual.usual_ms,
         target_ms,
+        now_ms - exchange.received_ms,
         exchange.due_ms - now_ms,
         usual.answer_bytes / BYTES_PER_KB * per_kb,
         exchange.is_idempotent,
+        exchange.placements > 0 or exchange.is_hedging,
     )
 
 
--- a/src/cuminhatch/services/forwarding/_resending.py
+++ b/src/cuminhatch/services/forwarding/_resending.py
@@ -26,6 +26,7 @@
         return True
     denied = deny_resend(state, exchange)
     if denied is None:
+        exchange.placements += 1
         exchange.is_hedging = False
         exchange.is_widened = False
         place_exchange(state, exchange)
--- a/src/cuminhatch/services/forwarding/_timers.py
+++ b/src/cuminhatch/services/forwarding/_timers.py
@@ -13,3 +13,9 @@
     """An answer is so late that a second send may be quicker."""
 
     request_id: int
+
+
+class PlacementDue(NamedTuple):
+    """A request that waits for room looks for a server again."""
+
+    request_id: int
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -38,7 +38,10 @@
     on_request_body,
     on_request_received,
 )
-from cuminhatch.services.forwarding._placing import on_loads_measured
+from cuminhatch.services.forwarding._placing import (
+    on_loads_measured,
+    on_placement_due,
+)
 from cuminhatch.services.forwarding._resending import on_hedge_due
 from cuminhatch.services.forwarding._servers import (
     on_configuration_changed,
@@ -51,7 +54,7 @@
     ForwardingSettings,
     ForwardingState,
 )
-from cuminhatch.services.forwarding._timers import ExchangeDue, HedgeDue
+from cuminhatch.services.forwarding._timers import ExchangeDue, HedgeDue, PlacementDue
 
 
 class Forwarding(Service):
@@ -97,6 +100,7 @@
             CallerResumed: on_caller_resumed,
             ExchangeDue: on_exchange_due,
             HedgeDue: on_hedge_due,
+            PlacementDue: on_placement_due,
             AttemptResponse: on_attempt_response,
             AttemptBody: on_attempt_body,
             AttemptFailed: on_attempt_failed,
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -421,7 +421,9 @@
         if not exchange.is_request_complete:
             # The rest of the request's body may not be read.
             exchange.is_keep_alive = False
-        elif self._is_draining and not connection.backlog:
+        elif self._is_draining:
+            # Callers send again what they sent behind an answer that closes
+            # its connection.
             exchange.is_keep_alive = False
         exchange.is_chunked = message.body_length is None and not exchange.is_http_1_0
         if message.body_length is None and exchange.is_http_1_0:
