--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -28,8 +28,8 @@
 COLD_FACTOR = 2.0
 # A report older than this says nothing of the load now.
 REPORT_MAX_AGE_MS = 250.0
-# Without a report a server is taken to be as busy as its slots allow.
-UNKNOWN_BUSY_SHARE = 0.7
+# Without a report a server is taken to have this part of its slots in use.
+UNKNOWN_BUSY_SHARE = 0.5
 # A failed request costs its caller about one target latency and a second
 # send.
 FAILURE_CHARGE = 2.0
@@ -179,7 +179,9 @@
     if not work.is_resend and work.waited_ms < work.target_ms * HOLD_SHARE:
         return Wait("servers-nearly-full")
     is_late = work.waited_ms + predicted_ms > work.target_ms
-    if (is_late and not work.is_resend) or not (work.is_idempotent or has_room(best, now_ms)):
+    if (is_late and not work.is_resend) or not (
+        work.is_idempotent or has_room(best, now_ms)
+    ):
         return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
     return Placed(best, predicted_ms)
 
@@ -222,9 +224,9 @@
     :param now_ms: current time.
     :param rng: source of randomness.
     """
+    sound = [r for r in records if not is_left_out(r, now_ms)]
     fresh = [r for r in records if r.server.server_id not in tried]
-    sound = [r for r in fresh if not is_left_out(r, now_ms)]
-    pool = sound or fresh or list(records)
+    pool = [r for r in fresh if r in sound] or fresh or sound or list(records)
     near = [record for record in pool if record.is_near]
     far = [record for record in pool if not record.is_near]
     rng.shuffle(near)
--- a/src/cuminhatch/services/catalog.py
+++ b/src/cuminhatch/services/catalog.py
@@ -362,7 +362,8 @@
         now_ms = self.kernel.clock.now_ms
         own_id = self._own.instance_id
         last_ms = max(self._read_ms, self._turn.heard_ms)
-        if now_ms - last_ms > OUTAGE_GAP_MS or self._is_reading_lost:
+        is_silence_over = last_ms > 0.0 and now_ms - last_ms > OUTAGE_GAP_MS
+        if is_silence_over or self._is_reading_lost:
             self._outage_ended_ms = now_ms
             self._is_reading_lost = False
         self._note_store_regained()
--- /dev/null
+++ b/tests/codecs/test_catalog_thrift.py
@@ -0,0 +1,44 @@
+"""Tests of the messages about the catalog between daemons."""
+
+import pytest
+
+from cuminhatch.codecs.catalog_thrift import (
+    CatalogMember,
+    CatalogNews,
+    CatalogState,
+    Greeting,
+    decode_message,
+    encode_message,
+)
+from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.decisions.catalog import CatalogChange, Registration
+from cuminhatch.decisions.configuration import BackendServer
+
+KEY = b"key"
+MEMBER = CatalogMember("front-1", "10.0.0.1", 7200)
+SERVER = BackendServer(
+    "i-7", "s", "10.0.0.2", 80, "here", 3, 0, True, 250.0, 7 * 10**12
+)
+REGISTRATION = Registration(SERVER, 41)
+MESSAGES = [
+    CatalogNews(MEMBER, CatalogChange(3, 9, (REGISTRATION,), ("i-8",)), 5, False),
+    Greeting(MEMBER, (MEMBER,), True),
+    CatalogState(9, (REGISTRATION,), 5, b"{}"),
+]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_message_is_read_as_it_was_written(message):
+    """Guards against instances that understand each other wrongly."""
+    assert decode_message(encode_message(message, KEY), KEY) == message
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_forged_or_broken_message_is_refused(message):
+    """Guards against servers that another host names."""
+    data = encode_message(message, KEY)
+    for broken in (b"", data[:-3], data[:40], data[:32] + b"\x00" + data[33:]):
+        with pytest.raises(PeerMessageError):
+            decode_message(broken, KEY)
+    with pytest.raises(PeerMessageError):
+        decode_message(data, b"other key")
--- /dev/null
+++ b/tests/codecs/test_gateway_toml.py
@@ -0,0 +1,64 @@
+"""Tests of the settings of a daemon with a store."""
+
+import pytest
+
+from cuminhatch.codecs.gateway_toml import parse_gateway_settings
+from cuminhatch.errors import SettingsError
+
+TEXT = """
+[instance]
+id = "front-1"
+failure_domain = "kingston"
+[callers]
+address = "10.1.0.18:8381"
+[readiness]
+address = "10.1.0.18:8388"
+[metrics]
+address = "10.1.0.18:8382"
+[peers]
+address = "10.1.0.18:7200"
+key = "secret"
+seeds = ["10.2.0.34:8382"]
+[store]
+address = "10.200.1.7:8384"
+[resends]
+ratio = 0.2
+extra = 56
+window_ms = 10000
+[placement]
+probes_per_s = 60
+"""
+
+
+def parse(text):
+    return parse_gateway_settings(text, "boot.toml", {})
+
+
+def test_settings_are_read():
+    """Guards against a value that reaches the wrong part."""
+    settings = parse(TEXT)
+    assert settings.instance.failure_domain == "kingston"
+    assert settings.store_address.port == 8384
+    assert settings.peers.seeds[0].host == "10.2.0.34"
+    assert settings.resends == (0.2, 56.0, 10_000.0)
+    assert settings.placement.candidates == 4
+    assert settings.drain.announce_ms > 2_000.0
+
+
+@pytest.mark.parametrize(
+    ("before", "after", "named"),
+    [
+        ('id = "front-1"', "", "instance.id"),
+        ("10.200.1.7:8384", "10.200.1.7", "store.address"),
+        ("ratio = 0.2", "ratio = -1", "resends.ratio"),
+        ("ratio = 0.2", "ratio = true", "resends.ratio"),
+        ("[store]", "[stores]", "stores"),
+        ("extra", "extras", "resends.extras"),
+        ("[resends]", "[resends", "TOML"),
+    ],
+)
+def test_mistake_is_named(before, after, named):
+    """Guards against a daemon that starts with a value nobody meant."""
+    with pytest.raises(SettingsError, match=named) as caught:
+        parse(TEXT.replace(before, after))
+    assert str(caught.value).startswith("boot.toml: ")
--- /dev/null
+++ b/tests/decisions/test_placement.py
@@ -0,0 +1,159 @@
+"""Tests of the choice of a server, each with the load that it answers."""
+
+from random import Random
+
+import pytest
+
+from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.placement import (
+    NotPlaced,
+    Placed,
+    Wait,
+    Work,
+    choose_server,
+    pick_candidates,
+    predict_ms,
+)
+from cuminhatch.decisions.server_records import (
+    ServerLoad,
+    ServerRecord,
+    note_failure,
+    note_unreachable,
+)
+
+NOW_MS = 1_000.0
+READ = Work(
+    usual_ms=140.0,
+    target_ms=400.0,
+    waited_ms=0.0,
+    left_ms=1_200.0,
+    far_charge_ms=0.0,
+    is_idempotent=True,
+)
+HELD = READ._replace(waited_ms=60.0)
+
+
+def make_record(name, running=0, waiting=0, slowdown=1.0, is_near=True, slots=3):
+    server = BackendServer(name, "s", "10.0.0.1", 80, "here", slots, 200)
+    record = ServerRecord(server, is_near, 0.0)
+    record.load = ServerLoad(running, waiting, slots, slowdown, NOW_MS - 2.0)
+    return record
+
+
+def choose(records, work=READ, seed=1):
+    return choose_server(records, work, NOW_MS, Random(seed))
+
+
+def chosen_name(records, work=READ):
+    placed = choose(records, work)
+    assert isinstance(placed, Placed), placed
+    return placed.record.server.server_id
+
+
+def test_machine_that_is_slow_now_is_avoided():
+    """Load: a quarter of the machines is four times slower for 300 ms."""
+    records = [make_record("slow", slowdown=4.0), make_record("usual", running=1)]
+    assert chosen_name(records) == "usual"
+
+
+def test_free_slow_machine_beats_a_queue():
+    """Load: a burst on the machines that are not slow."""
+    records = [
+        make_record("slow", slowdown=4.0),
+        make_record("queue", running=3, waiting=4),
+    ]
+    assert chosen_name(records) == "slow"
+
+
+def test_own_sends_count_until_the_next_report():
+    """Load: several requests within the age of one report."""
+    records = [make_record("a"), make_record("b", running=1)]
+    records[0].sent_since_load = 2
+    assert chosen_name(records) == "b"
+
+
+def test_long_answers_stay_near_unless_near_servers_are_full():
+    """Load: map packs, dear to send through another failure domain."""
+    pack = HELD._replace(far_charge_ms=500.0, waited_ms=60.0)
+    near, far = make_record("near", running=1), make_record("far", is_near=False)
+    assert chosen_name([near, far], pack) == "near"
+    short = pack._replace(far_charge_ms=2.0)
+    full = make_record("near", running=3, waiting=6)
+    assert chosen_name([full, far], short) == "far"
+
+
+def test_request_waits_a_moment_for_a_server_that_is_not_nearly_full():
+    """Load: a crest that takes two of three slots everywhere."""
+    records = [make_record("a", running=2), make_record("b", running=2)]
+    assert isinstance(choose(records), Wait)
+    assert isinstance(choose(records, HELD), Placed)
+
+
+def test_late_work_is_refused_while_others_can_still_be_served_in_time():
+    """Load: a burst beyond capacity, where late answers delay others."""
+    records = [make_record("a", running=3, waiting=4)]
+    refused = choose(records, HELD)
+    assert isinstance(refused, NotPlaced)
+    assert 0.0 < refused.room_in_ms < READ.left_ms
+    # A request that has been sent once is not given up for that.
+    assert isinstance(choose(records, HELD._replace(is_resend=True)), Placed)
+
+
+def test_request_that_cannot_be_answered_in_time_is_refused_at_once():
+    """Guards against a caller that is held until its deadline passes."""
+    records = [make_record("a")]
+    assert isinstance(choose(records, READ._replace(left_ms=100.0)), NotPlaced)
+
+
+@pytest.mark.parametrize("waiting", [3, 6, 9])
+def test_work_that_cannot_be_repeated_never_fills_a_queue(waiting):
+    """Guards against a full server that resets a confirmation."""
+    records = [make_record("a", running=3, waiting=waiting)]
+    write = HELD._replace(is_idempotent=False, target_ms=5_000.0, left_ms=9_000.0)
+    held = write._replace(waited_ms=900.0)
+    for work in (held, held._replace(is_resend=True)):
+        assert isinstance(choose(records, work), NotPlaced)
+
+
+def test_server_that_fails_requests_is_avoided_while_others_are_there():
+    """Load: grey servers that answer errors at once and look idle."""
+    records = [make_record("grey"), make_record("sound", running=1)]
+    for n in range(6):
+        note_failure(records[0], NOW_MS - 60.0 + n)
+    assert chosen_name(records) == "sound"
+
+
+def test_cold_server_is_expected_to_be_slower():
+    """Load: servers just added, slow for some seconds."""
+    cold, warm = make_record("cold"), make_record("warm")
+    cold.warm_at_ms = NOW_MS + 2_000.0
+    assert predict_ms(cold, READ, NOW_MS) > predict_ms(warm, READ, NOW_MS)
+
+
+def test_old_report_is_not_believed():
+    """Guards against load reports that are older than load itself."""
+    record = make_record("a", running=3, waiting=6)
+    later = NOW_MS + 10_000.0
+    assert predict_ms(record, READ, later) < predict_ms(record, READ, NOW_MS)
+
+
+def test_candidates_are_near_but_one():
+    """Guards against a near domain that stays in use while it is slow."""
+    records = [make_record(f"n{n}") for n in range(5)]
+    records += [make_record(f"f{n}", is_near=False) for n in range(5)]
+    picked = pick_candidates(records, frozenset(), 4, NOW_MS, Random(2))
+    assert sum(record.is_near for record in picked) == 3
+    assert len(picked) == 4
+
+
+def test_candidates_leave_out_what_was_tried_or_is_unreachable():
+    """Guards against a second send to the server that has just failed."""
+    records = [make_record(name) for name in "abc"]
+    note_unreachable(records[2], NOW_MS)
+    names = [
+        record.server.server_id
+        for record in pick_candidates(records, frozenset("a"), 4, NOW_MS, Random(3))
+    ]
+    assert names == ["b"]
+    everything = pick_candidates(records, frozenset("abc"), 4, NOW_MS, Random(3))
+    assert len(everything) == 2, "the unreachable one comes last"
--- a/tests/decisions/test_routing.py
+++ b/tests/decisions/test_routing.py
@@ -40,3 +40,23 @@
     match_rule = make(RULES[1])
     assert match_rule("POST", "/maps") == NoRoute("no-rule-for-method")
     assert match_rule("GET", "/") == NoRoute("no-rule-for-path")
+
+
+def test_host_separates_rules_with_the_same_prefix():
+    """Guards against a request that runs at another host's service."""
+    match_rule = make(
+        Rule("here", "desk", "*", "/a/", host="here.example"),
+        Rule("there", "depot", "*", "/a/", host="there.example"),
+        Rule("deeper", "depot", "*", "/a/b/", host="there.example"),
+    )
+    assert match_rule("GET", "/a/b/1", "here.example").rule_id == "here"
+    assert match_rule("GET", "/a/b/1", "there.example").rule_id == "deeper"
+    assert isinstance(match_rule("GET", "/a/b/1", "else.example"), NoRoute)
+    assert isinstance(match_rule("GET", "/a/b/1"), NoRoute)
+
+
+def test_rules_of_any_host_serve_hosts_without_a_match():
+    """Guards against notes without hosts that stop to apply."""
+    match_rule = make(RULES[0], Rule("x", "depot", "*", "/x/", host="here.example"))
+    assert match_rule("GET", "/y", "here.example").rule_id == "any"
+    assert match_rule("GET", "/x/", "here.example").rule_id == "x"
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,108 @@
+"""Tests of the platform's headers."""
+
+import pytest
+
+from cuminhatch.codecs.dialect import Forwarding, ReportedLoad
+from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
+from cuminhatch.platform.headers import DIALECT, parse_load
+
+
+def request_head(*headers):
+    return RequestHead(b"GET", b"/a/1", tuple(Header(*pair) for pair in headers))
+
+
+HEAD = request_head(
+    (b"host", b"Jepu9.example:8080"),
+    (b"attempt-id", b"9c41"),
+    (b"request-deadline", b"1200"),
+    (b"expected-instance", b"forged"),
+    (b"x-other", b"kept"),
+)
+
+
+def test_request_is_read():
+    """Guards against a wrong route, id or time left."""
+    facts = DIALECT.read_request(HEAD)
+    assert (facts.request_id, facts.budget_ms) == (b"9c41", 1200.0)
+    assert facts.host == "jepu9.example"
+
+
+def test_forwarded_head_holds_the_time_left_and_the_expected_server():
+    """Guards against more time than is left, and a forged server."""
+    facts = DIALECT.read_request(HEAD)
+    head = DIALECT.forward_request(HEAD, facts, Forwarding(b"9c41", "i-7", 812.9))
+    names = [header.name for header in head.headers]
+    assert names.count(b"request-deadline") == names.count(b"expected-instance") == 1
+    assert Header(b"request-deadline", b"812") in head.headers
+    assert Header(b"expected-instance", b"i-7") in head.headers
+    assert Header(b"x-other", b"kept") in head.headers
+    assert Header(b"host", b"Jepu9.example:8080") in head.headers
+    assert (head.method, head.target) == (b"GET", b"/a/1")
+
+
+@pytest.mark.parametrize("value", [b"", b"soon", b"-5", b"nan", b"1e99"])
+def test_malformed_deadline_is_none(value):
+    """Guards against a request that fails for a header of no use."""
+    facts = DIALECT.read_request(request_head((b"request-deadline", value)))
+    assert facts.budget_ms is None
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "is_not_run", "is_other_server"),
+    [
+        (200, ((b"response-seal", b"s"),), False, False),
+        (503, ((b"not-executed", b"1"),), True, False),
+        (503, (), False, False),
+        (500, ((b"response-seal", b"s"),), False, False),
+        (421, ((b"instance-id", b"i-9"),), True, True),
+    ],
+)
+def test_only_two_answers_say_not_run(status, headers, is_not_run, is_other_server):
+    """Guards against a failure after a run that is sent again or refused."""
+    head = ResponseHead(status, b"", tuple(Header(*pair) for pair in headers))
+    facts = DIALECT.read_answer(head)
+    assert facts.is_not_run is is_not_run
+    assert facts.is_other_server is is_other_server
+
+
+def test_seal_is_returned_and_load_is_not():
+    """Guards against an answer that does not count for its caller."""
+    head = ResponseHead(
+        200,
+        b"OK",
+        (
+            Header(b"attempt-id", b"9c41"),
+            Header(b"response-seal", b"3e1b"),
+            Header(b"backend-load", b"3,1,8,250"),
+        ),
+    )
+    facts = DIALECT.read_answer(head)
+    assert facts.is_vouched
+    assert facts.request_id == b"9c41"
+    assert facts.load == ReportedLoad(3, 1, 8, 2.5)
+    assert [header.name for header in facts.headers] == [
+        b"attempt-id",
+        b"response-seal",
+    ]
+
+
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", ReportedLoad(3, 0, 8, 1.0)),
+        (b"3,0,8,400", ReportedLoad(3, 0, 8, 4.0)),
+        (b"3,0", None),
+        (b"a,b,c", None),
+        (b"", None),
+    ],
+)
+def test_load_is_parsed(value, load):
+    """Guards against a malformed report that ends the reading of an answer."""
+    assert parse_load(value) == load
+
+
+@pytest.mark.parametrize(("status", "is_healthy"), [(200, True), (503, False)])
+def test_health_names_its_server(status, is_healthy):
+    """Guards against load that is that of another server."""
+    facts = DIALECT.read_health(status, (Header(b"instance-id", b"i-7"),))
+    assert (facts.server_id, facts.is_healthy, facts.load) == ("i-7", is_healthy, None)
