--- a/src/cuminhatch_standins/_front.py
+++ b/src/cuminhatch_standins/_front.py
@@ -28,7 +28,7 @@
 LISTENER = "callers"
 FAULTS_PATH = "/faults"
 # What tests read and write; no fault applies to it.
-CONTROL_PATHS = frozenset({FAULTS_PATH, "/runs", "/stats"})
+CONTROL_PATHS = frozenset({FAULTS_PATH, "/operator", "/runs", "/stats"})
 MAX_BODY_BYTES = 64 * 1024 * 1024
 # For stand-ins whose answers are short and given at once.
 FLOW_IGNORED: MessageTable = {
