--- /dev/null
+++ b/tests/proofs/test_catalog_spread.py
@@ -0,0 +1,92 @@
+"""Instances that hear of changes by lossy news agree and never go back."""
+
+from random import Random
+
+import pytest
+
+from cuminhatch.decisions.catalog import (
+    EMPTY_CATALOG,
+    Catalog,
+    Registration,
+    VersionGap,
+    apply_change,
+    merge_reading,
+)
+from cuminhatch.decisions.configuration import BackendServer
+
+STEPS = 400
+FOLLOWERS = 6
+
+
+def make_row(name, version, is_draining):
+    server = BackendServer(
+        name, "s", "10.0.0.1", 80, "here", 3, 0, is_draining=is_draining
+    )
+    return Registration(server, version)
+
+
+def servers_of(catalog):
+    return {name: item.server for name, item in catalog.registrations.items()}
+
+
+class Fleet:
+    """A reader, followers, and the network between them."""
+
+    def __init__(self, seed):
+        self.rng = Random(seed)
+        self.rows = {}
+        self.version = 1
+        self.reader = EMPTY_CATALOG
+        self.followers = [EMPTY_CATALOG] * FOLLOWERS
+        self.on_the_way = []
+
+    def change_rows(self):
+        self.version += 1
+        name = f"b{self.rng.randrange(5)}"
+        if name in self.rows and self.rng.random() < 0.3:
+            del self.rows[name]
+        else:
+            self.rows[name] = make_row(name, self.version, self.rng.random() < 0.3)
+
+    def read(self):
+        self.reader, change = merge_reading(
+            self.reader, self.version, self.rows, 0.0, False
+        )
+        for number in range(FOLLOWERS):
+            if self.rng.random() < 0.7:
+                self.on_the_way.append((number, change))
+
+    def deliver(self):
+        if not self.on_the_way:
+            return
+        index = self.rng.randrange(len(self.on_the_way))
+        number, change = self.on_the_way[index]
+        # Datagrams are also doubled.
+        if self.rng.random() < 0.9:
+            del self.on_the_way[index]
+        before = self.followers[number]
+        after = apply_change(before, change)
+        if isinstance(after, VersionGap):
+            after = self.pull()
+        assert after.version >= before.version, "went back"
+        self.followers[number] = after
+
+    def pull(self):
+        catalog = self.reader
+        return Catalog(catalog.version, catalog.version, catalog.registrations, {})
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_followers_agree_with_the_reader(seed):
+    """Guards against an instance that misses or reverts a change for good."""
+    fleet = Fleet(seed)
+    for _ in range(STEPS):
+        fleet.rng.choice((fleet.change_rows, fleet.read, fleet.deliver))()
+    fleet.read()
+    fleet.on_the_way.clear()
+    _, quiet = merge_reading(fleet.reader, fleet.version + 1, fleet.rows, 0.0, False)
+    for follower in fleet.followers:
+        heard = apply_change(follower, quiet)
+        if isinstance(heard, VersionGap):
+            heard = fleet.pull()
+        assert servers_of(heard) == servers_of(fleet.reader)
