--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -1,5 +1,6 @@
 """Messages between daemons about registered servers and the configuration."""
 
+import zlib
 from typing import Any, NamedTuple
 
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
@@ -152,7 +153,8 @@
         message.version,
         [_registration_to_thrift(item) for item in message.registrations],
         message.configuration_version,
-        message.configuration,
+        # All instances pull at the same moment, from one with a narrow link.
+        zlib.compress(message.configuration),
     )
 
 
@@ -161,7 +163,7 @@
         data.version,
         tuple(_registration_from_thrift(item) for item in data.registrations),
         data.configuration_version,
-        data.configuration,
+        zlib.decompress(data.configuration),
     )
 
 
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -23,6 +23,7 @@
 from cuminhatch.services.http_client import HttpClient
 from cuminhatch.services.http_listener import HttpListener
 from cuminhatch.services.loads import Loads
+from cuminhatch.services.metrics import PORT_NAME as METRICS_PORT, Metrics
 from cuminhatch.services.readiness import PORT_NAME as READINESS_PORT, Readiness
 from cuminhatch.services.settings_reload import SettingsReload
 from cuminhatch.services.supervisor import Supervisor
@@ -63,6 +64,8 @@
             decode_configuration,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
+        Metrics(kernel),
+        HttpListener(kernel, settings.metrics_address, "metrics", METRICS_PORT),
         Loads(kernel, DIALECT, placement.probes_per_s),
         Forwarding(kernel, DIALECT, read_forwarding_settings(settings)),
         BackendConnections(kernel, "forwarding"),
--- a/src/cuminhatch/services/catalog.py
+++ b/src/cuminhatch/services/catalog.py
@@ -313,9 +313,12 @@
             self._adopt_catalog(catalog, "peer")
 
     def _on_pull_failed(self, message: HttpFailed) -> None:
-        # The next news shows the same gap and starts the next pull.
         self._pull_token = 0
         self._record("pull_failed", {"reason": message.reason})
+        # The sender may be overrun by pulls of all; another instance may have
+        # pulled meanwhile. If not, the next news starts the next pull.
+        if self._members:
+            self._pull(self._rng.choice(list(self._members.values())))
 
     def _on_request_received(self, message: RequestReceived) -> None:
         """Answer a pull of another instance."""
--- a/src/cuminhatch/services/metrics.py
+++ b/src/cuminhatch/services/metrics.py
@@ -4,14 +4,20 @@
 
 from aioprometheus import Counter, Histogram, Registry, render
 
+from cuminhatch.codecs.http1 import Header, ResponseHead
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
+    CallerLeft,
     CounterIncremented,
     MetricsReplied,
     MetricsRequested,
+    RequestBody,
+    RequestReceived,
+    ResponseStarted,
     ValueObserved,
 )
 
+PORT_NAME = "metrics_port"
 PREFIX = "cuminhatch_"
 BUCKETS_MS = (0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, inf)
 
@@ -43,6 +49,9 @@
             CounterIncremented: self._on_counter_incremented,
             ValueObserved: self._on_value_observed,
             MetricsRequested: self._on_metrics_requested,
+            RequestReceived: self._on_request_received,
+            RequestBody: self._on_nothing_due,
+            CallerLeft: self._on_nothing_due,
         }
 
     def _on_counter_incremented(self, message: CounterIncremented) -> None:
@@ -62,14 +71,28 @@
         histogram.observe(message.labels, message.value)
 
     def _on_metrics_requested(self, message: MetricsRequested) -> None:
+        content_type, data = self._render()
+        self.send(message.reply_to, MetricsReplied(message.token, content_type, data))
+
+    def _on_request_received(self, message: RequestReceived) -> None:
+        """Answer a request on the metrics port, where there is one."""
+        content_type, data = self._render()
+        head = ResponseHead(
+            200, b"OK", (Header(b"content-type", content_type.encode()),)
+        )
+        answer = ResponseStarted(message.request_id, head, len(data), data, True)
+        self.send(PORT_NAME, answer)
+
+    def _on_nothing_due(self, message: RequestBody | CallerLeft) -> None:
+        """Ignore what follows a request that is answered at once."""
+
+    def _render(self) -> tuple[str, bytes]:
+        """Return content type and text of all metrics."""
         for (name, labels), amount in self._increments.items():
             self._counter(name).add(dict(labels), amount)
         self._increments.clear()
         data, headers = render(self._registry, ["text/plain"])
-        self.send(
-            message.reply_to,
-            MetricsReplied(message.token, headers["Content-Type"], data),
-        )
+        return headers["Content-Type"], data
 
     def _counter(self, name: str) -> Counter:
         counter = self._counters.get(name)
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -32,6 +32,7 @@
 from cuminhatch.messages import (
     Address,
     ConfigurationChanged,
+    HttpFailed,
     HttpReplied,
     HttpRequested,
     ReadinessChanged,
@@ -317,3 +318,15 @@
         world.store.set(make_rows("a", warmup_left_ms=float(world.store.version)))
         world.advance(READ_INTERVAL_MS)
     assert len(world.received("forwarding")) == published
+
+
+def test_failed_pull_goes_to_another_instance(world):
+    """Guards against a fleet that waits for one overrun instance."""
+    other = CatalogMember("front-5", "127.0.0.1", 5)
+    world.catalog._add_members((PEER, other))
+    world.hear(20, previous=15)
+    (request,) = world.received("http_client")
+    failed = HttpFailed(request.token, "timeout", True)
+    world.kernel.send("catalog", failed)
+    world.run()
+    assert len(world.received("http_client")) == 2
--- a/tests/system/gateways.py
+++ b/tests/system/gateways.py
@@ -57,6 +57,7 @@
 
     program: Program
     readiness: Address
+    metrics: Address
     log: Path
 
     @property
@@ -201,7 +202,8 @@
     address = Address("127.0.0.1", ports["callers"])
     wait_for_port(address, process)
     readiness = Address("127.0.0.1", ports["readiness"])
-    return Gateway(Program(process, address), readiness, log)
+    metrics = Address("127.0.0.1", ports["metrics"])
+    return Gateway(Program(process, address), readiness, metrics, log)
 
 
 # Runs of the tests beside each other need different ports.
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.support import stop_process, wait_until
+from tests.support import http_request, stop_process, wait_until
 from tests.system.gateways import running_site
 
 
@@ -183,3 +183,13 @@
     wait_until(lambda: new.is_ready, "readiness")
     assert new.ask("status", "s1").status == 200
     assert new.ask("nothing", "s2").status == 404
+
+
+def test_metrics_count_what_was_answered(site):
+    """Guards against a metrics address that serves nothing."""
+    gateway = site.gateways[0]
+    assert gateway.ask("status", "m1").status == 200
+    text = http_request(gateway.metrics, "GET", "/metrics").body.decode()
+    assert 'cuminhatch_requests_total{end="answered",service="board"} 1' in text
+    assert "cuminhatch_request_duration_ms_bucket" in text
+    assert "cuminhatch_probes_total" in text
