Explain a request from the event logs of its instances

cuminhatch explain REQUEST-ID FILE... tells in order what was decided, by which load of which age, and what its instance noticed about the servers meanwhile. Wall clocks are not used. The commands of the tool move to a module of their own.

--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -2,7 +2,8 @@
 Operators' tool of cuminhatch.
 
 Commands: note check FILE, note submit FILE, note show, note history, status,
-timeline, drain. The operators' key is read from CUMINHATCH_OPERATORS_KEY.
+timeline, drain, explain REQUEST-ID FILE... The operators' key is read from
+CUMINHATCH_OPERATORS_KEY.
 Exit status: 0 done, 1 refused or failed, 2 usage error, 3 outcome unknown.
 """
 
@@ -14,13 +15,13 @@
 from loguru import logger
 
 from cuminhatch.cli.command import Command
+from cuminhatch.cli.commands import make_plan
 from cuminhatch.cli.plans import (
     STATUS_USAGE,
     CommandError,
     Options,
     Output,
     Plan,
-    make_plan,
 )
 from cuminhatch.codecs.settings_toml import OPERATORS_KEY_VARIABLE, parse_address
 from cuminhatch.kernel import Kernel
--- /dev/null
+++ b/tests/cli/test_explain.py
@@ -0,0 +1,130 @@
+"""Tests of the explanation of a request."""
+
+import json
+
+import pytest
+
+from cuminhatch.address import Address
+from cuminhatch.cli.commands import make_plan
+from cuminhatch.cli.plans import CommandError, Options
+
+OPTIONS = Options((Address("127.0.0.1", 8081),), "", 0, 200)
+
+
+def make_line(instance, now_ms, event, request="", **details):
+    # The wall clocks of instances differ; nothing may rest on them.
+    line = {"wall_ms": 9e12 - now_ms, "now_ms": now_ms, "instance": instance}
+    line |= {"part": "forwarding", "event": event}
+    if request:
+        line["request"] = request
+    return line | details
+
+
+RECEIVED = {"rule": "r-1", "service": "board", "configuration": 7, "budget_ms": 1200}
+PLACED = {
+    "server": "i-1",
+    "send": 1,
+    "is_hedge": False,
+    "is_near": True,
+    "predicted_ms": 150.0,
+    "left_ms": 1190.0,
+    "running": 1,
+    "waiting": 0,
+    "slowdown": 1.0,
+    "load_age_ms": 1.5,
+}
+LINES = [
+    make_line("front-1", 5_000.0, "received", "9c41", **RECEIVED),
+    make_line("front-1", 5_003.0, "placed", "9c41", **PLACED),
+    make_line(
+        "front-1",
+        5_080.0,
+        "send_failed",
+        "9c41",
+        server="i-1",
+        reason="connection-closed",
+        is_sent=True,
+        is_reused=False,
+        after_ms=77.0,
+    ),
+    make_line("front-1", 5_400.0, "server_gone", server="i-1", source="front-2"),
+    make_line(
+        "front-1",
+        5_081.0,
+        "resend_denied",
+        "9c41",
+        reason="may-have-run",
+        failure="connection-closed",
+    ),
+    make_line(
+        "front-1",
+        5_082.0,
+        "failed",
+        "9c41",
+        status=502,
+        reason="connection-closed",
+        waited_ms=82.0,
+        sends=["i-1"],
+        failure="connection-closed",
+        retry_after_ms=None,
+    ),
+    make_line("front-1", 5_050.0, "server_gone", server="i-8", source="store"),
+    make_line("front-2", 100.0, "received", "77aa", **RECEIVED),
+    make_line(
+        "front-2",
+        160.0,
+        "refused",
+        "77aa",
+        status=503,
+        reason="servers-full",
+        waited_ms=60.0,
+        sends=[],
+        failure="",
+        retry_after_ms=140.0,
+    ),
+    make_line("front-2", 40.0, "received", "be09", **RECEIVED),
+    make_line("front-2", 43.0, "placed", "be09", **PLACED),
+    make_line(
+        "front-2",
+        700.0,
+        "answered",
+        "be09",
+        status=200,
+        server="i-1",
+        took_ms=660.0,
+        server_ms=657.0,
+        sends=1,
+        is_hedge=False,
+        is_caller_gone=False,
+    ),
+]
+
+
+@pytest.fixture
+def log_file(tmp_path):
+    path = tmp_path / "all.log"
+    text = [f"  12.5 front-1 {json.dumps(line)}" for line in LINES]
+    path.write_text("\n".join([*text, "10:00 INFO started", '{"wall_ms": 1, "cut']))
+    return str(path)
+
+
+@pytest.mark.parametrize("request_id", ["9c41", "77aa", "be09"])
+def test_request_is_explained(log_file, request_id, snapshot):
+    """Guards against a complaint that the logs hold the answer to."""
+    output = make_plan(OPTIONS, ["explain", request_id, log_file]).show(())
+    assert output.status == 0
+    assert output.text == snapshot
+
+
+def test_unknown_request_is_told(log_file):
+    """Guards against an empty answer that looks like a good one."""
+    output = make_plan(OPTIONS, ["explain", "ffff", log_file]).show(())
+    assert output.status == 1
+    assert "ffff" in output.text
+
+
+@pytest.mark.parametrize("arguments", [[], ["9c41"], ["9c41", "missing.log"]])
+def test_wrong_use_is_told(arguments):
+    """Guards against a traceback for a mistake on the command line."""
+    with pytest.raises(CommandError):
+        make_plan(OPTIONS, ["explain", *arguments])
--- a/tests/cli/test_plans.py
+++ b/tests/cli/test_plans.py
@@ -3,7 +3,8 @@
 import pytest
 
 from cuminhatch.address import Address
-from cuminhatch.cli.plans import ApiFailed, ApiReply, CommandError, Options, make_plan
+from cuminhatch.cli.commands import make_plan
+from cuminhatch.cli.plans import ApiFailed, ApiReply, CommandError, Options
 
 FIRST, SECOND = Address("127.0.0.1", 8081), Address("127.0.0.1", 8181)
 OPTIONS = Options((FIRST, SECOND), "", 0, 200)
