--- a/src/cuminhatch/decisions/explanation.py
+++ b/src/cuminhatch/decisions/explanation.py
@@ -150,6 +150,18 @@
     return text
 
 
+def _tell_not_placed(line: Line) -> str:
+    loads = "; ".join(
+        f"{server}: {running} running, {waiting} waiting, slowdown {slowdown}, "
+        f"{age_ms} ms old"
+        for server, running, waiting, slowdown, age_ms in line["freshest"]
+    )
+    return (
+        f"no server found for work of usually {line['usual_ms']} ms: {line['reason']}; "
+        f"{line['servers']} servers known, the freshest loads: {loads or 'none'}"
+    )
+
+
 def _tell_failed(line: Line) -> str:
     return (
         f"answered with {line['status']}, the outcome is unknown: {line['reason']}; "
@@ -175,6 +187,7 @@
     "placed": _tell_placed,
     "send_failed": _tell_send_failed,
     "resend_denied": _tell_resend_denied,
+    "not_placed": _tell_not_placed,
     "refused": _tell_refused,
     "failed": _tell_failed,
     "answered": _tell_answered,
--- a/src/cuminhatch/services/forwarding/_ends.py
+++ b/src/cuminhatch/services/forwarding/_ends.py
@@ -1,6 +1,6 @@
 """Ends requests, and tells callers the outcome."""
 
-from cuminhatch.decisions.placement import NotPlaced
+from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS, NotPlaced
 from cuminhatch.messages import RequestFailed, RequestRefused, ResponseAborted
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.forwarding._attempts import cancel_attempts
@@ -16,28 +16,29 @@
     state: ForwardingState, exchange: Exchange, refusal: NotPlaced
 ) -> None:
     """End a request that no server can take."""
-    spread = 1.0 + RETRY_SPREAD * (2.0 * state.rng.random() - 1.0)
-    give_up(state, exchange, refusal.reason, refusal.room_in_ms * spread)
+    give_up(state, exchange, refusal.reason, refusal.room_in_ms)
 
 
 def give_up(
     state: ForwardingState,
     exchange: Exchange,
     reason: str,
-    retry_after_ms: float | None = None,
+    room_in_ms: float = RETRY_AFTER_MIN_MS,
 ) -> None:
     """
     End a request that no send has answered.
 
-    Only a request that certainly has not run is refused as such.
+    Only a request that certainly has not run is refused as such. Its caller
+    is told to come back when there is room, and not together with others.
     """
     if exchange.stage is Stage.ANSWERING:
         break_off(state, exchange, reason)
     elif exchange.is_maybe_run:
         end_unknown(state, exchange, 502, reason)
     else:
-        delay_ms = 0.0 if retry_after_ms is None else retry_after_ms
-        tell(state, exchange, 503, Outcome.NOT_RUN, reason, delay_ms)
+        spread = 1.0 + RETRY_SPREAD * (2.0 * state.rng.random() - 1.0)
+        retry_after_ms = round(room_in_ms * spread, 1)
+        tell(state, exchange, 503, Outcome.NOT_RUN, reason, retry_after_ms)
         finish_exchange(state, exchange, reason)
 
 
--- a/src/cuminhatch/services/forwarding/_placing.py
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -22,6 +22,8 @@
 MEASURE_WAIT_MS = 12.0
 # Servers end a request about this often when they are nearly full.
 LOOK_INTERVAL_MS = 15.0
+# Loads named in the line of a refusal.
+LOGGED_LOADS = 4
 BYTES_PER_KB = 1024.0
 
 
@@ -151,4 +153,32 @@
     if exchange.is_hedging or exchange.attempts:
         exchange.is_hedging = False
         return
+    record_refusal(state, exchange, refusal)
     refuse_unplaced(state, exchange, refusal)
+
+
+def record_refusal(
+    state: ForwardingState, exchange: Exchange, refusal: NotPlaced
+) -> None:
+    """Log the loads by which no server was chosen."""
+    pool = state.pools.get(exchange.service_id)
+    now_ms = state.clock.now_ms
+    seen = [
+        (
+            record.server.server_id,
+            record.load.running,
+            record.load.waiting,
+            record.load.slowdown,
+            round(now_ms - record.load.observed_ms, 1),
+        )
+        for record in (pool.usable if pool is not None else ())
+        if record.load is not None
+    ]
+    details = {
+        "reason": refusal.reason,
+        "waited_ms": round(now_ms - exchange.received_ms, 1),
+        "usual_ms": round(expected_time(state, exchange).usual_ms, 1),
+        "servers": len(pool.records) if pool is not None else 0,
+        "freshest": sorted(seen, key=lambda load: load[-1])[:LOGGED_LOADS],
+    }
+    state.record("not_placed", exchange.trace_id, details)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -70,6 +70,17 @@
     ),
     make_line("front-1", 5_050.0, "server_gone", server="i-8", source="store"),
     make_line("front-2", 100.0, "received", "77aa", **RECEIVED),
+    make_line(
+        "front-2",
+        159.9,
+        "not_placed",
+        "77aa",
+        reason="servers-full",
+        waited_ms=59.9,
+        usual_ms=140.0,
+        servers=2,
+        freshest=[["i-1", 3, 2, 1.0, 1.2], ["i-2", 3, 4, 4.0, 1.3]],
+    ),
     make_line(
         "front-2",
         160.0,
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -162,6 +162,7 @@
             world.fail(send, is_sent=False, reason="connection refused")
     refusal = only_refusal(world)
     assert (refusal.status, refusal.outcome) == (503, Outcome.NOT_RUN)
+    assert refusal.retry_after_ms > 30.0, "told when to come back"
 
 
 def test_idempotent_request_is_sent_to_a_second_server_only(make_world):
