Let one module serve both daemons where two did the same

Reading a settings file, and encoding and checking messages between daemons, stood twice. The state of a listener's connections and the events of the catalog move out of files that had grown.

--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -3,9 +3,6 @@
 import zlib
 from typing import Any, NamedTuple
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
-
 from cuminhatch.codecs.gen.peers.ttypes import (
     CatalogMember as ThriftMember,
     CatalogNews as ThriftNews,
@@ -13,12 +10,10 @@
     Greeting as ThriftGreeting,
     ServerRegistration as ThriftRegistration,
 )
-from cuminhatch.codecs.signing import PeerMessageError, check_payload, sign_payload
+from cuminhatch.codecs.signing import decode_struct, encode_struct
 from cuminhatch.decisions.catalog import CatalogChange, Registration
 from cuminhatch.decisions.configuration import BackendServer
 
-_FACTORY = TCompactProtocolAcceleratedFactory()
-
 
 class CatalogMember(NamedTuple):
     """An instance, and where the others reach it."""
@@ -187,8 +182,7 @@
     :param key: key shared by all daemons.
     """
     kind, convert = _WRITERS[type(message)]
-    payload = bytes([kind]) + serialize(convert(message), _FACTORY)
-    return sign_payload(payload, key)
+    return encode_struct(kind, convert(message), key)
 
 
 def decode_message(data: bytes, key: bytes) -> CatalogMessage:
@@ -199,13 +193,4 @@
     :param key: key shared by all daemons.
     :raises PeerMessageError: the HMAC does not match or the rest is broken.
     """
-    payload = check_payload(data, key)
-    reader = _READERS.get(payload[0])
-    if reader is None:
-        raise PeerMessageError(f"unknown kind of message {payload[0]}")
-    make, convert = reader
-    try:
-        return convert(deserialize(make(), payload[1:], _FACTORY))
-    except Exception as error:
-        # The protocol classes raise many kinds of errors on broken input.
-        raise PeerMessageError("malformed message") from error
+    return decode_struct(_READERS, data, key)
--- a/src/cuminhatch/codecs/peers_thrift.py
+++ b/src/cuminhatch/codecs/peers_thrift.py
@@ -8,9 +8,6 @@
 
 from typing import Any, NamedTuple
 
-from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
-from thrift.TSerialization import deserialize, serialize
-
 from cuminhatch.codecs.gen.peers.ttypes import (
     Heartbeat as ThriftHeartbeat,
     LoadSample as ThriftLoadSample,
@@ -19,7 +16,7 @@
     NotesReply as ThriftNotesReply,
     PermitWish as ThriftPermitWish,
 )
-from cuminhatch.codecs.signing import PeerMessageError, check_payload, sign_payload
+from cuminhatch.codecs.signing import decode_struct, encode_struct
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import Entry
 
@@ -27,8 +24,6 @@
 MAX_DATAGRAM_BYTES = 1_400
 US_PER_MS = 1000.0
 
-_FACTORY = TCompactProtocolAcceleratedFactory()
-
 
 class LoadSample(NamedTuple):
     """Load of a backend server as probed ``age_ms`` ago."""
@@ -160,8 +155,7 @@
     :param key: key shared by all daemons.
     """
     kind, convert, _ = _KINDS[type(message)]
-    payload = bytes([kind]) + serialize(convert(message), _FACTORY)
-    return sign_payload(payload, key)
+    return encode_struct(kind, convert(message), key)
 
 
 def decode_message(data: bytes, key: bytes) -> PeerMessage:
@@ -172,15 +166,4 @@
     :param key: key shared by all daemons.
     :raises PeerMessageError: the HMAC does not match or the rest is broken.
     """
-    payload = check_payload(data, key)
-    reader = _READERS.get(payload[0])
-    if reader is None:
-        raise PeerMessageError(f"unknown kind of message {payload[0]}")
-    make, convert = reader
-    try:
-        struct = deserialize(make(), payload[1:], _FACTORY)
-        struct.validate()
-        return convert(struct)
-    except Exception as error:
-        # The protocol classes raise many kinds of errors on broken input.
-        raise PeerMessageError("malformed message") from error
+    return decode_struct(_READERS, data, key)
--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-from pathlib import Path
 from random import Random
 
 from absl import app, flags
@@ -30,6 +29,7 @@
     Supervisor,
     Timeline,
 )
+from cuminhatch.settings_file import read_settings_text
 
 USAGE_STATUS = 2
 LOG_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSSZ} {level} {extra[instance]} {message}"
@@ -119,14 +119,7 @@
     :param file_name: value of ``--settings``.
     :raises SettingsError: it is missing or invalid.
     """
-    if not file_name:
-        raise SettingsError("--settings: missing; name the settings file")
-    try:
-        text = Path(file_name).read_text()
-    except OSError as error:
-        raise SettingsError(f"{file_name}: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise SettingsError(f"{file_name}: not UTF-8 text") from error
+    text = read_settings_text(file_name)
     return parse_settings(text, file_name, os.environ)
 
 
--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -6,9 +6,9 @@
 tell each other never replace newer knowledge by older.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from types import MappingProxyType
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from cuminhatch.decisions.configuration import BackendServer, Configuration
 
@@ -181,3 +181,39 @@
         if connections is not None:
             servers[server_id] = server._replace(connections=connections)
     return document.configuration._replace(servers=MappingProxyType(servers))
+
+
+def has_same_servers(one: Catalog, other: Catalog) -> bool:
+    """
+    Tell whether two catalogs differ by the versions of their rows only.
+
+    :param one: a catalog.
+    :param other: another one.
+    """
+    return [item.server for item in one.registrations.values()] == [
+        item.server for item in other.registrations.values()
+    ]
+
+
+def list_changes(
+    before: Catalog, after: Catalog
+) -> Iterator[tuple[str, dict[str, Any]]]:
+    """
+    Name what differs, one event for each server.
+
+    :param before: what was known.
+    :param after: what is known now.
+    """
+    for server_id in before.registrations.keys() - after.registrations.keys():
+        yield "server_gone", {"server": server_id}
+    for server_id, item in after.registrations.items():
+        known = before.registrations.get(server_id)
+        if known is not None and known.server == item.server:
+            continue
+        details = {
+            "server": server_id,
+            "service": item.server.service_id,
+            "is_draining": item.server.is_draining,
+            "row_version": item.row_version,
+        }
+        yield ("server_added" if known is None else "server_changed"), details
--- a/src/cuminhatch/decisions/servers.py
+++ b/src/cuminhatch/decisions/servers.py
@@ -11,14 +11,12 @@
 )
 from cuminhatch.decisions.limits import ConcurrencyWindow
 
-# Load shifts within milliseconds: in the trial of bench/choice_trial.py (work
-# of 10 ms, load 0.8) the 99th percentile was 58.0 ms with a half-life of
-# 100 ms and 55.7 ms with 10 ms (mean of two seeds).
+# Load shifts within milliseconds, so a report soon loses its weight.
 REPORT_HALF_LIFE_MS = 10.0
 # Reports that are older than this many milliseconds have no weight.
 REPORT_MAX_AGE_MS = 500.0
 # The time of work varies; a larger weight would make that a difference
-# between servers (same trial: 55.7 ms with 1/8, 54.6 ms with 1/32).
+# between servers.
 LATENCY_WEIGHT = 1 / 32
 # Failures are rarer and tell more.
 FAILURE_WEIGHT = 1 / 8
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -2,7 +2,6 @@
 
 import os
 import sys
-from pathlib import Path
 
 from absl import app, flags
 from loguru import logger
@@ -27,6 +26,7 @@
 from cuminhatch.services.readiness import PORT_NAME as READINESS_PORT, Readiness
 from cuminhatch.services.settings_reload import SettingsReload
 from cuminhatch.services.supervisor import Supervisor
+from cuminhatch.settings_file import read_settings_text
 
 USAGE_STATUS = 2
 DRAINING_PARTS = ("callers",)
@@ -117,14 +117,7 @@
     :param file_name: value of ``--settings`` or of the platform's variable.
     :raises SettingsError: it is missing or invalid.
     """
-    if not file_name:
-        raise SettingsError("--settings: missing; name the settings file")
-    try:
-        text = Path(file_name).read_text()
-    except OSError as error:
-        raise SettingsError(f"{file_name}: {error.strerror}") from error
-    except UnicodeDecodeError as error:
-        raise SettingsError(f"{file_name}: not UTF-8 text") from error
+    text = read_settings_text(file_name)
     return parse_gateway_settings(text, file_name, os.environ)
 
 
--- /dev/null
+++ b/src/cuminhatch/services/_listener_state.py
@@ -0,0 +1,94 @@
+"""State of the connections of an HTTP port."""
+
+from collections import deque
+from typing import NamedTuple
+
+from cuminhatch.codecs.http1 import HeadParsed, ParserEvent, RequestParser
+from cuminhatch.services._stream import Stream
+
+# With 64 KB of unsent answer each, 128 MB of the daemon's 256 MB.
+MAX_CONNECTIONS = 2000
+
+
+class ListenerLimits(NamedTuple):
+    """
+    Bounds on connections and on the time for a peer to make progress.
+
+    ``idle_age_ms`` holds between requests, ``head_ms`` from the first byte
+    to the end of a head, ``body_progress_ms`` between parts of a body and
+    ``answer_progress_ms`` between parts of an answer that the peer takes.
+    ``linger_ms`` is how long bytes are still read from a peer that has got
+    its last answer; a close with unread bytes would destroy that answer.
+    ``drain_first_request_ms`` is the time for the first request of a caller
+    that connected just before the drain.
+    """
+
+    connections: int = MAX_CONNECTIONS
+    idle_age_ms: float = 60_000
+    head_ms: float = 10_000
+    body_progress_ms: float = 10_000
+    answer_progress_ms: float = 30_000
+    linger_ms: float = 2_000
+    drain_first_request_ms: float = 1_000
+
+
+DEFAULT_LIMITS = ListenerLimits()
+
+
+class Exchange:
+    """The request of a connection that is being answered."""
+
+    def __init__(self, request_id: int, parsed: HeadParsed) -> None:
+        """
+        Start with nothing answered.
+
+        :param request_id: id of the request within the process.
+        :param parsed: its head.
+        """
+        self.request_id = request_id
+        self.is_head_request = parsed.head.method == b"HEAD"
+        self.is_http_1_0 = parsed.is_http_1_0
+        self.is_keep_alive = parsed.is_keep_alive
+        self.is_continue_due = parsed.is_continue_expected
+        self.is_request_complete = False
+        self.is_response_started = False
+        self.is_chunked = False
+        self.is_read_paused = False
+        self.is_body_asked_for = False
+        self.passed_bytes = 0
+        self.is_stalled = False
+
+
+class Connection:
+    """State of one connection; requests are answered one at a time."""
+
+    def __init__(self, now_ms: float) -> None:
+        """
+        Start before the first byte; ``stream`` is set by the owner.
+
+        :param now_ms: current time.
+        """
+        self.stream: Stream
+        self.parser = RequestParser()
+        self.backlog: deque[ParserEvent] = deque()
+        self.backlog_bytes = 0
+        # Messages whose end is in the backlog.
+        self.backlog_ends = 0
+        self.exchange: Exchange | None = None
+        self.exchange_count = 0
+        self.is_held = False
+        self.is_closing = False
+        self.progress_ms = now_ms
+        self.sent_bytes = 0
+        self.head_begun_ms: float | None = None
+        self.linger_begun_ms: float | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Tell whether no request is being read or answered."""
+        return (
+            self.exchange is None
+            and self.head_begun_ms is None
+            and not self.is_held
+            and not self.is_closing
+        )
--- a/src/cuminhatch/services/catalog.py
+++ b/src/cuminhatch/services/catalog.py
@@ -27,10 +27,11 @@
     ConfigurationDocument,
     VersionGap,
     apply_change,
+    has_same_servers,
     join_configuration,
+    list_changes,
     merge_reading,
 )
-from cuminhatch.decisions.configuration import BackendServer
 from cuminhatch.decisions.reading_turns import Turn, next_reading_ms, should_yield
 from cuminhatch.errors import CodecError
 from cuminhatch.kernel import SUPERVISOR, Kernel, MessageTable, Service
@@ -442,29 +443,12 @@
     def _adopt_catalog(self, catalog: Catalog, source: str) -> None:
         before = self._catalog
         self._catalog = catalog
-        if before.version and _servers(catalog) == _servers(before):
+        if before.version and has_same_servers(catalog, before):
             return
-        self._record_servers(before, catalog, source)
+        for name, details in list_changes(before, catalog):
+            self._record(name, details | {"source": source})
         self._publish()
 
-    def _record_servers(self, before: Catalog, after: Catalog, source: str) -> None:
-        gone = before.registrations.keys() - after.registrations.keys()
-        for server_id in gone:
-            self._record("server_gone", {"server": server_id, "source": source})
-        for server_id, item in after.registrations.items():
-            known = before.registrations.get(server_id)
-            if known is not None and known.server == item.server:
-                continue
-            details = {
-                "server": server_id,
-                "service": item.server.service_id,
-                "is_draining": item.server.is_draining,
-                "row_version": item.row_version,
-                "source": source,
-            }
-            name = "server_added" if known is None else "server_changed"
-            self._record(name, details)
-
     def _publish(self) -> None:
         if self._document is None:
             return
@@ -500,8 +484,3 @@
 
     def _record(self, name: str, details: dict) -> None:
         self.send("event_log", EventRecorded(self.name, name, "", 0, details))
-
-
-def _servers(catalog: Catalog) -> list[BackendServer]:
-    """Return the registered servers, without the versions of their rows."""
-    return [item.server for item in catalog.registrations.values()]
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -5,7 +5,6 @@
 class; they differ in the service that answers.
 """
 
-from collections import deque
 from errno import EMFILE, ENFILE, ENOBUFS, ENOMEM
 from itertools import count
 from socket import socket
@@ -17,10 +16,7 @@
     BodyParsed,
     FramingError,
     Header,
-    HeadParsed,
     MessageParsed,
-    ParserEvent,
-    RequestParser,
     ResponseHead,
     encode_chunk,
     encode_response_head,
@@ -50,12 +46,16 @@
     Outcome,
 )
 from cuminhatch.services._bound_socket import address_of, listen_on
+from cuminhatch.services._listener_state import (
+    DEFAULT_LIMITS,
+    Connection,
+    Exchange,
+    ListenerLimits,
+)
 from cuminhatch.services._stream import Stream, set_stream_options
 
 LISTEN_BACKLOG = 512
 ACCEPTS_PER_EVENT = 64
-# With 64 KB of unsent answer each, 128 MB of the daemon's 256 MB.
-MAX_CONNECTIONS = 2000
 # Above this the source of an answer is paused; the daemon's whole memory is
 # 256 MB.
 WRITE_HIGH_BYTES = 64 * 1024
@@ -91,82 +91,10 @@
 }
 
 
-class ListenerLimits(NamedTuple):
-    """
-    Bounds on connections and on the time for a peer to make progress.
-
-    ``idle_age_ms`` holds between requests, ``head_ms`` from the first byte
-    to the end of a head, ``body_progress_ms`` between parts of a body and
-    ``answer_progress_ms`` between parts of an answer that the peer takes.
-    ``linger_ms`` is how long bytes are still read from a peer that has got
-    its last answer; a close with unread bytes would destroy that answer.
-    ``drain_first_request_ms`` is the time for the first request of a caller
-    that connected just before the drain.
-    """
-
-    connections: int = MAX_CONNECTIONS
-    idle_age_ms: float = 60_000
-    head_ms: float = 10_000
-    body_progress_ms: float = 10_000
-    answer_progress_ms: float = 30_000
-    linger_ms: float = 2_000
-    drain_first_request_ms: float = 1_000
-
-
-DEFAULT_LIMITS = ListenerLimits()
-
-
 class SweepDue(NamedTuple):
     """Connections without progress are to be closed."""
 
 
-class _Exchange:
-    """The request of a connection that is being answered."""
-
-    def __init__(self, request_id: int, parsed: HeadParsed) -> None:
-        self.request_id = request_id
-        self.is_head_request = parsed.head.method == b"HEAD"
-        self.is_http_1_0 = parsed.is_http_1_0
-        self.is_keep_alive = parsed.is_keep_alive
-        self.is_continue_due = parsed.is_continue_expected
-        self.is_request_complete = False
-        self.is_response_started = False
-        self.is_chunked = False
-        self.is_read_paused = False
-        self.is_body_asked_for = False
-        self.passed_bytes = 0
-        self.is_stalled = False
-
-
-class _Connection:
-    """State of one connection; requests are answered one at a time."""
-
-    def __init__(self, now_ms: float) -> None:
-        self.stream: Stream
-        self.parser = RequestParser()
-        self.backlog: deque[ParserEvent] = deque()
-        self.backlog_bytes = 0
-        # Messages whose end is in the backlog.
-        self.backlog_ends = 0
-        self.exchange: _Exchange | None = None
-        self.exchange_count = 0
-        self.is_held = False
-        self.is_closing = False
-        self.progress_ms = now_ms
-        self.sent_bytes = 0
-        self.head_begun_ms: float | None = None
-        self.linger_begun_ms: float | None = None
-
-    @property
-    def is_idle(self) -> bool:
-        return (
-            self.exchange is None
-            and self.head_begun_ms is None
-            and not self.is_held
-            and not self.is_closing
-        )
-
-
 class HttpListener(Service):
     """Accepts connections and turns requests into messages and back."""
 
@@ -194,8 +122,8 @@
         self._address = address
         self._target = target
         self._sock: socket | None = None
-        self._connections: set[_Connection] = set()
-        self._by_request: dict[int, _Connection] = {}
+        self._connections: set[Connection] = set()
+        self._by_request: dict[int, Connection] = {}
         self._request_ids = count(1)
         self._is_draining = False
         self._is_drained = False
@@ -265,7 +193,7 @@
             self._add_connection(sock)
 
     def _add_connection(self, sock: socket) -> None:
-        connection = _Connection(self.kernel.clock.now_ms)
+        connection = Connection(self.kernel.clock.now_ms)
         connection.stream = Stream(
             self,
             sock,
@@ -278,7 +206,7 @@
 
     # Requests
 
-    def _on_data(self, connection: _Connection, data: bytes) -> None:
+    def _on_data(self, connection: Connection, data: bytes) -> None:
         if connection.is_closing:
             return
         connection.progress_ms = self.kernel.clock.now_ms
@@ -294,7 +222,7 @@
         self._advance(connection)
         self._update_reading(connection)
 
-    def _advance(self, connection: _Connection) -> None:
+    def _advance(self, connection: Connection) -> None:
         """Pass on what has been parsed, up to the end of one request."""
         while connection.backlog and not connection.is_closing:
             exchange = connection.exchange
@@ -317,11 +245,11 @@
         elif not connection.exchange.is_request_complete:
             self._refuse_framing(connection, error)
 
-    def _is_answer_pending(self, connection: _Connection) -> bool:
+    def _is_answer_pending(self, connection: Connection) -> bool:
         """Tell whether the caller must take earlier answers first."""
         return connection.stream.pending_bytes > WRITE_HIGH_BYTES
 
-    def _is_body_awaited(self, connection: _Connection) -> bool:
+    def _is_body_awaited(self, connection: Connection) -> bool:
         """Tell whether the next request is kept until more of it is there."""
         parsed = connection.backlog[0]
         if connection.backlog_ends:
@@ -340,9 +268,9 @@
             connection.head_begun_ms = None
         return is_awaited
 
-    def _start_exchange(self, connection: _Connection) -> None:
+    def _start_exchange(self, connection: Connection) -> None:
         parsed = connection.backlog.popleft()
-        exchange = _Exchange(next(self._request_ids), parsed)
+        exchange = Exchange(next(self._request_ids), parsed)
         connection.exchange = exchange
         connection.exchange_count += 1
         connection.head_begun_ms = None
@@ -360,14 +288,14 @@
             ),
         )
 
-    def _pass_body(self, connection: _Connection, exchange: _Exchange) -> None:
+    def _pass_body(self, connection: Connection, exchange: Exchange) -> None:
         data = self._take_body(connection, exchange)
         self.send(
             self._target,
             RequestBody(exchange.request_id, data, exchange.is_request_complete),
         )
 
-    def _take_body(self, connection: _Connection, exchange: _Exchange) -> bytes:
+    def _take_body(self, connection: Connection, exchange: Exchange) -> bytes:
         """Take the parsed parts of the body and note its end."""
         parts = []
         while connection.backlog and not exchange.is_request_complete:
@@ -384,7 +312,7 @@
             exchange.is_continue_due = False
         return data
 
-    def _refuse_framing(self, connection: _Connection, error: FramingError) -> None:
+    def _refuse_framing(self, connection: Connection, error: FramingError) -> None:
         outcome = Outcome.NOT_RUN
         exchange = connection.exchange
         if exchange is not None:
@@ -445,8 +373,8 @@
 
     def _write_body(
         self,
-        connection: _Connection,
-        exchange: _Exchange,
+        connection: Connection,
+        exchange: Exchange,
         data: bytes,
         is_complete: bool,
         head: bytes = b"",
@@ -467,7 +395,7 @@
                 exchange.is_stalled = True
                 self.send(self._target, CallerStalled(exchange.request_id))
 
-    def _finish_exchange(self, connection: _Connection, exchange: _Exchange) -> None:
+    def _finish_exchange(self, connection: Connection, exchange: Exchange) -> None:
         self._end_exchange(connection)
         if not exchange.is_keep_alive:
             self._close_when_drained(connection)
@@ -476,13 +404,13 @@
         if self._is_draining and connection.is_idle:
             self._close_when_drained(connection)
 
-    def _start_next(self, connection: _Connection) -> None:
+    def _start_next(self, connection: Connection) -> None:
         if connection.backlog or not connection.parser.is_between_messages:
             connection.head_begun_ms = self.kernel.clock.now_ms
         self._advance(connection)
         self._update_reading(connection)
 
-    def _end_exchange(self, connection: _Connection) -> None:
+    def _end_exchange(self, connection: Connection) -> None:
         del self._by_request[connection.exchange.request_id]
         connection.exchange = None
         connection.progress_ms = self.kernel.clock.now_ms
@@ -547,7 +475,7 @@
             connection.stream.write(CONTINUE)
         self._update_reading(connection)
 
-    def _update_reading(self, connection: _Connection) -> None:
+    def _update_reading(self, connection: Connection) -> None:
         exchange = connection.exchange
         if connection.is_closing:
             is_wanted = True
@@ -567,7 +495,7 @@
         else:
             connection.stream.stop_reading()
 
-    def _on_drained(self, connection: _Connection) -> None:
+    def _on_drained(self, connection: Connection) -> None:
         connection.progress_ms = self.kernel.clock.now_ms
         exchange = connection.exchange
         if connection.is_closing:
@@ -578,23 +506,23 @@
             exchange.is_stalled = False
             self.send(self._target, CallerResumed(exchange.request_id))
 
-    def _close_when_drained(self, connection: _Connection) -> None:
+    def _close_when_drained(self, connection: Connection) -> None:
         connection.is_closing = True
         connection.backlog.clear()
         connection.stream.start_reading()
         if connection.stream.pending_bytes == 0:
             self._linger(connection)
 
-    def _linger(self, connection: _Connection) -> None:
+    def _linger(self, connection: Connection) -> None:
         if connection.linger_begun_ms is None:
             connection.linger_begun_ms = self.kernel.clock.now_ms
             connection.stream.finish_writing()
 
-    def _abort(self, connection: _Connection) -> None:
+    def _abort(self, connection: Connection) -> None:
         connection.stream.abort()
         self._forget(connection)
 
-    def _forget(self, connection: _Connection) -> None:
+    def _forget(self, connection: Connection) -> None:
         connection.stream.close()
         self._connections.discard(connection)
         exchange = connection.exchange
@@ -642,7 +570,7 @@
         self._resume_accepting()
         self.call_after(SWEEP_INTERVAL_MS, SweepDue())
 
-    def _is_overdue(self, connection: _Connection, now_ms: float) -> bool:
+    def _is_overdue(self, connection: Connection, now_ms: float) -> bool:
         limits = self._limits
         exchange = connection.exchange
         waited_ms = now_ms - connection.progress_ms
--- a/src/cuminhatch/services/note_transfer.py
+++ b/src/cuminhatch/services/note_transfer.py
@@ -13,10 +13,10 @@
 from cuminhatch.codecs.peers_thrift import (
     NotesPull,
     NotesReply,
-    PeerMessageError,
     decode_message,
     encode_message,
 )
+from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.errors import CodecError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -12,11 +12,11 @@
     MAX_DATAGRAM_BYTES,
     Heartbeat,
     LoadSample,
-    PeerMessageError,
     PermitWish,
     decode_message,
     encode_message,
 )
+from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.hybrid_clock import ZERO_STAMP, Stamp, merge_stamp
 from cuminhatch.decisions.membership import (
     Entry,
--- /dev/null
+++ b/src/cuminhatch/settings_file.py
@@ -0,0 +1,22 @@
+"""Reads the settings file of a program."""
+
+from pathlib import Path
+
+from cuminhatch.errors import SettingsError
+
+
+def read_settings_text(file_name: str | None) -> str:
+    """
+    Return the text of a settings file.
+
+    :param file_name: name of the file, None if none was given.
+    :raises SettingsError: it is missing, or cannot be read.
+    """
+    if not file_name:
+        raise SettingsError("--settings: missing; name the settings file")
+    try:
+        return Path(file_name).read_text()
+    except OSError as error:
+        raise SettingsError(f"{file_name}: {error.strerror}") from error
+    except UnicodeDecodeError as error:
+        raise SettingsError(f"{file_name}: not UTF-8 text") from error
--- a/tests/codecs/test_peers_thrift.py
+++ b/tests/codecs/test_peers_thrift.py
@@ -8,11 +8,11 @@
     LoadSample,
     NotesPull,
     NotesReply,
-    PeerMessageError,
     PermitWish,
     decode_message,
     encode_message,
 )
+from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import Entry
 
