Take the stop times from the platform's grace time

The limit of a drain was 3.4 s whatever grace-s said; with a shorter grace time running requests would have been cut.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -18,7 +18,6 @@
 )
 from cuminhatch.codecs.settings_toml import (
     PEERS_KEY_VARIABLE,
-    DrainSettings,
     InstanceSettings,
     PeersSettings,
 )
@@ -46,6 +45,18 @@
     far_charge_ms_per_kb: float
 
 
+class StopSettings(NamedTuple):
+    """
+    Times of a graceful stop, in milliseconds.
+
+    ``announce_ms`` is the time between reporting not ready and closing the
+    callers' port, ``total_ms`` the time until the process is killed.
+    """
+
+    announce_ms: float
+    total_ms: float
+
+
 class GatewaySettings(NamedTuple):
     """All settings of a daemon of this kind."""
 
@@ -57,7 +68,7 @@
     store_address: Address
     resends: ResendSettings
     placement: PlacementSettings
-    drain: DrainSettings
+    drain: StopSettings
     log_level: str
 
 
@@ -84,7 +95,7 @@
     },
     "drain": {
         "announce_ms": Key(read_milliseconds, 2_300.0),
-        "limit_ms": Key(read_milliseconds, 3_400.0),
+        "total_ms": Key(read_milliseconds, 6_000.0),
     },
     "log": {"level": Key(read_one_of(*LOG_LEVELS), "INFO")},
 }
@@ -112,6 +123,6 @@
         values["store"][0],
         ResendSettings(*values["resends"]),
         PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
-        DrainSettings(*values["drain"]),
+        StopSettings(*values["drain"]),
         values["log"][0],
     )
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -7,7 +7,11 @@
 from loguru import logger
 
 from cuminhatch.address import Address
-from cuminhatch.codecs.gateway_toml import GatewaySettings, parse_gateway_settings
+from cuminhatch.codecs.gateway_toml import (
+    GatewaySettings,
+    StopSettings,
+    parse_gateway_settings,
+)
 from cuminhatch.decisions.resending import ResendLimits
 from cuminhatch.errors import AddressError, SettingsError
 from cuminhatch.kernel import Kernel
@@ -30,6 +34,8 @@
 
 USAGE_STATUS = 2
 DRAINING_PARTS = ("callers",)
+# Time to end the process itself before it is killed.
+STOP_RESERVE_MS = 300.0
 
 SETTINGS = flags.DEFINE_string("settings", None, "File with the settings, in TOML.")
 CHECK = flags.DEFINE_bool("check", False, "Only tell whether the settings are valid.")
@@ -49,7 +55,13 @@
     seeds = tuple(Address(seed.host, peers.address.port) for seed in peers.seeds)
     services = (
         EventLog(kernel, instance.instance_id),
-        Supervisor(kernel, *settings.drain, DRAINING_PARTS, awaited_part="catalog"),
+        Supervisor(
+            kernel,
+            settings.drain.announce_ms,
+            drain_limit_ms(settings.drain),
+            DRAINING_PARTS,
+            awaited_part="catalog",
+        ),
         SettingsReload(
             kernel, file_name, settings, load_settings, consumers=("loads",)
         ),
@@ -78,6 +90,15 @@
     return kernel
 
 
+def drain_limit_ms(stop: StopSettings) -> float:
+    """
+    Return the longest wait for running requests once the port is closed.
+
+    :param stop: times of a graceful stop.
+    """
+    return max(0.0, stop.total_ms - stop.announce_ms - STOP_RESERVE_MS)
+
+
 def read_forwarding_settings(settings: GatewaySettings) -> ForwardingSettings:
     """
     Return the settings of forwarding.
--- a/tests/codecs/test_gateway_toml.py
+++ b/tests/codecs/test_gateway_toml.py
@@ -4,6 +4,7 @@
 
 from cuminhatch.codecs.gateway_toml import parse_gateway_settings
 from cuminhatch.errors import SettingsError
+from cuminhatch.gateway import drain_limit_ms
 
 TEXT = """
 [instance]
@@ -62,3 +63,10 @@
     with pytest.raises(SettingsError, match=named) as caught:
         parse(TEXT.replace(before, after))
     assert str(caught.value).startswith("boot.toml: ")
+
+
+def test_running_requests_end_before_the_process_is_killed():
+    """Guards against a stop that takes longer than the platform waits."""
+    stop = parse(TEXT + "[drain]\nannounce_ms = 2300\ntotal_ms = 4000\n").drain
+    assert stop.announce_ms + drain_limit_ms(stop) < 4_000.0
+    assert drain_limit_ms(stop._replace(total_ms=1_000.0)) == 0.0
--- a/tests/system/gateways.py
+++ b/tests/system/gateways.py
@@ -43,7 +43,7 @@
 probes_per_s = 600
 [drain]
 announce_ms = 300
-limit_ms = 3000
+total_ms = 3600
 """
 ROUTES = {
     "status": ("safe", "board"),
