Send a configuration without the registrations that all instances know

A pull names what is known; what is told is encoded once. News are encoded once for all receivers too.

A caller with little time left waits for a machine that is not slow, instead of being refused at once. A handler that fails at another port no longer fails the caller's request that has the same number.

--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -47,14 +47,15 @@
 
 class CatalogState(NamedTuple):
     """
-    All that an instance knows of the catalog.
+    What an instance knows of the catalog and another one does not.
 
+    ``registrations`` is None where the receiver knows them all.
     ``configuration`` is the document as stored, empty where the receiver
     knows that version.
     """
 
     version: int
-    registrations: tuple[Registration, ...]
+    registrations: tuple[Registration, ...] | None
     configuration_version: int
     configuration: bytes
 
@@ -144,9 +145,12 @@
 
 
 def _state_to_thrift(message: CatalogState) -> ThriftState:
+    registrations = message.registrations
+    if registrations is not None:
+        registrations = [_registration_to_thrift(item) for item in registrations]
     return ThriftState(
         message.version,
-        [_registration_to_thrift(item) for item in message.registrations],
+        registrations,
         message.configuration_version,
         # All instances pull at the same moment, from one with a narrow link.
         zlib.compress(message.configuration),
@@ -154,9 +158,12 @@
 
 
 def _state_from_thrift(data: ThriftState) -> CatalogState:
+    registrations = data.registrations
+    if registrations is not None:
+        registrations = tuple(_registration_from_thrift(item) for item in registrations)
     return CatalogState(
         data.version,
-        tuple(_registration_from_thrift(item) for item in data.registrations),
+        registrations,
         data.configuration_version,
         zlib.decompress(data.configuration),
     )
--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -183,14 +183,16 @@
     if not records:
         return NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
     best, predicted_ms = _find_best(records, work, now_ms, rng)
+    is_full = busy_places(best, now_ms) >= best.server.slots
     late_ms = predicted_ms - work.left_ms * LEFT_SHARE
     if late_ms > 0.0:
+        if not is_full and may_wait_for_speed(work):
+            return Wait("machines-slow")
         return NotPlaced("no-answer-in-time", max(RETRY_AFTER_MIN_MS, late_ms))
     is_late = work.waited_ms + predicted_ms > work.target_ms
     is_good = is_comfortable(best, now_ms) and not is_late
     if is_good or (work.is_resend and may_queue(best, work, now_ms)):
         return Placed(best, predicted_ms)
-    is_full = busy_places(best, now_ms) >= best.server.slots
     if work.waited_ms < longest_wait_ms(work, is_late and not is_full):
         return Wait("no-server-in-time" if is_late else "servers-nearly-full")
     if is_late and is_full:
@@ -215,6 +217,16 @@
     return max(hold_ms, min(latest_ms, work.target_ms * LONGEST_HOLD_SHARE))
 
 
+def may_wait_for_speed(work: Work) -> bool:
+    """
+    Tell whether a request is held that only a faster machine can answer.
+
+    :param work: the request.
+    """
+    is_in_time = work.usual_ms * USUAL_RESERVE < work.left_ms * LEFT_SHARE
+    return is_in_time and work.waited_ms < longest_wait_ms(work, True)
+
+
 def may_queue(record: ServerRecord, work: Work, now_ms: float) -> bool:
     """
     Tell whether a request may take one more place of a server.
--- a/src/cuminhatch/services/catalog.py
+++ b/src/cuminhatch/services/catalog.py
@@ -4,6 +4,7 @@
 from itertools import count
 from random import Random
 from socket import socket
+from urllib.parse import parse_qsl
 
 from loguru import logger
 
@@ -70,7 +71,7 @@
 )
 
 PORT_NAME = "catalog_port"
-STATE_TARGET = "/catalog?configuration="
+STATE_PATH = "/catalog"
 MAX_DATAGRAMS_PER_EVENT = 64
 MAX_MEMBERS_TOLD = 24
 # Listeners of the configuration in force.
@@ -130,6 +131,8 @@
         self._is_reading_lost = False
         self._refused: dict[str, str] = {}
         self._pull_token = 0
+        # What was told last to an instance that pulled, by what it lacked.
+        self._encoded: tuple[tuple[int, int], bytes] | None = None
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of the store, the port and the HTTP client."""
@@ -173,11 +176,12 @@
 
     # Other instances
 
-    def _send(
-        self, address: Address, message: CatalogNews | Greeting | CatalogState
-    ) -> None:
+    def _send(self, address: Address, message: CatalogNews | Greeting) -> None:
+        self._send_bytes(address, encode_message(message, self._key))
+
+    def _send_bytes(self, address: Address, data: bytes) -> None:
         try:
-            self._sock.sendto(encode_message(message, self._key), address)
+            self._sock.sendto(data, address)
         except OSError as error:
             # Datagrams may be lost anyway; the next news makes up for it.
             logger.debug("catalog: Datagram not sent: {}.", error.strerror)
@@ -243,13 +247,12 @@
         return CatalogNews(self._own, change, version, is_pull_needed)
 
     def _tell_all(self, change: CatalogChange) -> None:
-        news = self._make_news(change, False)
-        data = encode_message(news, self._key)
+        data = encode_message(self._make_news(change, False), self._key)
         if len(data) > MAX_DATAGRAM_BYTES:
             empty = change._replace(changed=(), removed_ids=())
-            news = self._make_news(empty, True)
+            data = encode_message(self._make_news(empty, True), self._key)
         for member in self._members.values():
-            self._send(Address(member.host, member.port), news)
+            self._send_bytes(Address(member.host, member.port), data)
 
     # News of other instances
 
@@ -279,7 +282,10 @@
         if self._pull_token:
             return
         self._pull_token = next(self._tokens)
-        target = f"{STATE_TARGET}{self.configuration_version}"
+        target = (
+            f"{STATE_PATH}?configuration={self.configuration_version}"
+            f"&version={self._catalog.version}"
+        )
         self.send(
             "http_client",
             HttpRequested(
@@ -305,7 +311,7 @@
             logger.warning("catalog: Pulled state is of another kind.")
             return
         self._take_document(state.configuration, "peer")
-        if state.version >= self._catalog.version:
+        if state.registrations is not None and state.version >= self._catalog.version:
             registrations = {
                 item.server.server_id: item for item in state.registrations
             }
@@ -323,19 +329,39 @@
 
     def _on_request_received(self, message: RequestReceived) -> None:
         """Answer a pull of another instance."""
-        _, _, version = message.head.target.rpartition(b"=")
-        is_known = version.isdigit() and int(version) >= self.configuration_version
-        state = CatalogState(
-            self._catalog.version,
-            tuple(self._catalog.registrations.values()),
-            self.configuration_version,
-            b"" if is_known else self._document_bytes,
+        _, _, query = message.head.target.partition(b"?")
+        known = dict(parse_qsl(query.decode("latin-1")))
+        body = self._encode_state(
+            _number(known.get("configuration")) < self.configuration_version,
+            _number(known.get("version")) < self._catalog.changed_version,
         )
-        body = encode_message(state, self._key)
         head = ResponseHead(200, b"OK", ())
         answer = ResponseStarted(message.request_id, head, len(body), body, True)
         self.send(PORT_NAME, answer)
 
+    def _encode_state(self, has_configuration: bool, has_registrations: bool) -> bytes:
+        """
+        Encode what another instance does not know, once for all that ask.
+
+        A new configuration is pulled by all instances at the same moment, so
+        it goes without the registrations, which they know.
+        """
+        catalog = self._catalog
+        key = (
+            self.configuration_version if has_configuration else 0,
+            catalog.changed_version if has_registrations else 0,
+        )
+        if self._encoded is None or self._encoded[0] != key:
+            items = tuple(catalog.registrations.values())
+            state = CatalogState(
+                catalog.version,
+                items if has_registrations else None,
+                self.configuration_version,
+                self._document_bytes if has_configuration else b"",
+            )
+            self._encoded = key, encode_message(state, self._key)
+        return self._encoded[1]
+
     def _on_nothing_due(self, message: RequestBody | CallerLeft) -> None:
         """Ignore what follows a request that is answered at once."""
 
@@ -484,3 +510,8 @@
 
     def _record(self, name: str, details: dict) -> None:
         self.send("event_log", EventRecorded(self.name, name, "", 0, details))
+
+
+def _number(text: str | None) -> int:
+    """Read a version in a query; one that is malformed counts as unknown."""
+    return int(text) if text is not None and text.isdecimal() else 0
--- a/src/cuminhatch/services/readiness.py
+++ b/src/cuminhatch/services/readiness.py
@@ -1,7 +1,7 @@
 """Tells the platform's balancer whether this instance is ready."""
 
 from cuminhatch.codecs.http1 import ResponseHead
-from cuminhatch.kernel import MessageTable, Service
+from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     CallerLeft,
     RequestBody,
@@ -20,6 +20,15 @@
 
     name = "readiness"
 
+    def __init__(self, kernel: Kernel) -> None:
+        """
+        Start not ready.
+
+        :param kernel: kernel of the process.
+        """
+        super().__init__(kernel)
+        self._is_ready = False
+
     def message_handlers(self) -> MessageTable:
         """Return the messages of the supervisor and the port."""
         return {
@@ -29,10 +38,6 @@
             CallerLeft: self._on_nothing_due,
         }
 
-    def open(self) -> None:
-        """Start not ready."""
-        self._is_ready = False
-
     def _on_status_reported(self, message: StatusReported) -> None:
         self._is_ready = message.values["ready"]
 
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -19,6 +19,14 @@
     StatusReported,
 )
 
+# Ports other than that of the callers, and the services that answer there.
+# Their requests have ids of their own.
+OTHER_PORTS = frozenset(
+    f"{service}{suffix}"
+    for service in ("catalog", "metrics", "readiness")
+    for suffix in ("", "_port")
+)
+
 
 class AnnouncementEnded(NamedTuple):
     """The platform's list has had time to show this instance as leaving."""
@@ -82,7 +90,7 @@
             CounterIncremented("handler_failures_total", {"part": message.service}),
         )
         request_id = getattr(message.message, "request_id", None)
-        if request_id is not None:
+        if request_id is not None and message.service not in OTHER_PORTS:
             # A daemon has one of the two.
             for name in ("dispatch", "forwarding"):
                 self.send(name, RequestFailed(request_id, "internal-error"))
--- a/tests/codecs/test_catalog_thrift.py
+++ b/tests/codecs/test_catalog_thrift.py
@@ -24,6 +24,7 @@
     CatalogNews(MEMBER, CatalogChange(3, 9, (REGISTRATION,), ("i-8",)), 5, False),
     Greeting(MEMBER, (MEMBER,), True),
     CatalogState(9, (REGISTRATION,), 5, b"{}"),
+    CatalogState(9, None, 5, b"{}"),
 ]
 
 
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -114,6 +114,16 @@
     assert isinstance(choose(records, HELD._replace(is_resend=True)), Placed)
 
 
+def test_caller_with_little_time_left_waits_for_a_faster_machine():
+    """Load: a refused caller returns while the machines with room are slow."""
+    records = [make_record("a", slowdown=4.0)]
+    short = READ._replace(left_ms=500.0)
+    assert isinstance(choose(records, short), Wait)
+    assert isinstance(choose(records, short._replace(waited_ms=170.0)), NotPlaced)
+    full = [make_record("a", running=3, waiting=6)]
+    assert isinstance(choose(full, short), NotPlaced)
+
+
 def test_request_that_cannot_be_answered_in_time_is_refused_at_once():
     """Guards against a caller that is held until its deadline passes."""
     records = [make_record("a")]
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -136,7 +136,9 @@
             )
         )
         self.sent = []
-        self.catalog._send = lambda address, message: self.sent.append(message)
+        self.catalog._send_bytes = lambda address, data: self.sent.append(
+            decode_message(data, KEY)
+        )
         self.catalog.open()
         self.run()
 
@@ -166,9 +168,10 @@
         ]
         return changes[-1].configuration if changes else None
 
-    def pull(self, version=0):
+    def pull(self, configuration=0, version=0):
         """Return the state that another instance gets."""
-        target = f"/catalog?configuration={version}".encode()
+        query = f"configuration={configuration}&version={version}"
+        target = f"/catalog?{query}".encode()
         head = RequestHead(b"GET", target, ())
         self.kernel.send("catalog", RequestReceived(1, head, 0, b"", True, 0.0))
         self.run()
@@ -280,6 +283,31 @@
     assert (state.configuration_version, state.configuration) == (1, b"r1")
     assert [item.server.server_id for item in state.registrations] == ["a"]
     assert world.pull(1).configuration == b""
+    assert world.pull(0, version=10).registrations is None
+    assert world.pull(0, version=10).configuration == b"r1"
+    assert world.pull(0, version=9).registrations is not None
+
+
+def test_configuration_alone_leaves_the_registrations(world):
+    """Guards against servers that a pull of a configuration takes away."""
+    world.hear(11, configuration=5)
+    (request,) = world.received("http_client")
+    state = CatalogState(11, None, 5, b"r5")
+    reply = HttpReplied(request.token, 200, (), encode_message(state, KEY))
+    world.kernel.send("catalog", reply)
+    world.run()
+    assert world.configuration.sequence == 5
+    assert list(world.configuration.servers) == ["a"]
+
+
+def test_newer_state_is_not_told_from_memory(world):
+    """Guards against an old state that is told again after a change."""
+    before = world.pull(0)
+    world.store.set(make_rows("a", "b"))
+    world.advance(READ_INTERVAL_MS + 100.0)
+    after = world.pull(0)
+    assert len(before.registrations) == 1
+    assert len(after.registrations) == 2
 
 
 def test_servers_missing_after_an_outage_have_time_to_return(world):
@@ -330,3 +358,10 @@
     world.kernel.send("catalog", failed)
     world.run()
     assert len(world.received("http_client")) == 2
+
+
+def test_malformed_pull_gets_the_whole_state(world):
+    """Guards against a handler that fails on what a stranger sends."""
+    state = world.pull("x", "-1")
+    assert state.configuration == b"r1"
+    assert state.registrations is not None
--- a/tests/services/test_supervisor.py
+++ b/tests/services/test_supervisor.py
@@ -112,3 +112,11 @@
     """Guards against a caller that waits for ever after an internal error."""
     setup.run(HandlerFailed("claims", RequestFailed(7, "x"), ValueError()))
     assert setup.parts["dispatch"].received == [RequestFailed(7, "internal-error")]
+
+
+def test_failure_at_another_port_fails_no_request_of_a_caller(setup):
+    """Guards against a caller's request that has the id of a pull."""
+    for name in ("catalog", "readiness", "metrics_port"):
+        setup.run(HandlerFailed(name, RequestFailed(7, "x"), ValueError()))
+    failed = [m for m in setup.parts["dispatch"].received if type(m) is RequestFailed]
+    assert not failed
