Load only the messages that a daemon's services use

The gateway loads no release notes, claims or permits, and no debugger; it names a mistake on its command line.

--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -3,7 +3,7 @@
 import os
 import sys
 
-from absl import app, flags
+from absl import flags
 from loguru import logger
 
 from cuminhatch.address import Address
@@ -186,7 +186,14 @@
 
 def main() -> None:
     """Run the program."""
-    app.run(run_daemon)
+    # absl.app would load a debugger and a second logging system at each start.
+    try:
+        arguments = flags.FLAGS(sys.argv)
+    except flags.Error as error:
+        print(f"cuminhatch-gateway: {error}", file=sys.stderr)
+        print(flags.FLAGS.main_module_help(), file=sys.stderr)
+        sys.exit(USAGE_STATUS)
+    sys.exit(run_daemon(arguments))
 
 
 if __name__ == "__main__":
--- a/src/cuminhatch/messages/__init__.py
+++ b/src/cuminhatch/messages/__init__.py
@@ -1,111 +1,95 @@
 """
 Messages between services, named for what happened.
 
-They carry plain values, never sockets.
+They carry plain values, never sockets. Each module is imported when one of its
+messages is first asked for: a daemon loads only the messages of its services.
 """
 
-from cuminhatch.messages.address import (
-    Address,
-)
-from cuminhatch.messages.attempts import (
-    AttemptBody,
-    AttemptBodySent,
-    AttemptCancelled,
-    AttemptFailed,
-    AttemptReadPaused,
-    AttemptReadResumed,
-    AttemptRequested,
-    AttemptResponse,
-    AttemptResumed,
-    AttemptStalled,
-)
-from cuminhatch.messages.claims import (
-    ClaimAbandoned,
-    ClaimAnswered,
-    ClaimGranted,
-    ClaimLeftOpen,
-    ClaimRefused,
-    ClaimRequested,
-    ClaimVoided,
-)
-from cuminhatch.messages.http_client import (
-    HttpFailed,
-    HttpReplied,
-    HttpRequested,
-)
-from cuminhatch.messages.lifecycle import (
-    DrainAnnounced,
-    DrainFinished,
-    DrainRequested,
-    DrainStarted,
-    ReadinessChanged,
-    RequestFailed,
-    SettingsChanged,
-    StatusReported,
-)
-from cuminhatch.messages.notes import (
-    ConfigurationChanged,
-    HeadChanged,
-    HeadHeard,
-    NoteDecided,
-    NotesOffered,
-    NotesPullRequested,
-    NotesReplied,
-    NotesRequested,
-    NoteSubmitted,
-)
-from cuminhatch.messages.peers import (
-    InstanceListChanged,
-    LoadObserved,
-    MembershipChanged,
-    ProbeFailed,
-)
-from cuminhatch.messages.permits import (
-    PermitGranted,
-    PermitNeeded,
-    PermitRefused,
-    PermitRequested,
-    PermitReturned,
-    PermitWanted,
-)
-from cuminhatch.messages.platform import (
-    InstanceListReplied,
-    InstanceListRequested,
-    ObjectGetReplied,
-    ObjectGetRequested,
-    ObjectPutReplied,
-    ObjectPutRequested,
-    TableReadReplied,
-    TableReadRequested,
-    TableScanReplied,
-    TableScanRequested,
-    TableTransactReplied,
-    TableTransactRequested,
-)
-from cuminhatch.messages.requests import (
-    CallerLeft,
-    CallerResumed,
-    CallerStalled,
-    RequestBody,
-    RequestReadPaused,
-    RequestReadResumed,
-    RequestReceived,
-    RequestRefused,
-    ResponseAborted,
-    ResponseBody,
-    ResponseStarted,
-)
-from cuminhatch.messages.telemetry import (
-    CounterIncremented,
-    EventRecorded,
-    MetricsReplied,
-    MetricsRequested,
-    StampAdvanced,
-    StampHeard,
-    TimelineReplied,
-    TimelineRequested,
-    ValueObserved,
-)
+from importlib import import_module
+from typing import Any
+
+_MODULES = {
+    "Address": "cuminhatch.messages.address",
+    "AttemptBody": "cuminhatch.messages.attempts",
+    "AttemptBodySent": "cuminhatch.messages.attempts",
+    "AttemptCancelled": "cuminhatch.messages.attempts",
+    "AttemptFailed": "cuminhatch.messages.attempts",
+    "AttemptReadPaused": "cuminhatch.messages.attempts",
+    "AttemptReadResumed": "cuminhatch.messages.attempts",
+    "AttemptRequested": "cuminhatch.messages.attempts",
+    "AttemptResponse": "cuminhatch.messages.attempts",
+    "AttemptResumed": "cuminhatch.messages.attempts",
+    "AttemptStalled": "cuminhatch.messages.attempts",
+    "CallerLeft": "cuminhatch.messages.requests",
+    "CallerResumed": "cuminhatch.messages.requests",
+    "CallerStalled": "cuminhatch.messages.requests",
+    "ClaimAbandoned": "cuminhatch.messages.claims",
+    "ClaimAnswered": "cuminhatch.messages.claims",
+    "ClaimGranted": "cuminhatch.messages.claims",
+    "ClaimLeftOpen": "cuminhatch.messages.claims",
+    "ClaimRefused": "cuminhatch.messages.claims",
+    "ClaimRequested": "cuminhatch.messages.claims",
+    "ClaimVoided": "cuminhatch.messages.claims",
+    "ConfigurationChanged": "cuminhatch.messages.configuration",
+    "CounterIncremented": "cuminhatch.messages.telemetry",
+    "DrainAnnounced": "cuminhatch.messages.lifecycle",
+    "DrainFinished": "cuminhatch.messages.lifecycle",
+    "DrainRequested": "cuminhatch.messages.lifecycle",
+    "DrainStarted": "cuminhatch.messages.lifecycle",
+    "EventRecorded": "cuminhatch.messages.telemetry",
+    "HeadChanged": "cuminhatch.messages.notes",
+    "HeadHeard": "cuminhatch.messages.notes",
+    "HttpFailed": "cuminhatch.messages.http_client",
+    "HttpReplied": "cuminhatch.messages.http_client",
+    "HttpRequested": "cuminhatch.messages.http_client",
+    "InstanceListChanged": "cuminhatch.messages.peers",
+    "InstanceListReplied": "cuminhatch.messages.platform",
+    "InstanceListRequested": "cuminhatch.messages.platform",
+    "LoadObserved": "cuminhatch.messages.peers",
+    "MembershipChanged": "cuminhatch.messages.peers",
+    "MetricsReplied": "cuminhatch.messages.telemetry",
+    "MetricsRequested": "cuminhatch.messages.telemetry",
+    "NoteDecided": "cuminhatch.messages.notes",
+    "NoteSubmitted": "cuminhatch.messages.notes",
+    "NotesOffered": "cuminhatch.messages.notes",
+    "NotesPullRequested": "cuminhatch.messages.notes",
+    "NotesReplied": "cuminhatch.messages.notes",
+    "NotesRequested": "cuminhatch.messages.notes",
+    "ObjectGetReplied": "cuminhatch.messages.platform",
+    "ObjectGetRequested": "cuminhatch.messages.platform",
+    "ObjectPutReplied": "cuminhatch.messages.platform",
+    "ObjectPutRequested": "cuminhatch.messages.platform",
+    "PermitGranted": "cuminhatch.messages.permits",
+    "PermitNeeded": "cuminhatch.messages.permits",
+    "PermitRefused": "cuminhatch.messages.permits",
+    "PermitRequested": "cuminhatch.messages.permits",
+    "PermitReturned": "cuminhatch.messages.permits",
+    "PermitWanted": "cuminhatch.messages.permits",
+    "ProbeFailed": "cuminhatch.messages.peers",
+    "ReadinessChanged": "cuminhatch.messages.lifecycle",
+    "RequestBody": "cuminhatch.messages.requests",
+    "RequestFailed": "cuminhatch.messages.lifecycle",
+    "RequestReadPaused": "cuminhatch.messages.requests",
+    "RequestReadResumed": "cuminhatch.messages.requests",
+    "RequestReceived": "cuminhatch.messages.requests",
+    "RequestRefused": "cuminhatch.messages.requests",
+    "ResponseAborted": "cuminhatch.messages.requests",
+    "ResponseBody": "cuminhatch.messages.requests",
+    "ResponseStarted": "cuminhatch.messages.requests",
+    "SettingsChanged": "cuminhatch.messages.lifecycle",
+    "StampAdvanced": "cuminhatch.messages.telemetry",
+    "StampHeard": "cuminhatch.messages.telemetry",
+    "StatusReported": "cuminhatch.messages.lifecycle",
+    "TableReadReplied": "cuminhatch.messages.platform",
+    "TableReadRequested": "cuminhatch.messages.platform",
+    "TableScanReplied": "cuminhatch.messages.platform",
+    "TableScanRequested": "cuminhatch.messages.platform",
+    "TableTransactReplied": "cuminhatch.messages.platform",
+    "TableTransactRequested": "cuminhatch.messages.platform",
+    "TimelineReplied": "cuminhatch.messages.telemetry",
+    "TimelineRequested": "cuminhatch.messages.telemetry",
+    "ValueObserved": "cuminhatch.messages.telemetry",
+}
 
 __all__ = [
     "Address",
@@ -188,4 +172,11 @@
     "TimelineReplied",
     "TimelineRequested",
     "ValueObserved",
-]
+]  # noqa: F822
+
+
+def __getattr__(name: str) -> Any:
+    module = _MODULES.get(name)
+    if module is None:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(module), name)
--- a/src/cuminhatch/messages/notes.py
+++ b/src/cuminhatch/messages/notes.py
@@ -2,7 +2,6 @@
 
 from typing import NamedTuple
 
-from cuminhatch.decisions.configuration import Configuration
 from cuminhatch.decisions.notes import (
     AcceptedNote,
     Note,
@@ -28,12 +27,6 @@
     result: NoteAccepted | NoteRefused | NoteOutcomeUnknown
 
 
-class ConfigurationChanged(NamedTuple):
-    """A newer configuration is in force."""
-
-    configuration: Configuration
-
-
 class HeadHeard(NamedTuple):
     """Another instance follows a note of this sequence number."""
 
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -4,10 +4,16 @@
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
 from signal import SIGKILL, SIGTERM
+from subprocess import PIPE
 
 import pytest
 
-from tests.support import http_request, stop_process, wait_until
+from tests.support import (
+    http_request,
+    start_program,
+    stop_process,
+    wait_until,
+)
 from tests.system.gateways import running_site
 
 
@@ -193,3 +199,23 @@
     assert 'cuminhatch_requests_total{end="answered",service="board"} 1' in text
     assert "cuminhatch_request_duration_ms_bucket" in text
     assert "cuminhatch_probes_total" in text
+
+
+@pytest.mark.parametrize(
+    ("arguments", "named"),
+    [
+        (["--setings", "x"], "setings"),
+        (["extra"], "extra"),
+        (["--settings", "missing.toml"], "missing.toml"),
+        ([], "--settings"),
+    ],
+)
+def test_mistake_on_the_command_line_is_named(arguments, named):
+    """Guards against a daemon that ignores a word it does not know."""
+    variables = {"CUMINHATCH_NODE_FILE": ""}
+    process = start_program(
+        "cuminhatch.gateway", *arguments, environment=variables, stderr=PIPE, text=True
+    )
+    _, errors = process.communicate(timeout=30)
+    assert process.returncode == 2
+    assert named in errors.splitlines()[0]
