--- a/src/cuminhatch/codecs/dialect.py
+++ b/src/cuminhatch/codecs/dialect.py
@@ -69,7 +69,6 @@
 class Forwarding(NamedTuple):
     """What a backend server is told about a request besides its head."""
 
-    request_id: bytes
     server_id: str
     left_ms: float
 
--- a/src/cuminhatch/codecs/peers_thrift.py
+++ b/src/cuminhatch/codecs/peers_thrift.py
@@ -20,8 +20,6 @@
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import Entry
 
-# Fits an Ethernet frame, so that datagrams are not fragmented.
-MAX_DATAGRAM_BYTES = 1_400
 US_PER_MS = 1000.0
 
 
--- a/src/cuminhatch/codecs/signing.py
+++ b/src/cuminhatch/codecs/signing.py
@@ -15,6 +15,8 @@
 from cuminhatch.errors import CodecError
 
 MAC_BYTES = 32
+# Fits an Ethernet frame, so that datagrams are not fragmented.
+MAX_DATAGRAM_BYTES = 1_400
 
 _FACTORY = TCompactProtocolAcceleratedFactory()
 
--- a/src/cuminhatch/services/catalog.py
+++ b/src/cuminhatch/services/catalog.py
@@ -18,8 +18,7 @@
     encode_message,
 )
 from cuminhatch.codecs.http1 import Header, ResponseHead
-from cuminhatch.codecs.peers_thrift import MAX_DATAGRAM_BYTES
-from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.codecs.signing import MAX_DATAGRAM_BYTES, PeerMessageError
 from cuminhatch.decisions.catalog import (
     EMPTY_CATALOG,
     LAPSE_GRACE_MS,
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -91,7 +91,7 @@
     """Return the message that sends a request to its server."""
     server = attempt.record.server
     left_ms = exchange.due_ms - now_ms
-    forwarding = Forwarding(exchange.facts.request_id, server.server_id, left_ms)
+    forwarding = Forwarding(server.server_id, left_ms)
     head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
     return AttemptRequested(
         attempt.attempt_id,
--- a/src/cuminhatch/services/peers.py
+++ b/src/cuminhatch/services/peers.py
@@ -9,14 +9,13 @@
 
 from cuminhatch.address import Address
 from cuminhatch.codecs.peers_thrift import (
-    MAX_DATAGRAM_BYTES,
     Heartbeat,
     LoadSample,
     PermitWish,
     decode_message,
     encode_message,
 )
-from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.codecs.signing import MAX_DATAGRAM_BYTES, PeerMessageError
 from cuminhatch.decisions.hybrid_clock import ZERO_STAMP, Stamp, merge_stamp
 from cuminhatch.decisions.membership import (
     Entry,
--- a/tests/codecs/test_peers_thrift.py
+++ b/tests/codecs/test_peers_thrift.py
@@ -3,7 +3,6 @@
 import pytest
 
 from cuminhatch.codecs.peers_thrift import (
-    MAX_DATAGRAM_BYTES,
     Heartbeat,
     LoadSample,
     NotesPull,
@@ -12,7 +11,7 @@
     decode_message,
     encode_message,
 )
-from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.codecs.signing import MAX_DATAGRAM_BYTES, PeerMessageError
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import Entry
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -30,7 +30,7 @@
 def test_forwarded_head_holds_the_time_left_and_the_expected_server():
     """Guards against more time than is left, and a forged server."""
     facts = DIALECT.read_request(HEAD)
-    head = DIALECT.forward_request(HEAD, facts, Forwarding(b"9c41", "i-7", 812.9))
+    head = DIALECT.forward_request(HEAD, facts, Forwarding("i-7", 812.9))
     names = [header.name for header in head.headers]
     assert names.count(b"request-deadline") == names.count(b"expected-instance") == 1
     assert Header(b"request-deadline", b"812") in head.headers
