Count each server that a send has reached, whatever later sends do

Cause: the servers of a request were kept once each, and a send that failed before a byte had left took its server out although an earlier send had reached it. A request could then reach one server more than its rule allows. Sends are kept one by one now; only the unsent one is taken out. A late answer is not sent to the same server again, where it would queue behind the first send, and such a look is not paid for from the shared budget.

Three tests fail on the code before.

--- a/src/cuminhatch/services/forwarding/_answers.py
+++ b/src/cuminhatch/services/forwarding/_answers.py
@@ -181,7 +181,7 @@
         "server": attempt.record.server.server_id,
         "took_ms": round(now_ms - exchange.received_ms, 1),
         "server_ms": round(now_ms - attempt.sent_ms, 1),
-        "sends": len(exchange.tried),
+        "sends": len(exchange.sends),
         "is_hedge": attempt.is_hedge,
         "is_caller_gone": exchange.is_caller_gone,
     }
@@ -249,8 +249,8 @@
     if message.is_sent:
         exchange.is_maybe_run = True
     else:
-        # Nothing has arrived, so the server does not count as tried.
-        exchange.tried.remove(attempt.record.server.server_id)
+        # Nothing of this send has arrived.
+        exchange.sends.remove(attempt.record.server.server_id)
     resend_or_give_up(state, exchange, reason)
 
 
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -39,8 +39,7 @@
     exchange.stage = Stage.RUNNING
     exchange.attempts[attempt.attempt_id] = attempt
     state.by_attempt[attempt.attempt_id] = exchange
-    if record.server.server_id not in exchange.tried:
-        exchange.tried.append(record.server.server_id)
+    exchange.sends.append(record.server.server_id)
     record_placement(state, exchange, attempt, placed)
     note_sent(record)
     state.send("backends", make_send(state, exchange, attempt, now_ms))
@@ -69,7 +68,7 @@
     load = record.load
     details = {
         "server": record.server.server_id,
-        "send": len(exchange.tried),
+        "send": len(exchange.sends),
         "is_hedge": attempt.is_hedge,
         "is_near": record.is_near,
         "predicted_ms": round(placed.predicted_ms, 1),
--- a/src/cuminhatch/services/forwarding/_ends.py
+++ b/src/cuminhatch/services/forwarding/_ends.py
@@ -73,7 +73,7 @@
         "status": status,
         "reason": reason,
         "waited_ms": round(now_ms - exchange.received_ms, 1),
-        "sends": exchange.tried,
+        "sends": exchange.sends,
         "failure": exchange.failure,
         "retry_after_ms": retry_after_ms,
     }
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -96,10 +96,10 @@
         "received_ms",
         "request_id",
         "rule",
+        "sends",
         "service_id",
         "stage",
         "timer",
-        "tried",
         "winner",
     )
 
@@ -143,8 +143,9 @@
         self.is_hedging = False
         self.attempts: dict[int, Attempt] = {}
         self.winner: Attempt | None = None
-        # Servers that the request has been sent to.
-        self.tried: list[str] = []
+        # The server of each send that has reached one or still may; a server
+        # stands here as often as it was sent the request.
+        self.sends: list[str] = []
         # A backend server may have run the request.
         self.is_maybe_run = False
         self.is_caller_gone = False
@@ -163,6 +164,11 @@
         """Return the caller's id of the request."""
         return self.facts.request_id.decode("latin-1")
 
+    @property
+    def tried(self) -> frozenset[str]:
+        """Return the servers that may have received the request."""
+        return frozenset(self.sends)
+
     def history(self, now_ms: float) -> SendHistory:
         """
         Return what decides on a further send.
--- a/src/cuminhatch/services/forwarding/_placing.py
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -37,7 +37,7 @@
         return
     wanted = len(records) if exchange.is_widened else state.settings.candidates
     candidates = pick_candidates(
-        records, frozenset(exchange.tried), wanted, state.clock.now_ms, state.rng
+        records, exchange.tried, wanted, state.clock.now_ms, state.rng
     )
     measure(state, exchange, candidates)
 
@@ -117,8 +117,9 @@
     pool: ServicePool, exchange: Exchange, now_ms: float
 ) -> list[ServerRecord]:
     """Return the servers to choose from, without those tried already."""
-    fresh = [r for r in pool.usable if r.server.server_id not in exchange.tried]
-    candidates = fresh or pool.usable
+    candidates = pool.untried(exchange.tried)
+    if not candidates and not exchange.is_hedging:
+        candidates = pool.usable
     sound = [r for r in candidates if is_measured_sound(r, now_ms)]
     return sound or candidates
 
--- a/src/cuminhatch/services/forwarding/_resending.py
+++ b/src/cuminhatch/services/forwarding/_resending.py
@@ -62,7 +62,10 @@
     if any(attempt.head is not None for attempt in exchange.attempts.values()):
         # The answer is arriving.
         return
-    if exchange.measurement_id or deny_resend(state, exchange) is not None:
+    pool = state.pools.get(exchange.service_id)
+    if exchange.measurement_id or pool is None or not pool.untried(exchange.tried):
+        return
+    if deny_resend(state, exchange) is not None:
         return
     exchange.is_hedging = True
     place_exchange(state, exchange)
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -1,6 +1,6 @@
 """The state of forwarding that its functions share."""
 
-from collections.abc import Mapping
+from collections.abc import Mapping, Set
 from itertools import count
 from random import Random
 from typing import Any, NamedTuple
@@ -51,6 +51,14 @@
         """Return the servers that may get requests."""
         return [r for r in self.records.values() if not r.server.is_draining]
 
+    def untried(self, tried: Set[str]) -> list[ServerRecord]:
+        """
+        Return the usable servers that have not received a request.
+
+        :param tried: ids of the servers that may have received it.
+        """
+        return [r for r in self.usable if r.server.server_id not in tried]
+
 
 class ForwardingState:
     """State of forwarding: its requests, attempts and backend servers."""
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -409,3 +409,54 @@
     placed = lines[1].details
     assert placed["load_age_ms"] == 0.0
     assert placed["predicted_ms"] > 0
+
+
+def test_failed_second_send_does_not_take_out_the_first(make_world):
+    """
+    Guards against a server that is not counted although a send reached it.
+
+    The rule allows two servers. The only server has the request twice; the
+    second send fails before a byte has left, so the first still counts.
+    """
+    world = make_world("a")
+    world.request("read")
+    first = only_send(world)
+    world.advance(300)
+    for unsent in world.sends():
+        world.fail(unsent, is_sent=False)
+    world.configure(*(make_server(name) for name in ("a", "b", "c")))
+    world.fail(first)
+    second = only_send(world)
+    world.fail(second)
+    assert len({first.server_id, second.server_id}) == 2
+    assert not world.sends()
+    only_refusal(world)
+
+
+def test_unsent_resend_does_not_take_out_the_server_of_the_first(make_world):
+    """
+    Guards against a server that is not counted although a send reached it.
+
+    The rule allows two servers. The only server resets the request, and its
+    second send does not leave; two other servers are there by then.
+    """
+    world = make_world("a")
+    world.request("read")
+    world.fail(only_send(world))
+    resend = only_send(world)
+    world.configure(*(make_server(name) for name in ("a", "b", "c")))
+    world.fail(resend, is_sent=False)
+    second = only_send(world)
+    assert second.server_id != "a"
+    world.fail(second)
+    assert not world.sends()
+    only_refusal(world)
+
+
+def test_late_answer_is_not_sent_to_the_same_server_again(make_world):
+    """Guards against a second send that queues behind the first."""
+    world = make_world("a")
+    world.request("read")
+    only_send(world)
+    world.advance(600)
+    assert not world.sends()
