--- /dev/null
+++ b/src/cuminhatch/services/catalog/_beliefs.py
@@ -0,0 +1,72 @@
+"""Puts newer configurations and registrations into force."""
+
+from loguru import logger
+
+from cuminhatch.decisions.catalog import (
+    Catalog,
+    has_same_servers,
+    join_configuration,
+    list_changes,
+)
+from cuminhatch.errors import CodecError
+from cuminhatch.kernel import SUPERVISOR
+from cuminhatch.messages import ConfigurationChanged, ReadinessChanged
+from cuminhatch.services.catalog._view import NAME, CatalogView
+
+# Listeners of the configuration in force.
+CONSUMERS = ("forwarding", "backends", "callers")
+
+
+def take_document(view: CatalogView, data: bytes, source: str) -> bool:
+    """
+    Put a newer configuration in force; older ones are ignored.
+
+    :param view: state of the catalog.
+    :param data: document as stored.
+    :param source: who told it, for the log.
+    :returns: whether it is newer.
+    """
+    if not data or data == view.document_bytes:
+        return False
+    try:
+        document = view.decode_configuration(data)
+    except CodecError as error:
+        logger.warning("catalog: Configuration refused: {}.", error)
+        return False
+    version = document.configuration.sequence
+    if version <= view.configuration_version:
+        return False
+    view.document = document
+    view.document_bytes = data
+    view.record("configuration_in_force", {"version": version, "source": source})
+    publish(view)
+    return True
+
+
+def adopt_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
+    """
+    Believe a newer catalog.
+
+    :param view: state of the catalog.
+    :param catalog: what is registered.
+    :param source: who told it, for the log.
+    """
+    before = view.catalog
+    view.catalog = catalog
+    if before.version and has_same_servers(catalog, before):
+        return
+    for name, details in list_changes(before, catalog):
+        view.record(name, details | {"source": source})
+    publish(view)
+
+
+def publish(view: CatalogView) -> None:
+    """Tell the services of this daemon what is in force."""
+    if view.document is None:
+        return
+    configuration = join_configuration(view.document, view.catalog)
+    changed = ConfigurationChanged(configuration)
+    for name in CONSUMERS:
+        view.send(name, changed)
+    if view.catalog.version:
+        view.send(SUPERVISOR, ReadinessChanged(NAME, True, ""))
--- /dev/null
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -0,0 +1,100 @@
+"""The state of the catalog that its functions share."""
+
+from collections.abc import Callable, Mapping
+from itertools import count
+from random import Random
+from typing import Any
+
+from cuminhatch.codecs.catalog_thrift import CatalogMember
+from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
+from cuminhatch.decisions.reading_turns import Turn
+from cuminhatch.kernel import Kernel
+from cuminhatch.messages import EventRecorded
+
+NAME = "catalog"
+PORT_NAME = "catalog_port"
+
+DecodeConfiguration = Callable[[bytes], ConfigurationDocument]
+SendBytes = Callable[[tuple[str, int], bytes], None]
+
+
+class CatalogView:
+    """What this instance believes, and what it knows of the others."""
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        own: CatalogMember,
+        key: bytes,
+        decode_configuration: DecodeConfiguration,
+        send_bytes: SendBytes,
+        rng: Random,
+    ) -> None:
+        """
+        Start without knowledge.
+
+        :param kernel: kernel of the process.
+        :param own: this instance.
+        :param key: key shared by all daemons.
+        :param decode_configuration: decoder of the operator's document.
+        :param send_bytes: sends a datagram.
+        :param rng: source of randomness.
+        """
+        self.kernel = kernel
+        self.clock = kernel.clock
+        self.send = kernel.send
+        self.own = own
+        self.key = key
+        self.decode_configuration = decode_configuration
+        self.send_bytes = send_bytes
+        self.rng = rng
+        self.tokens = count(1)
+        self.members: dict[str, CatalogMember] = {}
+        self.is_enrolled = False
+        self.catalog: Catalog = EMPTY_CATALOG
+        self.document: ConfigurationDocument | None = None
+        self.document_bytes = b""
+        # Readings of the store.
+        self.turn = Turn(own.instance_id, "", float("-inf"), float("-inf"))
+        self.turn_timer: int | None = None
+        self.reading_token = 0
+        self.reading_since_ms = 0.0
+        self.configuration_read_ms = float("-inf")
+        self.read_ms = float("-inf")
+        self.outage_ended_ms = float("-inf")
+        self.is_store_lost = False
+        self.is_reading_lost = False
+        self.refused: dict[str, str] = {}
+        # Pulls from other instances.
+        self.pull_token = 0
+        # What was told last to an instance that pulled, by what it lacked.
+        self.encoded: tuple[tuple[int, int], bytes] | None = None
+
+    @property
+    def configuration_version(self) -> int:
+        """Return the version of the configuration in force, 0 for none."""
+        return self.document.configuration.sequence if self.document else 0
+
+    @property
+    def instance_count(self) -> int:
+        """Return how many instances are known, this one included."""
+        return len(self.members) + 1
+
+    def call_at(self, at_ms: float, message: Any) -> int:
+        """
+        Schedule a message to the catalog itself.
+
+        :param at_ms: monotonic time in milliseconds.
+        :param message: message to deliver.
+        :returns: a token for ``kernel.cancel``.
+        """
+        return self.kernel.call_at(at_ms, NAME, message)
+
+    def record(self, name: str, details: Mapping[str, Any]) -> None:
+        """
+        Write a line of the event log.
+
+        :param name: name of the event.
+        :param details: what decided it.
+        """
+        self.send("event_log", EventRecorded(NAME, name, "", 0, dict(details)))
--- /dev/null
+++ b/src/cuminhatch/services/catalog/service.py
@@ -0,0 +1,156 @@
+"""The service of the catalog: its socket and its messages."""
+
+from functools import partial
+from random import Random
+from socket import socket
+
+from loguru import logger
+
+from cuminhatch.address import Address
+from cuminhatch.codecs.catalog_thrift import (
+    CatalogMember,
+    CatalogNews,
+    Greeting,
+    decode_message,
+)
+from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.kernel import Kernel, MessageTable, Service
+from cuminhatch.messages import HttpFailed, HttpReplied, RequestReceived
+from cuminhatch.messages.catalog import (
+    ConfigurationRead,
+    EnrolledRead,
+    EnrolmentStored,
+    RegistrationsRead,
+    StoreUnavailable,
+)
+from cuminhatch.messages.requests import CallerLeft, RequestBody
+from cuminhatch.services._bound_socket import bind_datagram_socket
+from cuminhatch.services.catalog._members import (
+    on_enrolled_read,
+    on_enrolment_due,
+    on_enrolment_stored,
+    on_greeting,
+    tell,
+)
+from cuminhatch.services.catalog._pull_answers import on_pull_requested
+from cuminhatch.services.catalog._pulls import on_news, on_pull_failed, on_pulled
+from cuminhatch.services.catalog._readings import (
+    on_configuration_read,
+    on_registrations_read,
+    on_store_unavailable,
+    on_turn_due,
+    schedule_turn,
+)
+from cuminhatch.services.catalog._timers import EnrolmentDue, TurnDue
+from cuminhatch.services.catalog._view import NAME, CatalogView, DecodeConfiguration
+
+MAX_DATAGRAMS_PER_EVENT = 64
+MAX_RECEIVED_BYTES = 65_536
+
+
+class CatalogService(Service):
+    """
+    Owns the view of registrations, configuration and other instances.
+
+    The handlers are functions of the view, in modules by their job.
+    """
+
+    name = NAME
+
+    def __init__(
+        self,
+        kernel: Kernel,
+        instance_id: str,
+        address: Address,
+        key: str,
+        seeds: tuple[Address, ...],
+        decode_configuration: DecodeConfiguration,
+        rng: Random | None = None,
+    ) -> None:
+        """
+        Start without knowledge.
+
+        :param kernel: kernel of the process.
+        :param instance_id: id of this instance.
+        :param address: where the other instances reach this one, by UDP and
+            by TCP.
+        :param key: key shared by all daemons.
+        :param seeds: first contacts.
+        :param decode_configuration: decoder of the operator's document.
+        :param rng: source of randomness.
+        """
+        super().__init__(kernel)
+        self._address = address
+        self._seeds = tuple(seed for seed in seeds if seed != address)
+        self._sock: socket | None = None
+        self._view = CatalogView(
+            kernel,
+            CatalogMember(instance_id, *address),
+            key.encode(),
+            decode_configuration,
+            self._send_bytes,
+            rng or Random(),
+        )
+
+    def message_handlers(self) -> MessageTable:
+        """Return the messages of the store, the port and the HTTP client."""
+        handlers = {
+            TurnDue: on_turn_due,
+            EnrolmentDue: on_enrolment_due,
+            RegistrationsRead: on_registrations_read,
+            ConfigurationRead: on_configuration_read,
+            EnrolmentStored: on_enrolment_stored,
+            EnrolledRead: on_enrolled_read,
+            StoreUnavailable: on_store_unavailable,
+            RequestReceived: on_pull_requested,
+            HttpReplied: on_pulled,
+            HttpFailed: on_pull_failed,
+        }
+        table = {kind: partial(handle, self._view) for kind, handle in handlers.items()}
+        return table | {
+            RequestBody: self._on_nothing_due,
+            CallerLeft: self._on_nothing_due,
+        }
+
+    def open(self) -> None:
+        """
+        Bind the socket, greet the seeds and read the store.
+
+        :raises AddressError: the address cannot be bound.
+        """
+        self._sock = bind_datagram_socket(self._address)
+        self.watch_read(self._sock, self._read_datagrams)
+        for seed in self._seeds:
+            tell(self._view, seed, Greeting(self._view.own, (), True))
+        self.call_after(0, EnrolmentDue())
+        schedule_turn(self._view)
+
+    def _send_bytes(self, address: Address, data: bytes) -> None:
+        try:
+            self._sock.sendto(data, address)
+        except OSError as error:
+            # Datagrams may be lost anyway; the next news makes up for it.
+            logger.debug("catalog: Datagram not sent: {}.", error.strerror)
+
+    def _read_datagrams(self) -> None:
+        for _ in range(MAX_DATAGRAMS_PER_EVENT):
+            try:
+                data, _ = self._sock.recvfrom(MAX_RECEIVED_BYTES)
+            except BlockingIOError:
+                return
+            except OSError as error:
+                # An answer to an earlier datagram that nobody received.
+                logger.debug("catalog: Datagram refused: {}.", error.strerror)
+                continue
+            try:
+                message = decode_message(data, self._view.key)
+            except PeerMessageError as error:
+                logger.warning("catalog: Datagram refused: {}.", error)
+                continue
+            if isinstance(message, CatalogNews):
+                on_news(self._view, message)
+            elif isinstance(message, Greeting):
+                on_greeting(self._view, message)
+
+    def _on_nothing_due(self, message: RequestBody | CallerLeft) -> None:
+        """Ignore what follows a request that is answered at once."""
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -52,6 +52,9 @@
     StoreUnavailable,
 )
 from cuminhatch.services.catalog import CatalogService
+from cuminhatch.services.catalog._beliefs import publish
+from cuminhatch.services.catalog._members import add_members, on_greeting
+from cuminhatch.services.catalog._pulls import on_news
 from tests.support import Recorder
 
 KEY = b"key"
@@ -136,7 +139,8 @@
             )
         )
         self.sent = []
-        self.catalog._send_bytes = lambda address, data: self.sent.append(
+        self.view = self.catalog._view
+        self.view.send_bytes = lambda address, data: self.sent.append(
             decode_message(data, KEY)
         )
         self.catalog.open()
@@ -155,7 +159,7 @@
 
     def hear(self, version, changed=(), removed=(), previous=10, configuration=1):
         change = CatalogChange(previous, version, tuple(changed), tuple(removed))
-        self.catalog._on_news(CatalogNews(PEER, change, configuration, False))
+        on_news(self.view, CatalogNews(PEER, change, configuration, False))
         self.run()
 
     def received(self, name):
@@ -196,9 +200,9 @@
     """Guards against callers at an instance that knows no route."""
     made = World()
     made.kernel.close()
-    made.catalog._document = None
+    made.view.document = None
     made.received(SUPERVISOR).clear()
-    made.catalog._publish()
+    publish(made.view)
     assert not made.received(SUPERVISOR)
 
 
@@ -211,10 +215,10 @@
 
 def test_news_of_a_reader_replace_own_readings(world):
     """Guards against every instance reading the store."""
-    world.catalog._turn = world.catalog._turn._replace(reader_id="front-9")
+    world.view.turn = world.view.turn._replace(reader_id="front-9")
     before = world.store.reads
     for _ in range(20):
-        world.hear(world.catalog._catalog.version + 1)
+        world.hear(world.view.catalog.version + 1)
         world.advance(READ_INTERVAL_MS)
     assert world.store.reads == before
 
@@ -222,7 +226,7 @@
 def test_silent_reader_is_replaced(world):
     """Guards against a leaving server that nobody hears of."""
     world.hear(11)
-    world.catalog._turn = world.catalog._turn._replace(reader_id="front-9")
+    world.view.turn = world.view.turn._replace(reader_id="front-9")
     before = world.store.reads
     world.advance(1_400.0)
     assert world.store.reads > before
@@ -331,7 +335,7 @@
 def test_greeting_is_answered_with_members_and_news(world):
     """Guards against a new instance that finds nobody without the store."""
     world.sent.clear()
-    world.catalog._on_greeting(Greeting(PEER, (), True))
+    on_greeting(world.view, Greeting(PEER, (), True))
     world.run()
     kinds = [type(message) for message in world.sent]
     assert kinds.count(CatalogNews) == 1
@@ -351,7 +355,7 @@
 def test_failed_pull_goes_to_another_instance(world):
     """Guards against a fleet that waits for one overrun instance."""
     other = CatalogMember("front-5", "127.0.0.1", 5)
-    world.catalog._add_members((PEER, other))
+    add_members(world.view, (PEER, other))
     world.hear(20, previous=15)
     (request,) = world.received("http_client")
     failed = HttpFailed(request.token, "timeout", True)
