Ask the same few servers again, and bound the wider search

Cause of 3.6 new connections for each request on the grown site: each of 142 instances asked four of 158 servers, others at each request, and all 158 when the first four could not take it at once; servers close connections that are idle for 10 s. Ruled out: connections lost to failed probes (61 of 68,742).

The rank of what all compute alike stood in two modules and stands in one now.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -13,11 +13,7 @@
 from random import Random
 from typing import NamedTuple
 
-from cuminhatch.decisions.server_records import (
-    ServerRecord,
-    failed_share,
-    is_left_out,
-)
+from cuminhatch.decisions.server_records import ServerRecord, failed_share
 
 # Shared machines change their speed about this often. Work keeps the speed of
 # the moment at which it starts.
@@ -255,33 +251,3 @@
         if cost < best_cost:
             best, best_cost, best_ms = record, cost, expected_ms
     return best, best_ms
-
-
-def pick_candidates(
-    records: Sequence[ServerRecord],
-    tried: frozenset[str],
-    wanted: int,
-    now_ms: float,
-    rng: Random,
-) -> list[ServerRecord]:
-    """
-    Return the servers to look at for a request, near ones first.
-
-    One in the list is always far, so that a near failure domain that is slow
-    as a whole is noticed.
-
-    :param records: all servers of the service that may take requests.
-    :param tried: servers that have received the request already.
-    :param wanted: number of candidates.
-    :param now_ms: current time.
-    :param rng: source of randomness.
-    """
-    sound = [r for r in records if not is_left_out(r, now_ms)]
-    fresh = [r for r in records if r.server.server_id not in tried]
-    pool = [r for r in fresh if r in sound] or fresh or sound or list(records)
-    near = [record for record in pool if record.is_near]
-    far = [record for record in pool if not record.is_near]
-    rng.shuffle(near)
-    rng.shuffle(far)
-    from_near = near[: max(0, wanted - 1)]
-    return from_near + (far + near[len(from_near) :])[: wanted - len(from_near)]
--- a/src/cuminhatch/decisions/probing.py
+++ b/src/cuminhatch/decisions/probing.py
@@ -9,10 +9,10 @@
 """
 
 from collections.abc import Callable, Collection, Iterable, Mapping
-from hashlib import blake2b
 from typing import NamedTuple
 
 from cuminhatch.clock import MS_PER_SECOND
+from cuminhatch.decisions.rendezvous import rank
 
 
 class ProbePlan(NamedTuple):
@@ -27,10 +27,6 @@
     is_under_way: bool = False
 
 
-def _weight(server_id: str, instance_id: str) -> bytes:
-    return blake2b(f"{server_id}\0{instance_id}".encode(), digest_size=8).digest()
-
-
 def prefer_servers(
     instance_id: str,
 ) -> Callable[[Collection[str], Collection[str]], tuple[str, ...]]:
@@ -52,8 +48,8 @@
     known_ids: frozenset[str] = frozenset()
 
     def find_ahead(server_id: str, others: Iterable[str]) -> str | None:
-        own = _weight(server_id, instance_id)
-        return next((o for o in others if _weight(server_id, o) >= own), None)
+        own = rank(server_id, instance_id)
+        return next((o for o in others if rank(server_id, o) >= own), None)
 
     def preferred(
         server_ids: Collection[str], live_ids: Collection[str]
--- a/src/cuminhatch/decisions/reading_turns.py
+++ b/src/cuminhatch/decisions/reading_turns.py
@@ -10,9 +10,10 @@
 """
 
 from collections.abc import Iterable
-from hashlib import blake2b
 from typing import NamedTuple
 
+from cuminhatch.decisions.rendezvous import rank
+
 # Leaving backend servers must get nothing new two seconds after the store
 # acknowledges it; this leaves time for a reader that dies just then.
 READ_INTERVAL_MS = 500.0
@@ -42,8 +43,8 @@
     :param own_id: id of the instance.
     :param member_ids: all known instances.
     """
-    own = _rank(own_id)
-    return sum(1 for member_id in member_ids if _rank(member_id) < own)
+    own = rank(own_id)
+    return sum(1 for member_id in member_ids if rank(member_id) < own)
 
 
 def next_reading_ms(turn: Turn, member_ids: Iterable[str]) -> float:
@@ -68,8 +69,4 @@
     :param own_id: id of this instance, which reads.
     :param other_id: id of the instance that has just read as well.
     """
-    return _rank(other_id) < _rank(own_id)
-
-
-def _rank(instance_id: str) -> bytes:
-    return blake2b(instance_id.encode(), digest_size=8).digest()
+    return rank(other_id) < rank(own_id)
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -108,6 +108,7 @@
     """
     placement = settings.placement
     return ForwardingSettings(
+        settings.instance.instance_id,
         settings.instance.failure_domain,
         ResendLimits(*settings.resends),
         placement.candidates,
--- a/src/cuminhatch/services/forwarding/_placing.py
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -1,5 +1,6 @@
 """Looks for a backend server for each request."""
 
+from cuminhatch.decisions.candidates import WIDENED, Wanted, pick_candidates
 from cuminhatch.decisions.placement import (
     REPORT_MAX_AGE_MS,
     NotPlaced,
@@ -7,7 +8,6 @@
     Wait,
     Work,
     choose_server,
-    pick_candidates,
 )
 from cuminhatch.decisions.server_records import ServerRecord, is_left_out
 from cuminhatch.messages import Address
@@ -22,6 +22,8 @@
 MEASURE_WAIT_MS = 12.0
 # Servers end a request about this often when they are nearly full.
 LOOK_INTERVAL_MS = 15.0
+# Candidates outside the own failure domain.
+FAR_CANDIDATES = 1
 # Loads named in the line of a refusal.
 LOGGED_LOADS = 4
 BYTES_PER_KB = 1024.0
@@ -35,7 +37,9 @@
         no_server = NotPlaced("no-backend-server", MEASURE_WAIT_MS)
         end_placement(state, exchange, no_server)
         return
-    wanted = len(records) if exchange.is_widened else state.settings.candidates
+    wanted = Wanted(max(1, state.settings.candidates - FAR_CANDIDATES), FAR_CANDIDATES)
+    if exchange.is_widened:
+        wanted = WIDENED
     candidates = pick_candidates(
         records, exchange.tried, wanted, state.clock.now_ms, state.rng
     )
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -1,5 +1,6 @@
 """Keeps pools and records of backend servers up to date."""
 
+from cuminhatch.decisions.candidates import order_of_preference
 from cuminhatch.decisions.configuration import BackendServer
 from cuminhatch.decisions.resending import ResendBudget
 from cuminhatch.decisions.routing import make_router
@@ -42,6 +43,7 @@
     for server_id in pool.records.keys() - servers.keys():
         # Running sends keep the record until they end.
         del pool.records[server_id]
+    known = len(pool.records)
     for server_id, server in servers.items():
         record = pool.records.get(server_id)
         if record is None or is_restarted(record.server, server):
@@ -50,6 +52,16 @@
             pool.records[server_id] = record
         else:
             record.server = server
+    if len(pool.records) > known:
+        sort_by_preference(pool, state.settings.instance_id)
+
+
+def sort_by_preference(pool: ServicePool, instance_id: str) -> None:
+    """Put the servers of a service in the order of this instance."""
+    ids = sorted(
+        pool.records, key=lambda server_id: order_of_preference(instance_id, server_id)
+    )
+    pool.records = {server_id: pool.records[server_id] for server_id in ids}
 
 
 def is_restarted(before: BackendServer, after: BackendServer) -> bool:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -28,6 +28,7 @@
     later for each kilobyte that stays in its failure domain.
     """
 
+    instance_id: str
     failure_domain: str
     resends: ResendLimits
     candidates: int
@@ -43,6 +44,7 @@
 
         :param budget: this instance's part of the budget.
         """
+        # In the order in which this instance prefers them.
         self.records: dict[str, ServerRecord] = {}
         self.budget = budget
 
