Let the first contacts read the store for all at the first start

When the whole system starts for the first time, no caller waits; the others wait up to 3 s for the news of the first contacts. A restarted instance still reads at once: waiting for contacts would cost callers more than the two calls. Records are stored by first contacts, by the reader and by who has heard of nobody. News tell how many instances are known, and whoever knows fewer pulls the list.

--- a/idl/peers.thrift
+++ b/idl/peers.thrift
@@ -76,6 +76,7 @@
   5: list<ServerRegistration> changed
   6: list<string> removed_ids
   7: bool is_pull_needed
+  8: i32 instances
 }
 
 struct Greeting {
@@ -92,6 +93,7 @@
   5: i64 previous_version
   6: list<string> removed_ids
   7: bool is_whole
+  8: list<CatalogMember> members
 }
 
 struct CatalogReferral {
--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -29,13 +29,15 @@
     What a reading of the store has shown.
 
     ``is_pull_needed`` tells that the change is too long for a datagram and
-    has to be pulled as a whole.
+    has to be pulled as a whole. ``instances`` is how many instances the
+    sender knows, itself included.
     """
 
     sender: CatalogMember
     change: CatalogChange
     configuration_version: int
     is_pull_needed: bool
+    instances: int
 
 
 class Greeting(NamedTuple):
@@ -53,13 +55,15 @@
     ``change`` is None where the receiver knows all registrations;
     ``is_whole`` tells that it lists all that there are and replaces what the
     receiver knows. ``configuration`` is the document as stored, empty where
-    the receiver knows that version.
+    the receiver knows that version. ``members`` are the instances that the
+    sender knows, empty where the receiver has not asked for them.
     """
 
     change: CatalogChange | None
     is_whole: bool
     configuration_version: int
     configuration: bytes
+    members: tuple[CatalogMember, ...] = ()
 
 
 class CatalogReferral(NamedTuple):
@@ -118,6 +122,7 @@
         [_registration_to_thrift(item) for item in change.changed],
         list(change.removed_ids),
         message.is_pull_needed,
+        message.instances,
     )
 
 
@@ -133,6 +138,7 @@
         change,
         data.configuration_version,
         data.is_pull_needed,
+        data.instances or 0,
     )
 
 
@@ -155,21 +161,19 @@
 def _state_to_thrift(message: CatalogState) -> ThriftState:
     # All instances pull at the same moment, from one with a narrow link.
     configuration = zlib.compress(message.configuration)
-    change = message.change
-    if change is None:
-        return ThriftState(
-            configuration_version=message.configuration_version,
-            configuration=configuration,
-        )
-    return ThriftState(
-        change.version,
-        [_registration_to_thrift(item) for item in change.changed],
-        message.configuration_version,
-        configuration,
-        change.previous_version,
-        list(change.removed_ids),
-        message.is_whole,
+    state = ThriftState(
+        configuration_version=message.configuration_version,
+        configuration=configuration,
+        members=[ThriftMember(*member) for member in message.members],
     )
+    change = message.change
+    if change is not None:
+        state.version = change.version
+        state.registrations = [_registration_to_thrift(r) for r in change.changed]
+        state.previous_version = change.previous_version
+        state.removed_ids = list(change.removed_ids)
+        state.is_whole = message.is_whole
+    return state
 
 
 def _state_from_thrift(data: ThriftState) -> CatalogState:
@@ -186,6 +190,7 @@
         bool(data.is_whole),
         data.configuration_version,
         zlib.decompress(data.configuration),
+        tuple(_member_from_thrift(member) for member in data.members or ()),
     )
 
 
--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -10,6 +10,7 @@
     Sections,
     parse_address,
     read_addresses,
+    read_flag,
     read_milliseconds,
     read_number,
     read_one_of,
@@ -65,6 +66,7 @@
     readiness_address: Address
     metrics_address: Address
     peers: PeersSettings
+    is_first_start: bool
     store_address: Address
     resends: ResendSettings
     placement: PlacementSettings
@@ -82,6 +84,8 @@
         "key": Key(read_text, variable=PEERS_KEY_VARIABLE),
         "seeds": Key(read_addresses, ()),
     },
+    # Whether the whole system starts for the first time.
+    "start": {"is_first": Key(read_flag, False)},
     "store": {"address": Key(parse_address)},
     "resends": {
         "ratio": Key(read_number, 0.1),
@@ -120,6 +124,7 @@
         values["readiness"][0],
         values["metrics"][0],
         PeersSettings(*values["peers"]),
+        values["start"][0],
         values["store"][0],
         ResendSettings(*values["resends"]),
         PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
--- a/src/cuminhatch/codecs/gen/peers/ttypes.py
+++ b/src/cuminhatch/codecs/gen/peers/ttypes.py
@@ -870,11 +870,12 @@
      - changed
      - removed_ids
      - is_pull_needed
+     - instances
 
     """
 
 
-    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None,):
+    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None, instances=None,):
         self.sender = sender
         self.previous_version = previous_version
         self.version = version
@@ -882,6 +883,7 @@
         self.changed = changed
         self.removed_ids = removed_ids
         self.is_pull_needed = is_pull_needed
+        self.instances = instances
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -939,6 +941,11 @@
                     self.is_pull_needed = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.instances = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -983,6 +990,10 @@
             oprot.writeFieldBegin('is_pull_needed', TType.BOOL, 7)
             oprot.writeBool(self.is_pull_needed)
             oprot.writeFieldEnd()
+        if self.instances is not None:
+            oprot.writeFieldBegin('instances', TType.I32, 8)
+            oprot.writeI32(self.instances)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1100,11 +1111,12 @@
      - previous_version
      - removed_ids
      - is_whole
+     - members
 
     """
 
 
-    def __init__(self, version=None, registrations=None, configuration_version=None, configuration=None, previous_version=None, removed_ids=None, is_whole=None,):
+    def __init__(self, version=None, registrations=None, configuration_version=None, configuration=None, previous_version=None, removed_ids=None, is_whole=None, members=None,):
         self.version = version
         self.registrations = registrations
         self.configuration_version = configuration_version
@@ -1112,6 +1124,7 @@
         self.previous_version = previous_version
         self.removed_ids = removed_ids
         self.is_whole = is_whole
+        self.members = members
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1168,6 +1181,17 @@
                     self.is_whole = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = CatalogMember()
+                        _elem66.read(iprot)
+                        self.members.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1185,8 +1209,8 @@
         if self.registrations is not None:
             oprot.writeFieldBegin('registrations', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.registrations))
-            for iter61 in self.registrations:
-                iter61.write(oprot)
+            for iter67 in self.registrations:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -1204,14 +1228,21 @@
         if self.removed_ids is not None:
             oprot.writeFieldBegin('removed_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed_ids))
-            for iter62 in self.removed_ids:
-                oprot.writeString(iter62.encode('utf-8') if sys.version_info[0] == 2 else iter62)
+            for iter68 in self.removed_ids:
+                oprot.writeString(iter68.encode('utf-8') if sys.version_info[0] == 2 else iter68)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
             oprot.writeFieldBegin('is_whole', TType.BOOL, 7)
             oprot.writeBool(self.is_whole)
             oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter69 in self.members:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1368,6 +1399,7 @@
     (5, TType.LIST, 'changed', (TType.STRUCT, [ServerRegistration, None], False), None, ),  # 5
     (6, TType.LIST, 'removed_ids', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.BOOL, 'is_pull_needed', None, None, ),  # 7
+    (8, TType.I32, 'instances', None, None, ),  # 8
 )
 all_structs.append(Greeting)
 Greeting.thrift_spec = (
@@ -1386,6 +1418,7 @@
     (5, TType.I64, 'previous_version', None, None, ),  # 5
     (6, TType.LIST, 'removed_ids', (TType.STRING, 'UTF8', False), None, ),  # 6
     (7, TType.BOOL, 'is_whole', None, None, ),  # 7
+    (8, TType.LIST, 'members', (TType.STRUCT, [CatalogMember, None], False), None, ),  # 8
 )
 all_structs.append(CatalogReferral)
 CatalogReferral.thrift_spec = (
--- a/src/cuminhatch/codecs/settings_keys.py
+++ b/src/cuminhatch/codecs/settings_keys.py
@@ -88,6 +88,18 @@
     return float(value)
 
 
+def read_flag(value: Any) -> bool:
+    """
+    Read a value that is true or false.
+
+    :param value: value from the file.
+    :raises ValueError: it is neither.
+    """
+    if not isinstance(value, bool):
+        raise ValueError("expected true or false")
+    return value
+
+
 def read_one_of(*known: str) -> Callable[[Any], str]:
     """
     Return a function that reads one of some texts.
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -75,6 +75,7 @@
             peers.key,
             seeds,
             decode_configuration,
+            settings.is_first_start,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel),
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -20,6 +20,8 @@
 from cuminhatch.services.catalog._view import NAME, CatalogView
 
 MAX_MEMBERS_TOLD = 24
+# An instance that knows fewer members than others is told by a part of them.
+HELP_SHARE = 0.1
 # Services that divide something by instances.
 COUNTERS = ("forwarding", "loads")
 
@@ -87,7 +89,7 @@
 ) -> CatalogNews:
     """Return the news of a change."""
     version = view.configuration_version
-    return CatalogNews(view.own, change, version, is_pull_needed)
+    return CatalogNews(view.own, change, version, is_pull_needed, view.instance_count)
 
 
 def tell_all(view: CatalogView, change: CatalogChange) -> None:
@@ -105,9 +107,30 @@
         view.send_bytes(Address(member.host, member.port), data)
 
 
+def note_fleet(view: CatalogView, told: CatalogNews) -> None:
+    """
+    Compare how many instances this one and another one know.
+
+    :param view: state of the catalog.
+    :param told: news of the other one.
+    """
+    view.instances_told = max(view.instances_told, told.instances)
+    if told.instances < view.instance_count and view.rng.random() < HELP_SHARE:
+        sender = told.sender
+        greeting = Greeting(view.own, some_members(view), False)
+        tell(view, Address(sender.host, sender.port), greeting)
+
+
 def on_enrolment_due(view: CatalogView, message: EnrolmentDue) -> None:
-    """Store the record of this instance, until it is stored."""
-    if view.is_enrolled:
+    """
+    Store the record of this instance, unless others are known without it.
+
+    A record serves instances that start when their first contacts are gone;
+    the contacts themselves and the reader of the store have one.
+    """
+    is_reader = view.turn.reader_id == view.own.instance_id
+    is_needed = view.is_first_contact or is_reader or not view.members
+    if view.is_enrolled or not is_needed:
         return
     own = view.own
     request = EnrolmentRequested(
--- a/src/cuminhatch/services/catalog/_pull_answers.py
+++ b/src/cuminhatch/services/catalog/_pull_answers.py
@@ -13,6 +13,7 @@
 from cuminhatch.decisions.referrals import REFER_ABOVE_BYTES, Referrals
 from cuminhatch.messages import RequestReceived, ResponseStarted
 from cuminhatch.services.catalog._view import (
+    NOTHING_NEEDED,
     PORT_NAME,
     CatalogView,
     PullAnswer,
@@ -35,13 +36,14 @@
     instance_id: str
     failure_domain: str
     is_direct: bool
+    is_members_wanted: bool
 
 
 def on_pull_requested(view: CatalogView, message: RequestReceived) -> None:
     """Tell another instance what it does not know, or who can."""
     query = read_query(message.head.target)
     need = find_need(view, query)
-    if need == PullNeed(0, 0, 0) and view.pull is not None:
+    if need == NOTHING_NEEDED and view.pull is not None:
         # What it asks for may be on its way here.
         view.held_pulls.append(message)
         return
@@ -70,6 +72,7 @@
         values.get("instance", ""),
         values.get("domain", ""),
         values.get("direct") == "1",
+        values.get("members") == "1",
     )
 
 
@@ -84,11 +87,14 @@
     configuration_version = 0
     if query.configuration_version < view.configuration_version:
         configuration_version = view.configuration_version
+    instances = view.instance_count if query.is_members_wanted else 0
     if query.version >= catalog.changed_version:
-        return PullNeed(configuration_version, 0, 0)
+        return PullNeed(configuration_version, 0, 0, instances)
     missed = view.history.since(query.version)
     previous_version = missed.previous_version if missed is not None else 0
-    return PullNeed(configuration_version, previous_version, catalog.changed_version)
+    return PullNeed(
+        configuration_version, previous_version, catalog.changed_version, instances
+    )
 
 
 def find_answer(view: CatalogView, need: PullNeed) -> PullAnswer:
@@ -105,6 +111,7 @@
             need.previous_version == 0,
             view.configuration_version,
             view.document_bytes if need.configuration_version else b"",
+            (view.own, *view.members.values()) if need.instances else (),
         )
         answer = PullAnswer(encode_message(state, view.key), Referrals())
         if len(view.answers) >= ANSWERS_MAX:
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -21,7 +21,7 @@
     adopt_whole,
     take_document,
 )
-from cuminhatch.services.catalog._members import add_members
+from cuminhatch.services.catalog._members import add_members, note_fleet
 from cuminhatch.services.catalog._pull_answers import answer_held_pulls
 from cuminhatch.services.catalog._readings import schedule_turn
 from cuminhatch.services.catalog._timers import PULL_TIMEOUT_MS
@@ -36,6 +36,7 @@
     """Take what another instance has read."""
     sender = message.sender
     add_members(view, (sender,))
+    note_fleet(view, message)
     now_ms = view.clock.now_ms
     own_id = view.own.instance_id
     is_current = message.change.version >= view.catalog.version
@@ -50,7 +51,8 @@
     is_behind = message.configuration_version > view.configuration_version
     if is_behind:
         view.heard = message.configuration_version, sender
-    if is_gap or is_behind:
+    is_fleet_larger = message.instances > view.instance_count
+    if is_gap or is_behind or is_fleet_larger:
         pull(view, sender)
 
 
@@ -83,6 +85,7 @@
         "instance": view.own.instance_id,
         "domain": view.failure_domain,
         "direct": int(is_direct),
+        "members": int(view.instances_told > view.instance_count),
     }
     request = HttpRequested(
         NAME,
@@ -134,11 +137,12 @@
 
 def has_news(state: CatalogState) -> bool:
     """Tell whether a state holds anything."""
-    return state.change is not None or bool(state.configuration)
+    return state.change is not None or bool(state.configuration or state.members)
 
 
 def take_state(view: CatalogView, state: CatalogState) -> None:
     """Believe what another instance knows."""
+    add_members(view, state.members)
     take_document(view, state.configuration, "peer")
     if state.change is None:
         return
--- a/src/cuminhatch/services/catalog/_readings.py
+++ b/src/cuminhatch/services/catalog/_readings.py
@@ -15,8 +15,10 @@
 from cuminhatch.services.catalog._members import no_change, tell_all
 from cuminhatch.services.catalog._timers import (
     CONFIGURATION_INTERVAL_MS,
+    ENROLMENT_DELAY_MS,
     OUTAGE_GAP_MS,
     STALE_READING_MS,
+    EnrolmentDue,
     TurnDue,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView
@@ -28,7 +30,8 @@
     due_ms = next_reading_ms(view.turn, view.members)
     if view.reading_token:
         due_ms = max(due_ms, view.reading_since_ms + STALE_READING_MS)
-    view.turn_timer = view.call_at(max(due_ms, view.clock.now_ms), TurnDue())
+    due_ms = max(due_ms, view.first_reading_ms, view.clock.now_ms)
+    view.turn_timer = view.call_at(due_ms, TurnDue())
 
 
 def on_turn_due(view: CatalogView, message: TurnDue) -> None:
@@ -38,6 +41,8 @@
     view.reading_since_ms = now_ms
     view.send("store", RegistrationsRequested(NAME, view.reading_token))
     is_taking_over = view.turn.reader_id != view.own.instance_id
+    if is_taking_over and not view.is_enrolled:
+        view.call_at(now_ms + ENROLMENT_DELAY_MS, EnrolmentDue())
     is_due = now_ms - view.configuration_read_ms >= CONFIGURATION_INTERVAL_MS
     if is_taking_over or is_due:
         view.configuration_read_ms = now_ms
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -11,6 +11,13 @@
 STALE_READING_MS = 1_200.0
 PULL_TIMEOUT_MS = 400.0
 ENROLMENT_RETRY_MS = 2_000.0
+# An instance stores a record of itself if no contact has answered by then.
+ENROLMENT_DELAY_MS = 1_500.0
+GREETING_INTERVAL_MS = 250.0
+# When the whole system starts for the first time, no caller waits, and the
+# first contacts read the store for all.
+FIRST_READING_WAIT_MS = 2_000.0
+FIRST_READING_SPREAD_MS = 1_000.0
 
 
 class TurnDue(NamedTuple):
@@ -18,4 +25,8 @@
 
 
 class EnrolmentDue(NamedTuple):
-    """The record of this instance is to be stored, unless it already is."""
+    """The record of this instance is to be stored, if others need it."""
+
+
+class GreetingDue(NamedTuple):
+    """The first contacts are to be greeted again, unless one has answered."""
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -38,6 +38,10 @@
     configuration_version: int
     previous_version: int
     changed_version: int
+    instances: int
+
+
+NOTHING_NEEDED = PullNeed(0, 0, 0, 0)
 
 
 class PullAnswer(NamedTuple):
@@ -82,11 +86,16 @@
         self.rng = rng
         self.tokens = count(1)
         self.members: dict[str, CatalogMember] = {}
+        # The most instances that another one knows, itself included.
+        self.instances_told = 0
+        # Others look for this instance when they start.
+        self.is_first_contact = False
         self.is_enrolled = False
         self.catalog: Catalog = EMPTY_CATALOG
         self.document: ConfigurationDocument | None = None
         self.document_bytes = b""
-        # Readings of the store.
+        # Readings of the store; the first one may be put off.
+        self.first_reading_ms = 0.0
         self.turn = Turn(own.instance_id, "", float("-inf"), float("-inf"))
         self.turn_timer: int | None = None
         self.reading_token = 0
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -41,7 +41,15 @@
     on_turn_due,
     schedule_turn,
 )
-from cuminhatch.services.catalog._timers import EnrolmentDue, TurnDue
+from cuminhatch.services.catalog._timers import (
+    ENROLMENT_DELAY_MS,
+    FIRST_READING_SPREAD_MS,
+    FIRST_READING_WAIT_MS,
+    GREETING_INTERVAL_MS,
+    EnrolmentDue,
+    GreetingDue,
+    TurnDue,
+)
 from cuminhatch.services.catalog._view import NAME, CatalogView, DecodeConfiguration
 
 MAX_DATAGRAMS_PER_EVENT = 64
@@ -66,6 +74,7 @@
         key: str,
         seeds: tuple[Address, ...],
         decode_configuration: DecodeConfiguration,
+        is_first_start: bool = False,
         rng: Random | None = None,
     ) -> None:
         """
@@ -79,11 +88,14 @@
         :param key: key shared by all daemons.
         :param seeds: first contacts.
         :param decode_configuration: decoder of the operator's document.
+        :param is_first_start: whether the whole system starts for the first
+            time, so that no caller waits yet.
         :param rng: source of randomness.
         """
         super().__init__(kernel)
         self._address = address
         self._seeds = tuple(seed for seed in seeds if seed != address)
+        self._is_first_start = is_first_start
         self._sock: socket | None = None
         self._view = CatalogView(
             kernel,
@@ -94,6 +106,7 @@
             self._send_bytes,
             rng or Random(),
         )
+        self._view.is_first_contact = address in seeds or not seeds
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of the store, the port and the HTTP client."""
@@ -111,6 +124,7 @@
         }
         table = {kind: partial(handle, self._view) for kind, handle in handlers.items()}
         return table | {
+            GreetingDue: self._greet_seeds,
             RequestBody: self._on_nothing_due,
             CallerLeft: self._on_nothing_due,
         }
@@ -123,10 +137,28 @@
         """
         self._sock = bind_datagram_socket(self._address)
         self.watch_read(self._sock, self._read_datagrams)
+        self._greet_seeds(GreetingDue())
+        self._plan_enrolment()
+        self._plan_first_reading()
+        schedule_turn(self._view)
+
+    def _greet_seeds(self, message: GreetingDue) -> None:
+        """Greet the first contacts until one has told what is in force."""
+        if self._view.catalog.version:
+            return
         for seed in self._seeds:
             tell(self._view, seed, Greeting(self._view.own, (), True))
-        self.call_after(0, EnrolmentDue())
-        schedule_turn(self._view)
+        self.call_after(GREETING_INTERVAL_MS, message)
+
+    def _plan_enrolment(self) -> None:
+        delay_ms = 0.0 if self._view.is_first_contact else ENROLMENT_DELAY_MS
+        self.call_after(delay_ms, EnrolmentDue())
+
+    def _plan_first_reading(self) -> None:
+        if self._is_first_start and not self._view.is_first_contact:
+            spread_ms = self._view.rng.random() * FIRST_READING_SPREAD_MS
+            wait_ms = FIRST_READING_WAIT_MS + spread_ms
+            self._view.first_reading_ms = self._view.clock.now_ms + wait_ms
 
     def _send_bytes(self, address: Address, data: bytes) -> None:
         try:
--- a/tests/codecs/test_catalog_thrift.py
+++ b/tests/codecs/test_catalog_thrift.py
@@ -22,11 +22,11 @@
 )
 REGISTRATION = Registration(SERVER, 41)
 MESSAGES = [
-    CatalogNews(MEMBER, CatalogChange(3, 9, (REGISTRATION,), ("i-8",)), 5, False),
+    CatalogNews(MEMBER, CatalogChange(3, 9, (REGISTRATION,), ("i-8",)), 5, False, 7),
     Greeting(MEMBER, (MEMBER,), True),
     CatalogState(CatalogChange(0, 9, (REGISTRATION,), ()), True, 5, b"{}"),
     CatalogState(CatalogChange(3, 9, (REGISTRATION,), ("i-8",)), False, 5, b""),
-    CatalogState(None, False, 5, b"{}"),
+    CatalogState(None, False, 5, b"{}", (MEMBER,)),
     CatalogReferral(MEMBER),
 ]
 
--- a/tests/codecs/test_gateway_toml.py
+++ b/tests/codecs/test_gateway_toml.py
@@ -22,6 +22,8 @@
 seeds = ["10.2.0.34:8382"]
 [store]
 address = "10.200.1.7:8384"
+[start]
+is_first = true
 [resends]
 ratio = 0.2
 extra = 56
@@ -40,6 +42,7 @@
     settings = parse(TEXT)
     assert settings.instance.failure_domain == "kingston"
     assert settings.store_address.port == 8384
+    assert settings.is_first_start
     assert settings.peers.seeds[0].host == "10.2.0.34"
     assert settings.resends == (0.2, 56.0, 10_000.0)
     assert settings.placement.candidates == 4
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -98,6 +98,7 @@
         self.rows = make_rows("a")
         self.document = b"r1"
         self.reads = 0
+        self.enrolled = 0
 
     def registrations(self, message):
         self.reads += 1
@@ -110,6 +111,10 @@
             return StoreUnavailable(message.token, "down")
         return ConfigurationRead(message.token, self.document)
 
+    def enrol(self, message):
+        self.enrolled += 1
+        return EnrolmentStored(message.token)
+
     def set(self, rows):
         self.version += 1
         self.rows = rows
@@ -118,14 +123,14 @@
 class World:
     """The catalog, its neighbours, and what they got."""
 
-    def __init__(self):
+    def __init__(self, seeds=(), is_first_start=False):
         self.clock = ManualClock(100_000.0)
         self.kernel = Kernel(self.clock)
         self.store = Store()
         replies = {
             RegistrationsRequested: self.store.registrations,
             ConfigurationRequested: self.store.configuration,
-            EnrolmentRequested: lambda message: EnrolmentStored(message.token),
+            EnrolmentRequested: self.store.enrol,
             EnrolledRequested: lambda message: EnrolledRead(message.token, {}),
         }
         self.neighbours = {
@@ -145,8 +150,9 @@
                 "here",
                 Address("127.0.0.1", 0),
                 KEY.decode(),
-                (),
+                seeds,
                 decode,
+                is_first_start,
                 Random(1),
             )
         )
@@ -169,9 +175,18 @@
             ms -= step
             self.run()
 
-    def hear(self, version, changed=(), removed=(), previous=10, configuration=1):
+    def hear(
+        self,
+        version,
+        changed=(),
+        removed=(),
+        previous=10,
+        configuration=1,
+        instances=2,
+    ):
         change = CatalogChange(previous, version, tuple(changed), tuple(removed))
-        on_news(self.view, CatalogNews(PEER, change, configuration, False))
+        news = CatalogNews(PEER, change, configuration, False, instances)
+        on_news(self.view, news)
         self.run()
 
     def reply(self, request, message):
@@ -486,3 +501,90 @@
     (request,) = world.received("http_client")
     world.reply(request, CatalogState(None, False, 5, b"r5"))
     assert len(world.received("http_client")) == 2
+
+
+SEED = Address("127.0.0.1", 7)
+
+
+@pytest.fixture
+def make_world():
+    worlds = []
+
+    def make(**keywords):
+        worlds.append(World(**keywords))
+        return worlds[-1]
+
+    yield make
+    for made in worlds:
+        made.kernel.close()
+
+
+def test_first_start_is_read_by_the_first_contacts(make_world):
+    """Guards against calls of 142 instances where three are enough."""
+    world = make_world(seeds=(SEED,), is_first_start=True)
+    world.advance(1_000.0)
+    assert world.store.reads == 0
+    world.hear(11, previous=5)
+    request = world.received("http_client")[-1]
+    world.reply(request, CatalogState(whole(11, "a"), True, 1, b"r1"))
+    assert list(world.configuration.servers) == ["a"]
+    assert world.store.reads == 0
+    world.advance(600.0)
+    assert world.store.enrolled == 0
+
+
+def test_silent_contacts_do_not_hold_up_the_first_start(make_world):
+    """Guards against a system whose first contacts never start."""
+    world = make_world(seeds=(SEED,), is_first_start=True)
+    world.advance(4_000.0)
+    assert world.store.reads > 0
+    assert world.store.enrolled == 1
+    assert world.received(SUPERVISOR)[-1].is_ready
+
+
+def test_restarted_instance_reads_at_once(make_world):
+    """Guards against callers who wait for contacts that start late."""
+    world = make_world(seeds=(SEED,))
+    assert world.store.reads == 1
+    assert world.received(SUPERVISOR)[-1].is_ready
+
+
+def test_contacts_are_greeted_until_one_tells_what_is_in_force(make_world):
+    """Guards against a first contact that starts after the others."""
+    world = make_world(seeds=(SEED,), is_first_start=True)
+    world.sent.clear()
+    world.advance(1_000.0)
+    assert world.sent.count(Greeting(world.view.own, (), True)) >= 3
+    world.hear(11, previous=5)
+    request = world.received("http_client")[-1]
+    world.reply(request, CatalogState(whole(11, "a"), True, 1, b"r1"))
+    world.sent.clear()
+    world.advance(600.0)
+    assert Greeting(world.view.own, (), True) not in world.sent
+
+
+def test_instances_that_others_know_are_pulled(world):
+    """Guards against shares of a budget that are too large together."""
+    members = tuple(CatalogMember(f"front-{n}", "127.0.0.1", n) for n in range(2, 9))
+    world.hear(11, instances=9)
+    request = world.received("http_client")[-1]
+    assert b"members=1" in request.target
+    world.reply(request, CatalogState(None, False, 1, b"", (PEER, *members)))
+    assert InstancesCounted(9) in world.received("forwarding")
+    assert {member.instance_id for member in world.pull(1, 11, members=1).members} == {
+        "front-1",
+        *(member.instance_id for member in members),
+        PEER.instance_id,
+    }
+    assert world.pull(1, 11).members == ()
+
+
+def test_reader_that_knows_fewer_instances_is_told_of_them(world):
+    """Guards against news that do not reach an instance for good."""
+    members = tuple(CatalogMember(f"front-{n}", "127.0.0.1", n) for n in range(2, 9))
+    add_members(world.view, members)
+    world.sent.clear()
+    for version in range(11, 80):
+        world.hear(version, instances=3)
+    helped = [m for m in world.sent if isinstance(m, Greeting) and m.members]
+    assert 0 < len(helped) < 30
