Take answers of unknown length to be long

Four of 15 map packs that crossed a border did so in the first seconds, and half of the requests on rules that are seldom used.

--- a/src/cuminhatch/decisions/work_times.py
+++ b/src/cuminhatch/decisions/work_times.py
@@ -8,6 +8,9 @@
 # count as this many times the usual.
 LONGEST_FACTOR = 2.0
 SHORTEST_FACTOR = 0.5
+# Taken for the length of an answer until one is known, so that the first long
+# ones do not cross the border of a failure domain.
+UNKNOWN_ANSWER_BYTES = 16 * 1024.0
 TIME_WEIGHT = 1 / 16
 BYTES_WEIGHT = 1 / 8
 
@@ -37,7 +40,7 @@
         :param target_ms: target latency of the rule.
         """
         known = self._known.get((rule_id, service_id))
-        return known or WorkTime(target_ms * TARGET_SHARE, 0.0)
+        return known or WorkTime(target_ms * TARGET_SHARE, UNKNOWN_ANSWER_BYTES)
 
     def note(
         self,
@@ -60,7 +63,7 @@
         usual = self.expect(rule_id, service_id, target_ms)
         lowest_ms = usual.usual_ms * SHORTEST_FACTOR
         sample_ms = min(max(took_ms, lowest_ms), usual.usual_ms * LONGEST_FACTOR)
-        weight = BYTES_WEIGHT if usual.answer_bytes else 1.0
+        weight = BYTES_WEIGHT if (rule_id, service_id) in self._known else 1.0
         self._known[(rule_id, service_id)] = WorkTime(
             usual.usual_ms + (sample_ms - usual.usual_ms) * TIME_WEIGHT,
             usual.answer_bytes + (answer_bytes - usual.answer_bytes) * weight,
--- a/tests/decisions/test_work_times.py
+++ b/tests/decisions/test_work_times.py
@@ -20,3 +20,11 @@
         took_ms = 980.0 if n % 33 == 0 else 140.0
         times.note("r", "s", 400.0, took_ms, 0)
     assert times.expect("r", "s", 400.0).usual_ms < 175.0
+
+
+def test_unknown_answers_are_taken_to_be_long():
+    """Guards against the first long answers of a rule that cross a border."""
+    times = WorkTimes()
+    assert times.expect("r", "s", 400.0).answer_bytes > 10_000.0
+    times.note("r", "s", 400.0, 90.0, 0)
+    assert times.expect("r", "s", 400.0).answer_bytes == 0.0
