Show gauges, stages of requests, connects and store calls as metrics

On-call engineers could see counters of ends and one histogram only. Gauges are asked from the parts when the metrics are read, so they cost nothing between readings.

--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -74,7 +74,7 @@
             settings.is_first_start,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
-        Metrics(kernel),
+        Metrics(kernel, gauge_parts=("forwarding", "catalog")),
         HttpListener(kernel, settings.metrics_address, "metrics", METRICS_PORT),
         Loads(kernel, DIALECT, placement.probes_per_s),
         Forwarding(kernel, DIALECT, read_forwarding_settings(settings)),
--- a/src/cuminhatch/messages/telemetry.py
+++ b/src/cuminhatch/messages/telemetry.py
@@ -39,6 +39,28 @@
     value: float
 
 
+class Gauge(NamedTuple):
+    """A metric that rises and falls, with its present value."""
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+class GaugesRequested(NamedTuple):
+    """The metrics are about to be read; a part is to tell its gauges."""
+
+    reply_to: str
+    token: int
+
+
+class GaugesReported(NamedTuple):
+    """The gauges of one part."""
+
+    token: int
+    gauges: tuple[Gauge, ...]
+
+
 class TimelineRequested(NamedTuple):
     """
     Events are to be listed.
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -26,6 +26,7 @@
     StoreUnavailable,
 )
 from cuminhatch.messages.http_client import HttpFailed, HttpReplied, HttpRequested
+from cuminhatch.messages.telemetry import CounterIncremented
 from cuminhatch.platform.documents import DocumentError, decode_server
 
 SERVERS_TABLE = "servers"
@@ -179,6 +180,9 @@
         token = next(self._tokens)
 
         def end(reply: HttpReplied | HttpFailed) -> None:
+            result = str(reply.status) if isinstance(reply, HttpReplied) else "lost"
+            call = CounterIncremented("store_calls_total", {"result": result})
+            self.send("metrics", call)
             try:
                 use(_read_reply(reply))
             except (CodecError, KeyError, TypeError, ValueError) as error:
--- a/src/cuminhatch/services/_metric_registry.py
+++ b/src/cuminhatch/services/_metric_registry.py
@@ -2,7 +2,7 @@
 
 from math import inf
 
-from aioprometheus import Counter, Histogram, Registry, render
+from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
 PREFIX = "cuminhatch_"
 BUCKETS_MS = (0.5, 1, 2, 5, 10, 20, 50, 100, 200, 500, 1000, 2000, 5000, inf)
@@ -15,6 +15,7 @@
         """Start without metrics."""
         self._registry = Registry()
         self._counters: dict[str, Counter] = {}
+        self._gauges: dict[str, Gauge] = {}
         self._histograms: dict[str, Histogram] = {}
 
     def add(self, name: str, labels: dict[str, str], amount: float) -> None:
@@ -31,6 +32,20 @@
             self._counters[name] = counter
         counter.add(labels, amount)
 
+    def set(self, name: str, labels: dict[str, str], value: float) -> None:
+        """
+        Set a gauge.
+
+        :param name: name of the metric.
+        :param labels: its labels.
+        :param value: its present value.
+        """
+        gauge = self._gauges.get(name)
+        if gauge is None:
+            gauge = Gauge(PREFIX + name, _describe(name), registry=self._registry)
+            self._gauges[name] = gauge
+        gauge.set(labels, value)
+
     def observe(self, name: str, labels: dict[str, str], value: float) -> None:
         """
         Add a sample to a histogram.
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -31,6 +31,7 @@
     AttemptResumed,
     AttemptStalled,
     ConfigurationChanged,
+    ValueObserved,
 )
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.services._stream import (
@@ -74,6 +75,8 @@
         self.attempt: _Attempt | None = None
         self.is_reused = False
         self.is_dropped = False
+        # None once the connection is open.
+        self.opened_ms: float | None = None
         self.idle_since_ms = 0.0
 
 
@@ -166,6 +169,8 @@
         body = self._encode_body(attempt, message.data, message.is_complete)
         self._start_timer(attempt)
         connection.stream.write(head + body)
+        if connection.stream.sent_bytes:
+            self._observe_connect(connection)
         self._check_stalled(connection)
 
     def _take_connection(self, message: AttemptRequested) -> _Connection | str:
@@ -197,6 +202,7 @@
             on_lost=lambda reason: self._on_lost(connection, reason),
             on_drained=lambda: self._on_drained(connection),
         )
+        connection.opened_ms = self.kernel.clock.now_ms
         self._open_counts[key.server_id] += 1
         connection.stream.start_reading()
         return connection
@@ -257,6 +263,7 @@
             self.send(self._target, AttemptStalled(attempt.attempt_id))
 
     def _on_drained(self, connection: _Connection) -> None:
+        self._observe_connect(connection)
         attempt = connection.attempt
         if attempt is not None:
             attempt.progress_ms = self.kernel.clock.now_ms
@@ -264,6 +271,13 @@
                 attempt.is_stalled = False
                 self.send(self._target, AttemptResumed(attempt.attempt_id))
 
+    def _observe_connect(self, connection: _Connection) -> None:
+        if connection.opened_ms is None:
+            return
+        took_ms = self.kernel.clock.now_ms - connection.opened_ms
+        connection.opened_ms = None
+        self.send("metrics", ValueObserved("connect_ms", {}, took_ms))
+
     # Responses
 
     def _on_data(self, connection: _Connection, data: bytes) -> None:
--- /dev/null
+++ b/src/cuminhatch/services/catalog/_gauges.py
@@ -0,0 +1,22 @@
+"""Tells versions and ages of what the catalog believes as gauges."""
+
+from cuminhatch.messages import Gauge, GaugesReported, GaugesRequested
+from cuminhatch.services.catalog._view import CatalogView
+
+
+def on_gauges_requested(view: CatalogView, message: GaugesRequested) -> None:
+    """Report versions, ages and instances."""
+    heard_ms = max(view.read_ms, view.turn.heard_ms)
+    age_ms = view.clock.now_ms - heard_ms
+    is_reader = view.turn.reader_id == view.own.instance_id
+    values = {
+        "configuration_version": view.configuration_version,
+        "registrations_version": view.catalog.version,
+        "registrations_age_ms": age_ms,
+        "registrations_known": len(view.catalog.registrations),
+        "instances_known": view.instance_count,
+        "store_reader": is_reader,
+        "store_lost": view.is_store_lost,
+    }
+    gauges = tuple(Gauge(name, {}, float(value)) for name, value in values.items())
+    view.send(message.reply_to, GaugesReported(message.token, gauges))
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -14,7 +14,12 @@
 from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.log import logger
-from cuminhatch.messages import HttpFailed, HttpReplied, RequestReceived
+from cuminhatch.messages import (
+    GaugesRequested,
+    HttpFailed,
+    HttpReplied,
+    RequestReceived,
+)
 from cuminhatch.messages.catalog import (
     ConfigurationRead,
     EnrolledRead,
@@ -24,6 +29,7 @@
 )
 from cuminhatch.messages.requests import CallerLeft, RequestBody
 from cuminhatch.services._bound_socket import bind_datagram_socket
+from cuminhatch.services.catalog._gauges import on_gauges_requested
 from cuminhatch.services.catalog._members import (
     on_enrolled_read,
     on_enrolment_due,
@@ -112,6 +118,7 @@
         handlers = {
             TurnDue: on_turn_due,
             EnrolmentDue: on_enrolment_due,
+            GaugesRequested: on_gauges_requested,
             RegistrationsRead: on_registrations_read,
             ConfigurationRead: on_configuration_read,
             EnrolmentStored: on_enrolment_stored,
--- a/src/cuminhatch/services/forwarding/_answers.py
+++ b/src/cuminhatch/services/forwarding/_answers.py
@@ -163,6 +163,7 @@
     """Learn from a good answer."""
     now_ms = state.clock.now_ms
     note_success(attempt.record, now_ms)
+    state.observe_stage(exchange, "server", now_ms - attempt.sent_ms)
     rule = exchange.rule
     state.work_times.note(
         rule.rule_id,
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -39,6 +39,8 @@
     exchange.stage = Stage.RUNNING
     exchange.attempts[attempt.attempt_id] = attempt
     state.by_attempt[attempt.attempt_id] = exchange
+    if not exchange.sends:
+        state.observe_stage(exchange, "waiting", now_ms - exchange.received_ms)
     exchange.sends.append(record.server.server_id)
     record_placement(state, exchange, attempt, placed)
     note_sent(record)
--- a/src/cuminhatch/services/forwarding/_ends.py
+++ b/src/cuminhatch/services/forwarding/_ends.py
@@ -97,6 +97,7 @@
     duration_ms = state.clock.now_ms - exchange.received_ms
     service = {"service": exchange.service_id}
     state.observe("request_duration_ms", service, duration_ms)
+    state.observe_stage(exchange, "total", duration_ms)
 
 
 def on_exchange_due(state: ForwardingState, message: ExchangeDue) -> None:
--- /dev/null
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -0,0 +1,37 @@
+"""Tells the present state of forwarding as gauges."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from cuminhatch.decisions.server_records import is_left_out
+from cuminhatch.messages import Gauge, GaugesReported, GaugesRequested
+from cuminhatch.services.forwarding._exchange import Stage
+from cuminhatch.services.forwarding._state import ForwardingState
+
+
+def on_gauges_requested(state: ForwardingState, message: GaugesRequested) -> None:
+    """Report requests by stage, servers and budgets."""
+    gauges = (*list_requests(state), *list_pools(state))
+    state.send(message.reply_to, GaugesReported(message.token, gauges))
+
+
+def list_requests(state: ForwardingState) -> Iterator[Gauge]:
+    """Return how many requests are in each stage."""
+    stages = Counter(exchange.stage for exchange in state.exchanges.values())
+    for stage in Stage:
+        labels = {"stage": stage.name.lower()}
+        yield Gauge("requests_in_progress", labels, stages[stage])
+
+
+def list_pools(state: ForwardingState) -> Iterator[Gauge]:
+    """Return the servers and the budget of each service."""
+    now_ms = state.clock.now_ms
+    for service_id, pool in state.pools.items():
+        labels = {"service": service_id}
+        records = pool.records.values()
+        left_out = sum(is_left_out(record, now_ms) for record in records)
+        in_flight = sum(record.in_flight for record in records)
+        yield Gauge("servers_known", labels, len(records))
+        yield Gauge("servers_left_out", labels, left_out)
+        yield Gauge("sends_in_flight", labels, in_flight)
+        yield Gauge("resend_budget_left", labels, pool.budget.left)
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -142,6 +142,17 @@
         """
         self.send("metrics", ValueObserved(name, labels, value))
 
+    def observe_stage(self, exchange: Exchange, stage: str, duration_ms: float) -> None:
+        """
+        Add a sample to the histogram of a stage of requests on a rule.
+
+        :param exchange: the request.
+        :param stage: name of the stage.
+        :param duration_ms: how long it took.
+        """
+        labels = {"rule": exchange.rule.rule_id, "stage": stage}
+        self.observe("request_stage_ms", labels, duration_ms)
+
     def record(
         self, name: str, trace_id: str, details: Mapping[str, Any] | None = None
     ) -> None:
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -15,6 +15,7 @@
     CallerResumed,
     CallerStalled,
     ConfigurationChanged,
+    GaugesRequested,
     RequestBody,
     RequestFailed,
     RequestReceived,
@@ -33,6 +34,7 @@
     on_caller_stalled,
 )
 from cuminhatch.services.forwarding._ends import on_exchange_due, on_request_failed
+from cuminhatch.services.forwarding._gauges import on_gauges_requested
 from cuminhatch.services.forwarding._intake import (
     on_caller_left,
     on_request_body,
@@ -93,6 +95,7 @@
             ServerSilent: on_server_silent,
             LoadsMeasured: on_loads_measured,
             RequestFailed: on_request_failed,
+            GaugesRequested: on_gauges_requested,
             RequestReceived: on_request_received,
             RequestBody: on_request_body,
             CallerLeft: on_caller_left,
--- a/src/cuminhatch/services/metrics.py
+++ b/src/cuminhatch/services/metrics.py
@@ -1,5 +1,7 @@
 """Counters and histograms for Prometheus."""
 
+from collections.abc import Callable
+from itertools import count
 from typing import TYPE_CHECKING
 
 from cuminhatch.codecs.http1 import Header, ResponseHead
@@ -7,6 +9,8 @@
 from cuminhatch.messages import (
     CallerLeft,
     CounterIncremented,
+    GaugesReported,
+    GaugesRequested,
     MetricsReplied,
     MetricsRequested,
     RequestBody,
@@ -25,18 +29,33 @@
 Labels = tuple[tuple[str, str], ...]
 
 
+Reply = Callable[[str, bytes], None]
+
+
+class _Reading:
+    """State of one reading: the parts whose gauges are missing."""
+
+    def __init__(self, reply: Reply, missing: int) -> None:
+        self.reply = reply
+        self.missing = missing
+
+
 class Metrics(Service):
     """Collects samples and renders them on request."""
 
     name = "metrics"
 
-    def __init__(self, kernel: Kernel) -> None:
+    def __init__(self, kernel: Kernel, gauge_parts: tuple[str, ...] = ()) -> None:
         """
         Start without metrics; each appears with its first sample.
 
         :param kernel: kernel of the process.
+        :param gauge_parts: services that are asked for gauges at each reading.
         """
         super().__init__(kernel)
+        self._gauge_parts = gauge_parts
+        self._readings: dict[int, _Reading] = {}
+        self._tokens = count(1)
         self._loaded: MetricRegistry | None = None
         # Samples wait here until the metrics are read: an update of a
         # Counter costs 7 microseconds, an addition in a dict well under one.
@@ -49,6 +68,7 @@
             CounterIncremented: self._on_counter_incremented,
             ValueObserved: self._on_value_observed,
             MetricsRequested: self._on_metrics_requested,
+            GaugesReported: self._on_gauges_reported,
             RequestReceived: self._on_request_received,
             RequestBody: self._on_nothing_due,
             CallerLeft: self._on_nothing_due,
@@ -64,17 +84,41 @@
             self._take_samples()
 
     def _on_metrics_requested(self, message: MetricsRequested) -> None:
-        content_type, data = self._render()
-        self.send(message.reply_to, MetricsReplied(message.token, content_type, data))
+        def reply(content_type: str, data: bytes) -> None:
+            replied = MetricsReplied(message.token, content_type, data)
+            self.send(message.reply_to, replied)
+
+        self._start_reading(reply)
 
     def _on_request_received(self, message: RequestReceived) -> None:
         """Answer a request on the metrics port, where there is one."""
-        content_type, data = self._render()
-        head = ResponseHead(
-            200, b"OK", (Header(b"content-type", content_type.encode()),)
-        )
-        answer = ResponseStarted(message.request_id, head, len(data), data, True)
-        self.send(PORT_NAME, answer)
+
+        def reply(content_type: str, data: bytes) -> None:
+            headers = (Header(b"content-type", content_type.encode()),)
+            head = ResponseHead(200, b"OK", headers)
+            answer = ResponseStarted(message.request_id, head, len(data), data, True)
+            self.send(PORT_NAME, answer)
+
+        self._start_reading(reply)
+
+    def _start_reading(self, reply: Reply) -> None:
+        """Ask all parts for their gauges; the last report ends the reading."""
+        if not self._gauge_parts:
+            reply(*self._render())
+            return
+        token = next(self._tokens)
+        self._readings[token] = _Reading(reply, len(self._gauge_parts))
+        for part in self._gauge_parts:
+            self.send(part, GaugesRequested(self.name, token))
+
+    def _on_gauges_reported(self, message: GaugesReported) -> None:
+        for gauge in message.gauges:
+            self._registry.set(gauge.name, gauge.labels, gauge.value)
+        reading = self._readings[message.token]
+        reading.missing -= 1
+        if reading.missing == 0:
+            del self._readings[message.token]
+            reading.reply(*self._render())
 
     def _on_nothing_due(self, message: RequestBody | CallerLeft) -> None:
         """Ignore what follows a request that is answered at once."""
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -199,6 +199,12 @@
     assert 'cuminhatch_requests_total{end="answered",service="board"} 1' in text
     assert "cuminhatch_request_duration_ms_bucket" in text
     assert "cuminhatch_probes_total" in text
+    assert 'cuminhatch_request_stage_ms_count{rule="status",stage="server"}' in text
+    assert "cuminhatch_connect_ms_count" in text
+    assert 'cuminhatch_requests_in_progress{stage="waiting"} 0' in text
+    assert "cuminhatch_resend_budget_left" in text
+    assert "cuminhatch_configuration_version" in text
+    assert 'cuminhatch_store_calls_total{result="200"}' in text
 
 
 @pytest.mark.parametrize(
