End the demo's and the bench's programs with their parent; refuse unknown words

A killed demo left 29 stand-ins, and the next one failed with "Address already in use". Children ask the kernel to end with their parent; taken ports are named with the process that holds them; a second bench says so and ends; all programs refuse words that they don't know (python -m bench added ran everything).

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -11,11 +11,14 @@
 from bench.blocking import measure_blocking, measure_uneven
 from bench.control import count_probes, measure_control
 from bench.crest import measure_capacity, measure_crest
-from bench.fleet import Fleet, open_fleet
+from bench.fleet import HOST, Fleet, open_fleet
 from bench.plots import draw_series
 from bench.sizes import DEPLOYMENTS, SINGLE, Deployment, write_note
 from bench.table import Row, format_table
+from cuminhatch.arguments import USAGE_STATUS, refuse_arguments
 from cuminhatch.decisions.choice import BASELINES, POWER_OF_D
+from cuminhatch.messages import Address
+from cuminhatch_standins.ports import describe_taken
 
 BASE_PORTS = {"blue-mahoe": 21000, "macaulay": 22000}
 POLICIES = (POWER_OF_D, *BASELINES)
@@ -115,12 +118,28 @@
     }
 
 
+def refuse_second_bench() -> None:
+    """
+    End the program if another bench runs, whose ports it would share.
+
+    :raises SystemExit: one of the first ports is taken.
+    """
+    taken = describe_taken(
+        {name: Address(HOST, port) for name, port in BASE_PORTS.items()}
+    )
+    if taken:
+        _report("another bench seems to run: " + "; ".join(taken))
+        raise SystemExit(USAGE_STATUS)
+
+
 def _report(text: str) -> None:
     print(f"bench: {text}", file=sys.stderr, flush=True)
 
 
-def run_bench(_: list[str]) -> None:
+def run_bench(arguments: list[str]) -> None:
     """Take the chosen measures and print the table."""
+    refuse_arguments("bench", arguments)
+    refuse_second_bench()
     chosen = {"added", "probes", "crest", "blocking"}
     measures = chosen if MEASURE.value == "all" else {MEASURE.value}
     names = list(DEPLOYMENTS) if DEPLOYMENT.value == "both" else [DEPLOYMENT.value]
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,7 +1,6 @@
 """Starts and ends the processes of one measurement."""
 
 import os
-import sys
 import time
 from collections.abc import Iterator
 from contextlib import contextmanager
@@ -14,6 +13,7 @@
 import orjson
 
 from bench.load import LoadPlan
+from cuminhatch_standins.bound_child import bound_command
 
 KEY = "bench-operators-key"
 HOST = "127.0.0.1"
@@ -126,9 +126,8 @@
         :param module: its module.
         :param arguments: its command line.
         """
-        process = Popen(
-            [sys.executable, "-m", module, *arguments], stdout=DEVNULL, stderr=DEVNULL
-        )
+        command = bound_command(module, *arguments)
+        process = Popen(command, stdout=DEVNULL, stderr=DEVNULL)
         self._processes.append(process)
         return process
 
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -25,6 +25,7 @@
     measure_spread,
     measure_timeline,
 )
+from cuminhatch.arguments import refuse_arguments
 
 GROUPS = {
     "servers": measure_servers,
@@ -76,8 +77,9 @@
         yield from GROUPS[group]()
 
 
-def main(_: list[str]) -> None:
+def main(arguments: list[str]) -> None:
     """Print a line for each series."""
+    refuse_arguments("bench.slopes", arguments)
     begin_s = time.monotonic()
     results: list[dict[str, Any]] = []
     print(f"{'series':34}{'unit':24}{'slope':>12}{'intercept':>12}{'deviation':>12}")
--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -6,6 +6,7 @@
 
 from absl import app, flags
 
+from cuminhatch.arguments import USAGE_STATUS, refuse_arguments
 from cuminhatch.codecs.settings_toml import Settings, parse_settings
 from cuminhatch.decisions.choice import BASELINES
 from cuminhatch.errors import AddressError, SettingsError
@@ -31,7 +32,6 @@
 )
 from cuminhatch.settings_file import read_settings_text
 
-USAGE_STATUS = 2
 # Services that have something to finish before the daemon may end, in order:
 # requests of the last callers may still claim keys.
 DRAINING_PARTS = ("callers", "claims")
@@ -131,12 +131,14 @@
     return kernel
 
 
-def run_daemon(_: list[str]) -> int:
+def run_daemon(arguments: list[str]) -> int:
     """
     Run until a drain has finished.
 
+    :param arguments: name of the program and what is no flag.
     :returns: the exit status.
     """
+    refuse_arguments("cuminhatchd", arguments)
     try:
         settings = load_settings(SETTINGS.value)
         logger.configure(settings.instance.instance_id, settings.log_level)
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -4,6 +4,7 @@
 import sys
 
 from cuminhatch.address import Address
+from cuminhatch.arguments import USAGE_STATUS
 from cuminhatch.codecs.gateway_toml import (
     GatewaySettings,
     StopSettings,
@@ -31,7 +32,6 @@
 from cuminhatch.services.supervisor import Supervisor
 from cuminhatch.settings_file import read_settings_text
 
-USAGE_STATUS = 2
 DRAINING_PARTS = ("callers",)
 # Time to end the process itself before it is killed.
 STOP_RESERVE_MS = 300.0
--- a/src/cuminhatch_standins/_process.py
+++ b/src/cuminhatch_standins/_process.py
@@ -4,6 +4,7 @@
 
 from absl import app, flags
 
+from cuminhatch.arguments import refuse_arguments
 from cuminhatch.errors import CuminhatchError
 from cuminhatch.kernel import Kernel, Service
 from cuminhatch.messages import Address
@@ -30,7 +31,8 @@
     :param delay_ms: tells how long requests are held back.
     """
 
-    def main(_: list[str]) -> None:
+    def main(arguments: list[str]) -> None:
+        refuse_arguments(arguments[0], arguments)
         kernel = Kernel()
         service = kernel.register(make_service(kernel))
         front = Front(kernel, service.name, specs, is_body_kept, delay_ms)
--- a/src/cuminhatch_standins/demo.py
+++ b/src/cuminhatch_standins/demo.py
@@ -20,8 +20,11 @@
 
 import orjson
 
+from cuminhatch.arguments import refuse_arguments
 from cuminhatch.errors import CuminhatchError
 from cuminhatch.messages import Address
+from cuminhatch_standins.bound_child import bound_command
+from cuminhatch_standins.ports import describe_taken
 
 HOST = "127.0.0.1"
 TABLE = Address(HOST, 9001)
@@ -146,6 +149,34 @@
     return f"{address.host}:{address.port}"
 
 
+def list_ports() -> dict[str, Address]:
+    """Return all addresses of the demo by what they are for."""
+    ports = {
+        "table service": TABLE,
+        "object store": OBJECTS,
+        "list of instances": INSTANCES,
+    }
+    ports |= {plan.server_id: plan.address for plan in plan_backends()}
+    for daemon in DAEMONS:
+        ports[f"{daemon.instance_id} callers"] = daemon.callers
+        ports[f"{daemon.instance_id} operators"] = daemon.operators
+        ports[f"{daemon.instance_id} peers"] = daemon.peers
+    return ports
+
+
+def check_ports() -> None:
+    """
+    Check that no other program holds a port of the demo.
+
+    :raises DemoError: one does; the text says which and what to do.
+    """
+    taken = describe_taken(list_ports())
+    if taken:
+        raise DemoError(
+            "\n  ".join(["ports are taken; end these programs first:", *taken])
+        )
+
+
 def start_child(
     stack: ExitStack, label: str, module: str, *arguments: str, **popen: object
 ) -> Child:
@@ -159,7 +190,7 @@
     :param popen: further arguments of ``Popen``.
     """
     process = subprocess.Popen(
-        [sys.executable, "-m", module, *arguments],
+        bound_command(module, *arguments),
         # Ctrl-C goes to the demo alone, which stops daemons before stand-ins.
         start_new_session=True,
         **popen,
@@ -393,8 +424,10 @@
 
     :returns: exit status.
     """
+    refuse_arguments("demo", sys.argv)
     signal.signal(signal.SIGTERM, _interrupt)
     try:
+        check_ports()
         with TemporaryDirectory() as directory, ExitStack() as stack:
             children = start_platform(stack)
             for plan in plan_backends():
