--- a/tests/proofs/test_catalog_spread.py
+++ b/tests/proofs/test_catalog_spread.py
@@ -33,12 +33,15 @@
 class Fleet:
     """A reader, followers, and the network between them."""
 
+    apply = staticmethod(apply_change)
+    make_history = ChangeHistory
+
     def __init__(self, seed):
         self.rng = Random(seed)
         self.rows = {}
         self.version = 1
         self.reader = EMPTY_CATALOG
-        self.history = ChangeHistory()
+        self.history = self.make_history()
         self.followers = [EMPTY_CATALOG] * FOLLOWERS
         self.on_the_way = []
 
@@ -68,7 +71,7 @@
         if self.rng.random() < 0.9:
             del self.on_the_way[index]
         before = self.followers[number]
-        after = apply_change(before, change)
+        after = self.apply(before, change)
         if isinstance(after, VersionGap):
             after = self.pull(before)
         assert after.version >= before.version, "went back"
@@ -79,13 +82,12 @@
         catalog = self.reader
         missed = self.history.since(before.version)
         if missed is not None and self.rng.random() < 0.8:
-            return apply_change(before, missed)
+            return self.apply(before, missed)
         return Catalog(catalog.version, catalog.version, catalog.registrations, {})
 
 
-@pytest.mark.parametrize("seed", range(40))
-def test_followers_agree_with_the_reader(seed):
-    """Guards against an instance that misses or reverts a change for good."""
+def play(seed):
+    """Run a fleet, and check that all agree at the end."""
     fleet = Fleet(seed)
     for _ in range(STEPS):
         fleet.rng.choice((fleet.change_rows, fleet.read, fleet.deliver))()
@@ -93,7 +95,58 @@
     fleet.on_the_way.clear()
     _, quiet = merge_reading(fleet.reader, fleet.version + 1, fleet.rows, 0.0, False)
     for follower in fleet.followers:
-        heard = apply_change(follower, quiet)
+        heard = fleet.apply(follower, quiet)
         if isinstance(heard, VersionGap):
             heard = fleet.pull(follower)
         assert servers_of(heard) == servers_of(fleet.reader)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_followers_agree_with_the_reader(seed):
+    """Guards against an instance that misses or reverts a change for good."""
+    play(seed)
+
+
+def apply_over_gaps(catalog, change):
+    """Take a change although earlier ones are missing."""
+    return apply_change(catalog, change._replace(previous_version=0))
+
+
+def apply_old_changes(catalog, change):
+    """Take a change that is older than what is known."""
+    return apply_change(
+        catalog._replace(version=0), change._replace(previous_version=0)
+    )
+
+
+def apply_without_removals(catalog, change):
+    """Keep servers that are gone."""
+    return apply_change(catalog, change._replace(removed_ids=()))
+
+
+class ShortHistory(ChangeHistory):
+    """Tells the latest change alone, whatever was missed."""
+
+    def since(self, version):
+        change = super().since(version)
+        latest = self._changes[-1] if self._changes else None
+        return None if change is None else latest._replace(previous_version=0)
+
+
+@pytest.mark.parametrize(
+    "broken",
+    [
+        {"apply": staticmethod(apply_over_gaps)},
+        {"apply": staticmethod(apply_old_changes)},
+        {"apply": staticmethod(apply_without_removals)},
+        {"make_history": ShortHistory},
+    ],
+    ids=["gaps-ignored", "goes-back", "removals-lost", "history-cut"],
+)
+def test_broken_versions_are_caught(monkeypatch, broken):
+    """Guards against a proof that any version would pass."""
+    for name, value in broken.items():
+        monkeypatch.setattr(Fleet, name, value)
+    with pytest.raises(AssertionError):
+        for seed in range(40):
+            play(seed)
