Pass pipelined reads on side by side, answer them in order; a fault soak

Only whole reads are, nothing behind a request that closes the connection, and a drain still answers all that was passed on.

The soak runs a store, six backend servers behind disturbable links and three gateways as processes, kills, pauses, stops and restarts them, cuts, delays and resets links, and checks what callers and servers saw.

--- /dev/null
+++ b/soak/documents.py
@@ -0,0 +1,104 @@
+"""Settings of gateways, and what operators and servers write to the store."""
+
+from typing import Any
+
+import orjson
+
+HOST = "127.0.0.1"
+# Backend servers by id, and their services.
+SERVERS = {
+    **{f"b{number}": "board" for number in (1, 2, 3)},
+    **{f"l{number}": "ledger" for number in (1, 2, 3)},
+}
+ROUTES = {"status": ("safe", "board"), "confirm": ("unsafe", "ledger")}
+# The platform kills a process this long after asking it to end.
+GRACE_MS = 5_000
+ANNOUNCE_MS = 1_000
+# A leaving server gets nothing new from then on.
+DRAIN_GRACE_MS = 2_000
+
+
+def make_settings(name: str, number: int, ports: dict[str, int], peers: int) -> str:
+    """
+    Return the settings of a gateway, but for the store's address.
+
+    :param name: id of the instance.
+    :param number: last part of its address for the others.
+    :param ports: its ports by use.
+    :param peers: port that all instances use between each other.
+    """
+    seeds = [f"{HOST}:{peers}"] if number > 1 else []
+    sections = {
+        "instance": {"id": name, "failure_domain": "here"},
+        **{use: {"address": f"{HOST}:{port}"} for use, port in ports.items()},
+        "peers": {
+            "address": f"127.0.0.{number}:{peers}",
+            "key": "soak",
+            "seeds": seeds,
+        },
+        "resends": {"ratio": 0.2, "extra": 60, "window_ms": 10_000},
+        "placement": {"probes_per_s": 600},
+        "drain": {"announce_ms": ANNOUNCE_MS, "total_ms": GRACE_MS},
+    }
+    lines = []
+    for section, values in sections.items():
+        lines.append(f"[{section}]")
+        # Texts, numbers and lists of texts look the same in JSON and TOML.
+        lines += [f"{key} = {orjson.dumps(v).decode()}" for key, v in values.items()]
+    return "\n".join(lines) + "\n"
+
+
+def make_registration(server_id: str, port: int, state: str) -> dict[str, Any]:
+    """
+    Return the registration of a server.
+
+    :param server_id: id of the server.
+    :param port: port of its link.
+    :param state: ``ready`` or ``draining``.
+    """
+    return {
+        "service": SERVERS[server_id],
+        "address": f"{HOST}:{port}",
+        "zone": "here",
+        "version": "v1",
+        "slots": 3,
+        "state": state,
+        "warmup-left-ms": 0,
+        "sequence": 1,
+    }
+
+
+def make_configuration(version: int) -> dict[str, Any]:
+    """
+    Return a configuration with a route named by its version.
+
+    :param version: its number.
+    """
+    routes = ROUTES | {f"v{version}": ("safe", "board")}
+    return {
+        "version": f"r{version}",
+        "routes": [
+            {
+                "name": name,
+                "host": "desk.example",
+                "prefix": f"/{name}/",
+                "kind": kind,
+                "timeout-ms": 2_500,
+                "target-latency-ms": 500,
+                "priority": 1,
+                "service": service,
+                "max-attempts": 2,
+            }
+            for name, (kind, service) in routes.items()
+        ],
+        "services": [
+            {"name": name, "health-path": "/health", "max-conns": 200}
+            for name in sorted(set(SERVERS.values()))
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 1_000_000,
+            "header-timeout-ms": 3_000,
+            "idle-timeout-ms": 15_000,
+        },
+    }
--- a/src/cuminhatch/services/_listener_state.py
+++ b/src/cuminhatch/services/_listener_state.py
@@ -4,6 +4,12 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import HeadParsed, ParserEvent, RequestParser
+from cuminhatch.messages import (
+    RequestRefused,
+    ResponseAborted,
+    ResponseBody,
+    ResponseStarted,
+)
 from cuminhatch.services._stream import Stream
 
 # With 64 KB of unsent answer each, 128 MB of the daemon's 256 MB.
@@ -17,6 +23,8 @@
     ``idle_age_ms`` holds between requests, ``head_ms`` from the first byte
     to the end of a head, ``body_progress_ms`` between parts of a body and
     ``answer_progress_ms`` between parts of an answer that the peer takes.
+    ``pipelined`` is how many reads of one connection are answered at the same
+    time; their answers leave in the order of the requests.
     ``linger_ms`` is how long bytes are still read from a peer that has got
     its last answer; a close with unread bytes would destroy that answer.
     ``drain_first_request_ms`` is the time for the first request of a caller
@@ -24,6 +32,7 @@
     """
 
     connections: int = MAX_CONNECTIONS
+    pipelined: int = 1
     idle_age_ms: float = 60_000
     head_ms: float = 10_000
     body_progress_ms: float = 10_000
@@ -35,8 +44,12 @@
 DEFAULT_LIMITS = ListenerLimits()
 
 
+# Answers that may wait for the answers of earlier requests.
+Answer = ResponseStarted | ResponseBody | ResponseAborted | RequestRefused
+
+
 class Exchange:
-    """The request of a connection that is being answered."""
+    """A request of a connection that is being answered."""
 
     def __init__(self, request_id: int, parsed: HeadParsed) -> None:
         """
@@ -57,10 +70,34 @@
         self.is_body_asked_for = False
         self.passed_bytes = 0
         self.is_stalled = False
+        # What is to be sent once the earlier requests are answered.
+        self.held: list[Answer] = []
+        self.held_bytes = 0
+
+    def hold(self, answer: Answer) -> None:
+        """
+        Keep a part of the answer.
+
+        :param answer: message of the answering service.
+        """
+        self.held.append(answer)
+        if isinstance(answer, ResponseStarted | ResponseBody):
+            self.held_bytes += len(answer.data)
+
+    def take_held(self) -> list[Answer]:
+        """Return and forget the parts that were kept."""
+        held, self.held = self.held, []
+        self.held_bytes = 0
+        return held
 
 
 class Connection:
-    """State of one connection; requests are answered one at a time."""
+    """
+    State of one connection.
+
+    ``exchange`` is the request whose answer is sent next; those in ``ahead``
+    are behind it and are answered already.
+    """
 
     def __init__(self, now_ms: float) -> None:
         """
@@ -75,6 +112,7 @@
         # Messages whose end is in the backlog.
         self.backlog_ends = 0
         self.exchange: Exchange | None = None
+        self.ahead: deque[Exchange] = deque()
         self.exchange_count = 0
         self.is_held = False
         self.is_closing = False
@@ -83,6 +121,22 @@
         self.head_begun_ms: float | None = None
         self.linger_begun_ms: float | None = None
 
+    @property
+    def latest(self) -> Exchange | None:
+        """Return the request that was passed on last, if it is in progress."""
+        return self.ahead[-1] if self.ahead else self.exchange
+
+    def find_ahead(self, request_id: int) -> Exchange | None:
+        """
+        Return a request that waits for the answers of earlier ones.
+
+        :param request_id: id of the request within the process.
+        """
+        for exchange in self.ahead:
+            if exchange.request_id == request_id:
+                return exchange
+        return None
+
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is being read or answered."""
--- a/src/cuminhatch/services/http_listener.py
+++ b/src/cuminhatch/services/http_listener.py
@@ -16,6 +16,7 @@
     BodyParsed,
     FramingError,
     Header,
+    HeadParsed,
     MessageParsed,
     ResponseHead,
     encode_chunk,
@@ -48,6 +49,7 @@
 from cuminhatch.services._bound_socket import address_of, listen_on
 from cuminhatch.services._listener_state import (
     DEFAULT_LIMITS,
+    Answer,
     Connection,
     Exchange,
     ListenerLimits,
@@ -70,6 +72,8 @@
 # Body passed on before the answering service has asked for it.
 MAX_UNASKED_BYTES = 256 * 1024
 SWEEP_INTERVAL_MS = 1000
+# Requests without effects, which callers may pipeline.
+READ_METHODS = frozenset({b"GET", b"HEAD"})
 NO_DESCRIPTORS = frozenset({EMFILE, ENFILE, ENOBUFS, ENOMEM})
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -233,7 +237,9 @@
                     break
                 self._start_exchange(connection)
             elif exchange.is_request_complete:
-                return
+                if not self._may_start_ahead(connection):
+                    return
+                self._start_ahead(connection)
             else:
                 self._pass_body(connection, exchange)
         error = connection.parser.error
@@ -268,12 +274,43 @@
             connection.head_begun_ms = None
         return is_awaited
 
+    def _may_start_ahead(self, connection: Connection) -> bool:
+        """
+        Tell whether the next request is passed on before earlier ones end.
+
+        Only whole requests that may run twice are, since one whose connection
+        ends is sent again by the caller.
+        """
+        latest = connection.latest
+        is_next_known = (
+            latest.is_keep_alive and not latest.is_http_1_0 and connection.backlog_ends
+        )
+        if not is_next_known or self._is_draining:
+            return False
+        if len(connection.ahead) + 1 >= self._limits.pipelined:
+            return False
+        parsed = connection.backlog[0]
+        is_read = parsed.head.method in READ_METHODS and parsed.body_length == 0
+        return is_read and not self._is_answer_pending(connection)
+
+    def _start_ahead(self, connection: Connection) -> None:
+        """Pass on a request whose answer waits for those of earlier ones."""
+        parsed = connection.backlog.popleft()
+        exchange = Exchange(next(self._request_ids), parsed)
+        connection.ahead.append(exchange)
+        self._pass_head(connection, exchange, parsed)
+
     def _start_exchange(self, connection: Connection) -> None:
         parsed = connection.backlog.popleft()
         exchange = Exchange(next(self._request_ids), parsed)
         connection.exchange = exchange
-        connection.exchange_count += 1
         connection.head_begun_ms = None
+        self._pass_head(connection, exchange, parsed)
+
+    def _pass_head(
+        self, connection: Connection, exchange: Exchange, parsed: HeadParsed
+    ) -> None:
+        connection.exchange_count += 1
         self._by_request[exchange.request_id] = connection
         data = self._take_body(connection, exchange)
         self.send(
@@ -340,16 +377,45 @@
 
     # Answers
 
+    def _hold_ahead(self, connection: Connection, message: Answer) -> bool:
+        """Tell whether an answer has to wait for earlier ones, and keep it."""
+        exchange = connection.find_ahead(message.request_id)
+        if exchange is None:
+            return False
+        exchange.hold(message)
+        if exchange.held_bytes > WRITE_HIGH_BYTES and not exchange.is_stalled:
+            exchange.is_stalled = True
+            self.send(self._target, CallerStalled(exchange.request_id))
+        return True
+
+    def _send_held(self, connection: Connection) -> None:
+        """Send what is there of the next answer."""
+        exchange = connection.ahead.popleft()
+        connection.exchange = exchange
+        for message in exchange.take_held():
+            self.deliver(message)
+        is_pending = connection.stream.pending_bytes > WRITE_HIGH_BYTES
+        if exchange.is_stalled and not is_pending:
+            exchange.is_stalled = False
+            self.send(self._target, CallerResumed(exchange.request_id))
+
+    def _drop_ahead(self, connection: Connection) -> None:
+        """Cancel the requests whose answers can't be sent any more."""
+        while connection.ahead:
+            exchange = connection.ahead.popleft()
+            del self._by_request[exchange.request_id]
+            self.send(self._target, CallerLeft(exchange.request_id))
+
     def _on_response_started(self, message: ResponseStarted) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is None:
+        if connection is None or self._hold_ahead(connection, message):
             return
         exchange = connection.exchange
         exchange.is_response_started = True
         if not exchange.is_request_complete:
             # The rest of the request's body may not be read.
             exchange.is_keep_alive = False
-        elif self._is_draining:
+        elif self._is_draining and not connection.ahead:
             # Callers send again what they sent behind an answer that closes
             # its connection.
             exchange.is_keep_alive = False
@@ -366,7 +432,7 @@
 
     def _on_response_body(self, message: ResponseBody) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is not None:
+        if connection is not None and not self._hold_ahead(connection, message):
             self._write_body(
                 connection, connection.exchange, message.data, message.is_complete
             )
@@ -398,14 +464,20 @@
     def _finish_exchange(self, connection: Connection, exchange: Exchange) -> None:
         self._end_exchange(connection)
         if not exchange.is_keep_alive:
+            self._drop_ahead(connection)
             self._close_when_drained(connection)
             return
+        if connection.ahead:
+            self._send_held(connection)
+            if not connection.stream.is_open or connection.is_closing:
+                return
         self._start_next(connection)
         if self._is_draining and connection.is_idle:
             self._close_when_drained(connection)
 
     def _start_next(self, connection: Connection) -> None:
-        if connection.backlog or not connection.parser.is_between_messages:
+        is_head_due = connection.backlog or not connection.parser.is_between_messages
+        if connection.exchange is None and is_head_due:
             connection.head_begun_ms = self.kernel.clock.now_ms
         self._advance(connection)
         self._update_reading(connection)
@@ -417,13 +489,15 @@
 
     def _on_response_aborted(self, message: ResponseAborted) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is not None:
+        if connection is not None and not self._hold_ahead(connection, message):
             self._end_exchange(connection)
             self._abort(connection)
 
     def _on_request_refused(self, message: RequestRefused) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is not None and connection.exchange.is_response_started:
+        if connection is None or self._hold_ahead(connection, message):
+            return
+        if connection.exchange.is_response_started:
             # A handler failed after the head; a second head would be taken
             # for the next answer.
             self._on_response_aborted(ResponseAborted(message.request_id))
@@ -456,13 +530,15 @@
 
     def _on_read_paused(self, message: RequestReadPaused) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is not None:
-            connection.exchange.is_read_paused = True
-            self._update_reading(connection)
+        if connection is None or connection.find_ahead(message.request_id):
+            # Only whole requests are ahead of their turn.
+            return
+        connection.exchange.is_read_paused = True
+        self._update_reading(connection)
 
     def _on_read_resumed(self, message: RequestReadResumed) -> None:
         connection = self._by_request.get(message.request_id)
-        if connection is None:
+        if connection is None or connection.find_ahead(message.request_id):
             return
         exchange = connection.exchange
         exchange.is_read_paused = False
@@ -529,6 +605,7 @@
         if exchange is not None:
             self._end_exchange(connection)
             self.send(self._target, CallerLeft(exchange.request_id))
+        self._drop_ahead(connection)
         self._resume_accepting()
         self._report_drained()
 
--- a/src/cuminhatch_standins/registered_server.py
+++ b/src/cuminhatch_standins/registered_server.py
@@ -16,6 +16,7 @@
 
 from absl import flags
 
+from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.codecs.http1 import Header, find_header
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import CallerLeft, ResponseAborted
@@ -44,6 +45,7 @@
 flags.DEFINE_string("server_id", "i-1", "Id under which the server is registered.")
 flags.DEFINE_integer("slots", 3, "Requests that run at the same time.")
 flags.DEFINE_float("work_ms", 5.0, "Time that a request takes.")
+flags.DEFINE_string("runs_file", None, "File that gets a line for each run.")
 
 
 class WorkDone(NamedTuple):
@@ -58,7 +60,12 @@
     name = "registered_server"
 
     def __init__(
-        self, kernel: Kernel, server_id: str, slots: int, work_ms: float
+        self,
+        kernel: Kernel,
+        server_id: str,
+        slots: int,
+        work_ms: float,
+        runs_file: str | None = None,
     ) -> None:
         """
         Start idle.
@@ -67,6 +74,8 @@
         :param server_id: id under which it is registered.
         :param slots: requests that run at the same time.
         :param work_ms: time that a request takes, in milliseconds.
+        :param runs_file: gets a line for each run, so that the runs of a
+            server that is killed are known.
         """
         super().__init__(kernel)
         self._server_id = server_id
@@ -76,6 +85,7 @@
         self._in_work: dict[int, WholeRequest] = {}
         self._waiting: list[WholeRequest] = []
         self._runs: list[dict[str, str]] = []
+        self._runs_file = runs_file
 
     def message_handlers(self) -> MessageTable:
         """Return the messages of the front and the own timer."""
@@ -129,6 +139,10 @@
             "body": request.body.decode("latin-1"),
         }
         self._runs.append(run)
+        if self._runs_file is not None:
+            with open(self._runs_file, "a") as file:
+                wall_s = self.kernel.clock.wall_ms / MS_PER_SECOND
+                file.write(f"{wall_s:.3f} {self._server_id} {run['id']}\n")
         self._in_work[request.request_id] = request
         self.call_after(self._work_ms + self._faults["slow"], WorkDone(request))
 
@@ -177,7 +191,11 @@
     values = flags.FLAGS
     run_standin(
         lambda kernel: RegisteredServer(
-            kernel, values.server_id, values.slots, values.work_ms
+            kernel,
+            values.server_id,
+            values.slots,
+            values.work_ms,
+            values.runs_file,
         ),
         FAULTS,
     )
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -488,3 +488,117 @@
     port.send(DrainStarted())
     settle(port.kernel)
     assert reports == [DrainFinished("callers")]
+
+
+@pytest.fixture
+def pipelined():
+    return Port(pipelined=3)
+
+
+def test_pipelined_reads_are_passed_on_together(pipelined):
+    """
+    Guards against a short read that waits for the long one before it.
+
+    At most three are answered at the same time; answers leave in order,
+    whichever is there first.
+    """
+    peer = pipelined.begin(b"".join(GET % n for n in range(5)))
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 3)
+    settle(pipelined.kernel, 10)
+    assert len(pipelined.answers.heads) == 3
+    for request_id in (3, 2):
+        pipelined.answers.answer(request_id, b"later")
+    settle(pipelined.kernel, 10)
+    peer.read()
+    assert not peer.received
+    pipelined.answers.answer(1, b"first")
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 5)
+    for request_id in (5, 4):
+        pipelined.answers.answer(request_id, b"last")
+    peer.run_until(lambda: len(answers_in(peer.received)) == 5)
+    assert answers_in(peer.received) == [1, 2, 3, 4, 5]
+
+
+@pytest.mark.parametrize(
+    "second",
+    [
+        POST + b"Content-Length: 1\r\n\r\na",
+        b"GET / HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n\r\na",
+        b"GET / HTTP/1.1\r\n" + HOST,
+    ],
+)
+def test_only_whole_reads_are_passed_on_before_their_turn(pipelined, second):
+    """Guards against effects of a request whose connection then ends."""
+    pipelined.begin(GET % 1 + second)
+    settle(pipelined.kernel, 10)
+    assert len(pipelined.answers.heads) == 1
+
+
+def test_nothing_is_passed_on_behind_the_last_request(pipelined):
+    """Guards against a read whose answer can't be sent."""
+    closing = b"GET /1 HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n"
+    pipelined.begin(closing + GET % 2)
+    settle(pipelined.kernel, 10)
+    assert len(pipelined.answers.heads) == 1
+
+
+def test_caller_that_leaves_takes_its_pipelined_requests_along(pipelined):
+    """Guards against work for a caller that has gone."""
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 2)
+    peer.sock.close()
+    run_until(pipelined.kernel, lambda: pipelined.answers.count(CallerLeft) == 2)
+    assert pipelined.listener.exchange_count == 0
+
+
+def test_answer_that_breaks_off_waits_for_those_before_it(pipelined):
+    """Guards against a broken answer that cuts an earlier one."""
+    peer = pipelined.begin(GET % 1 + GET % 2 + GET % 3)
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 3)
+    pipelined.answers.answer(2, b"part", is_complete=False, length=100)
+    pipelined.send(ResponseAborted(2))
+    settle(pipelined.kernel, 10)
+    pipelined.answers.answer(1, b"first")
+    peer.run_until(lambda: peer.is_closed)
+    assert b"first" in peer.received
+    run_until(pipelined.kernel, lambda: pipelined.answers.count(CallerLeft) == 1)
+    assert pipelined.listener.exchange_count == 0
+
+
+def test_refusal_of_a_pipelined_request_keeps_its_place(pipelined):
+    """Guards against a refusal that is taken for the answer before it."""
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 2)
+    refusal = RequestRefused(2, 503, Outcome.NOT_RUN, "servers-full", b"", 100.0)
+    pipelined.send(refusal)
+    settle(pipelined.kernel, 10)
+    pipelined.answers.answer(1, b"first")
+    peer.run_until(lambda: b"servers-full\n" in peer.received)
+    assert peer.received.index(b"first") < peer.received.index(b" 503 ")
+
+
+def test_long_answer_that_waits_is_stalled(pipelined):
+    """Guards against memory for answers that wait for a slow one."""
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 2)
+    size = WRITE_HIGH_BYTES + 1
+    pipelined.answers.answer(2, bytes(size), is_complete=False, length=size + 1)
+    run_until(pipelined.kernel, lambda: pipelined.answers.count(CallerStalled) == 1)
+    pipelined.answers.answer(1, b"first")
+    peer.run_until(lambda: pipelined.answers.count(CallerResumed) == 1)
+    pipelined.send(ResponseBody(2, b"a", True))
+    peer.run_until(lambda: peer.received.endswith(b"a"))
+    assert pipelined.listener.exchange_count == 0
+
+
+def test_drain_answers_pipelined_requests_that_were_passed_on(pipelined):
+    """Guards against reads that are cut off when a daemon stops."""
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_until(pipelined.kernel, lambda: len(pipelined.answers.heads) == 2)
+    pipelined.send(DrainStarted())
+    settle(pipelined.kernel, 4)
+    pipelined.answers.answer(1, b"first")
+    pipelined.answers.answer(2, b"second")
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.received.count(b"connection: close") == 1
+    assert peer.received.endswith(b"\r\nconnection: close\r\n\r\nsecond")
