Ask far servers only if no near one is good enough

Four near servers are asked first, a near one that answers in time is taken, and up to eight near and six far ones are asked at once if none does, instead of after 15 ms.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -165,6 +165,9 @@
     """
     Choose the server with the earliest expected answer.
 
+    A near server that answers well within the target latency is taken, though
+    a far one may be quicker: nobody gains by bytes between failure domains.
+
     Work keeps the speed at which it starts, so a request waits a moment for a
     machine that is neither slow nor nearly full, and longer if that is the
     only way to an answer within the target latency. After that it is sent
@@ -178,6 +181,9 @@
     """
     if not records:
         return NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
+    near = find_near(records, work, now_ms, rng)
+    if near is not None:
+        return near
     best, predicted_ms = _find_best(records, work, now_ms, rng)
     is_full = busy_places(best, now_ms) >= best.server.slots
     late_ms = predicted_ms - work.left_ms * LEFT_SHARE
@@ -198,6 +204,28 @@
     return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
 
 
+def find_near(
+    records: Sequence[ServerRecord], work: Work, now_ms: float, rng: Random
+) -> Placed | None:
+    """
+    Return the best near server, None if a far one may be needed.
+
+    :param records: candidates that may take requests.
+    :param work: the request.
+    :param now_ms: current time.
+    :param rng: source of randomness, breaks ties between servers.
+    """
+    near = [record for record in records if record.is_near]
+    if not near:
+        return None
+    best, predicted_ms = _find_best(near, work, now_ms, rng)
+    longest_ms = work.waited_ms + predicted_ms * USUAL_RESERVE
+    is_in_time = longest_ms <= min(work.target_ms, work.left_ms * LEFT_SHARE)
+    if is_in_time and is_comfortable(best, now_ms):
+        return Placed(best, predicted_ms)
+    return None
+
+
 def longest_wait_ms(work: Work, is_slow: bool) -> float:
     """
     Return how long a request is held for a better server.
--- a/src/cuminhatch/services/forwarding/_placing.py
+++ b/src/cuminhatch/services/forwarding/_placing.py
@@ -22,8 +22,6 @@
 MEASURE_WAIT_MS = 12.0
 # Servers end a request about this often when they are nearly full.
 LOOK_INTERVAL_MS = 15.0
-# Candidates outside the own failure domain.
-FAR_CANDIDATES = 1
 # Loads named in the line of a refusal.
 LOGGED_LOADS = 4
 BYTES_PER_KB = 1024.0
@@ -37,9 +35,8 @@
         no_server = NotPlaced("no-backend-server", MEASURE_WAIT_MS)
         end_placement(state, exchange, no_server)
         return
-    wanted = Wanted(max(1, state.settings.candidates - FAR_CANDIDATES), FAR_CANDIDATES)
-    if exchange.is_widened:
-        wanted = WIDENED
+    # Far servers are asked if no near one is good enough.
+    wanted = WIDENED if exchange.is_widened else Wanted(state.settings.candidates, 0)
     candidates = pick_candidates(
         records, exchange.tried, wanted, state.clock.now_ms, state.rng
     )
@@ -93,14 +90,13 @@
         start_attempt(state, exchange, chosen)
     elif exchange.is_hedging:
         exchange.is_hedging = False
-    elif isinstance(chosen, Wait):
+    elif not exchange.is_widened:
         exchange.is_widened = True
+        place_exchange(state, exchange)
+    elif isinstance(chosen, Wait):
         look_later(state, exchange)
-    elif exchange.is_widened:
-        end_placement(state, exchange, chosen)
     else:
-        exchange.is_widened = True
-        place_exchange(state, exchange)
+        end_placement(state, exchange, chosen)
 
 
 def look_later(state: ForwardingState, exchange: Exchange) -> None:
--- a/tests/decisions/test_placement.py
+++ b/tests/decisions/test_placement.py
@@ -146,3 +146,27 @@
     record = make_record("a", running=3, waiting=6)
     later = NOW_MS + 10_000.0
     assert predict_ms(record, READ, later) < predict_ms(record, READ, NOW_MS)
+
+
+def test_near_server_that_is_good_enough_is_taken():
+    """
+    Guards against bytes between failure domains that nobody gains by.
+
+    Load: a third of the near machines are slow at any moment, and one far
+    server of those that were asked is free.
+    """
+    records = [
+        make_record("near", running=1, slowdown=1.5),
+        make_record("far", is_near=False),
+    ]
+    assert chosen_name(records, READ._replace(far_charge_ms=30.0)) == "near"
+
+
+def test_far_server_takes_what_no_near_one_answers_in_time():
+    """Guards against a failure domain that is slow as a whole."""
+    records = [
+        make_record("slow", slowdown=4.0),
+        make_record("full", running=3, waiting=2),
+        make_record("far", is_near=False),
+    ]
+    assert chosen_name(records, READ._replace(far_charge_ms=30.0)) == "far"
