--- a/src/cuminhatch/decisions/reading_turns.py
+++ b/src/cuminhatch/decisions/reading_turns.py
@@ -20,11 +20,14 @@
 # Wait for the reader's news before another takes over.
 TAKEOVER_MS = 250.0
 TAKEOVER_STEP_MS = 90.0
-# Places after this one wait the same time, so that a list of dead instances
-# cannot put off all the others.
-PLACES_MAX = 6
-# An instance that the store has just refused leaves the turn to others.
+# Later places follow each other more closely, so that a list of dead instances
+# cannot put off all the others for long.
+CLOSE_PLACE = 6
+CLOSE_STEP_MS = 30.0
+# An instance that the store has just refused leaves the turn to others. While
+# the store refuses all, most of them ask seldom: every call is priced.
 REFUSED_PAUSE_MS = 1_000.0
+REFUSED_STEP_MS = 100.0
 
 
 class Turn(NamedTuple):
@@ -55,11 +58,22 @@
     :param member_ids: all known instances.
     :returns: monotonic time in milliseconds.
     """
+    place = place_in_order(turn.own_id, member_ids)
     due_ms = turn.heard_ms + READ_INTERVAL_MS
     if turn.reader_id != turn.own_id:
-        place = min(place_in_order(turn.own_id, member_ids), PLACES_MAX)
-        due_ms += TAKEOVER_MS + place * TAKEOVER_STEP_MS
-    return max(due_ms, turn.refused_ms + REFUSED_PAUSE_MS)
+        due_ms += TAKEOVER_MS + takeover_wait_ms(place)
+    pause_ms = REFUSED_PAUSE_MS + place * REFUSED_STEP_MS
+    return max(due_ms, turn.refused_ms + pause_ms)
+
+
+def takeover_wait_ms(place: int) -> float:
+    """
+    Return how long an instance leaves a takeover to those before it.
+
+    :param place: how many instances come before it.
+    """
+    later = max(0, place - CLOSE_PLACE)
+    return (place - later) * TAKEOVER_STEP_MS + later * CLOSE_STEP_MS
 
 
 def should_yield(own_id: str, other_id: str) -> bool:
--- a/src/cuminhatch/services/catalog/_readings.py
+++ b/src/cuminhatch/services/catalog/_readings.py
@@ -43,12 +43,17 @@
     if is_taking_over and not view.is_enrolled:
         view.call_at(now_ms + ENROLMENT_DELAY_MS, EnrolmentDue())
     is_due = now_ms - view.configuration_read_ms >= CONFIGURATION_INTERVAL_MS
-    if is_taking_over or is_due:
-        view.configuration_read_ms = now_ms
-        view.send("store", ConfigurationRequested(NAME, next(view.tokens)))
+    if (is_taking_over or is_due) and not view.is_store_lost:
+        request_configuration(view)
     schedule_turn(view)
 
 
+def request_configuration(view: CatalogView) -> None:
+    """Ask the store for the operator's configuration."""
+    view.configuration_read_ms = view.clock.now_ms
+    view.send("store", ConfigurationRequested(NAME, next(view.tokens)))
+
+
 def on_registrations_read(view: CatalogView, message: RegistrationsRead) -> None:
     """Believe what the store has shown, and tell the others."""
     now_ms = view.clock.now_ms
@@ -91,8 +96,6 @@
         view.reading_token = 0
         view.is_reading_lost = True
     view.turn = view.turn._replace(refused_ms=now_ms)
-    # The configuration is read at once when the store answers again.
-    view.configuration_read_ms = float("-inf")
     if not view.is_store_lost:
         view.is_store_lost = True
         logger.warning("catalog: Store does not answer: {}.", message.reason)
@@ -101,11 +104,12 @@
 
 
 def note_store_regained(view: CatalogView) -> None:
-    """Note the end of an outage."""
+    """Note the end of an outage, in which versions may have been missed."""
     if view.is_store_lost:
         view.is_store_lost = False
         logger.info("catalog: Store answers again.")
         view.record("store_regained", {})
+        request_configuration(view)
 
 
 def record_refused(view: CatalogView, message: RegistrationsRead) -> None:
