--- a/soak/run.py
+++ b/soak/run.py
@@ -134,16 +134,18 @@
         self.at(self.now_s + GRACE_MS / MS_PER_S, lambda: self._restart(fault.target))
 
     def _restart(self, name: str) -> None:
-        end_process(self._deployment.gateways[name].process)
-        self._deployment.start_gateway(name)
+        # A kill during a gentle stop starts it before the stop's time is over.
+        gateway = self._deployment.gateways[name]
+        if gateway.is_end_expected:
+            end_process(gateway.process)
+            self._deployment.start_gateway(name)
 
     def _strike_server(self, kind: str, fault: Fault) -> None:
         server = self._deployment.servers[fault.target]
         if kind == "kill":
             end_process(server.process)
             self.at(
-                self.now_s + fault.for_s,
-                lambda: self._deployment.start_server(fault.target),
+                self.now_s + fault.for_s, lambda: self._restart_server(fault.target)
             )
             return
         if kind == "pause":
@@ -159,6 +161,11 @@
         self._set(server.address, begin)
         self.at(self.now_s + fault.for_s, lambda: self._set(server.address, end))
 
+    def _restart_server(self, server_id: str) -> None:
+        # It may have been killed twice, and run again already.
+        if self._deployment.servers[server_id].process.poll() is not None:
+            self._deployment.start_server(server_id)
+
     def _pause(self, pid: int, for_s: float) -> None:
         self._signal(pid, signal.SIGSTOP)
         self.at(self.now_s + for_s, lambda: self._signal(pid, signal.SIGCONT))
--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -165,8 +165,8 @@
     """
     Choose the server with the earliest expected answer.
 
-    A near server that answers well within the target latency is taken, though
-    a far one may be quicker: nobody gains by bytes between failure domains.
+    A near server that is about as quick as usual is taken, though a far one
+    may be a little quicker: nobody gains by bytes between failure domains.
 
     Work keeps the speed at which it starts, so a request waits a moment for a
     machine that is neither slow nor nearly full, and longer if that is the
@@ -219,9 +219,12 @@
     if not near:
         return None
     best, predicted_ms = _find_best(near, work, now_ms, rng)
-    longest_ms = work.waited_ms + predicted_ms * USUAL_RESERVE
-    is_in_time = longest_ms <= min(work.target_ms, work.left_ms * LEFT_SHARE)
-    if is_in_time and is_comfortable(best, now_ms):
+    # A slow machine would keep one of its slots for longer than a far one.
+    is_quick = predicted_ms <= work.usual_ms * USUAL_RESERVE
+    is_in_time = predicted_ms <= min(
+        work.target_ms - work.waited_ms, work.left_ms * LEFT_SHARE
+    )
+    if is_quick and is_in_time and is_comfortable(best, now_ms):
         return Placed(best, predicted_ms)
     return None
 
