Split the HTTP port into its state and functions by their job

The tests of the port, of the stand-ins that derive from it and of leaving servers pass as they were.

--- a/src/cuminhatch/services/_listener_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -1,8 +1,11 @@
-"""State of the connections of an HTTP port."""
+"""State of an HTTP port and its connections."""
 
 from collections import deque
-from typing import NamedTuple
+from collections.abc import Callable
+from itertools import count
+from typing import Any, NamedTuple
 
+from cuminhatch.clock import Clock
 from cuminhatch.codecs.http1 import HeadParsed, ParserEvent, RequestParser
 from cuminhatch.messages import (
     RequestRefused,
@@ -146,3 +149,37 @@
             and not self.is_held
             and not self.is_closing
         )
+
+
+class PortState:
+    """State of a port that its functions share."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        target: str,
+        limits: ListenerLimits,
+        send: Callable[[str, Any], None],
+        deliver: Callable[[Answer], None],
+        on_connection_closed: Callable[[], None],
+    ) -> None:
+        """
+        Start without connections.
+
+        :param clock: clock of the process.
+        :param target: name of the service that answers the requests.
+        :param limits: bounds on connections and times.
+        :param send: queues a message for another service.
+        :param deliver: handles an answer that has waited for its turn.
+        :param on_connection_closed: called when a connection has ended.
+        """
+        self.clock = clock
+        self.target = target
+        self.limits = limits
+        self.send = send
+        self.deliver = deliver
+        self.on_connection_closed = on_connection_closed
+        self.connections: set[Connection] = set()
+        self.by_request: dict[int, Connection] = {}
+        self.request_ids = count(1)
+        self.is_draining = False
