--- a/src/cuminhatch/services/http_listener/_connections.py
+++ b/src/cuminhatch/services/http_listener/_connections.py
@@ -13,12 +13,12 @@
 MAX_UNASKED_BYTES = 256 * 1024
 
 
-def is_answer_pending(port: PortState, connection: Connection) -> bool:
+def is_answer_pending(connection: Connection) -> bool:
     """Tell whether the caller must take earlier answers first."""
     return connection.stream.pending_bytes > WRITE_HIGH_BYTES
 
 
-def update_reading(port: PortState, connection: Connection) -> None:
+def update_reading(connection: Connection) -> None:
     """Read from a connection, or hold its peer back."""
     exchange = connection.exchange
     if connection.is_closing:
--- a/src/cuminhatch/services/http_listener/_requests.py
+++ b/src/cuminhatch/services/http_listener/_requests.py
@@ -52,7 +52,7 @@
         elif isinstance(event, MessageParsed):
             connection.backlog_ends += 1
     advance(port, connection)
-    update_reading(port, connection)
+    update_reading(connection)
 
 
 def advance(port: PortState, connection: Connection) -> None:
@@ -60,7 +60,7 @@
     while connection.backlog and not connection.is_closing:
         exchange = connection.exchange
         if exchange is None:
-            if is_answer_pending(port, connection) or is_body_awaited(port, connection):
+            if is_answer_pending(connection) or is_body_awaited(connection):
                 break
             start_exchange(port, connection)
         elif exchange.is_request_complete:
@@ -79,7 +79,7 @@
         refuse_framing(port, connection, error)
 
 
-def is_body_awaited(port: PortState, connection: Connection) -> bool:
+def is_body_awaited(connection: Connection) -> bool:
     """Tell whether the next request is kept until more of it is there."""
     parsed = connection.backlog[0]
     if connection.backlog_ends:
@@ -116,7 +116,7 @@
         return False
     parsed = connection.backlog[0]
     is_read = parsed.head.method in READ_METHODS and parsed.body_length == 0
-    return is_read and not is_answer_pending(port, connection)
+    return is_read and not is_answer_pending(connection)
 
 
 def start_ahead(port: PortState, connection: Connection) -> None:
@@ -142,7 +142,7 @@
     """Pass on the head of a request, with what is there of its body."""
     connection.exchange_count += 1
     port.by_request[exchange.request_id] = connection
-    data = take_body(port, connection, exchange)
+    data = take_body(connection, exchange)
     port.send(
         port.target,
         RequestReceived(
@@ -158,14 +158,14 @@
 
 def pass_body(port: PortState, connection: Connection, exchange: Exchange) -> None:
     """Pass on a further part of a body."""
-    data = take_body(port, connection, exchange)
+    data = take_body(connection, exchange)
     port.send(
         port.target,
         RequestBody(exchange.request_id, data, exchange.is_request_complete),
     )
 
 
-def take_body(port: PortState, connection: Connection, exchange: Exchange) -> bytes:
+def take_body(connection: Connection, exchange: Exchange) -> bytes:
     """Take the parsed parts of the body and note its end."""
     parts = []
     while connection.backlog and not exchange.is_request_complete:
@@ -217,7 +217,7 @@
     if connection.exchange is None and is_head_due:
         connection.head_begun_ms = port.clock.now_ms
     advance(port, connection)
-    update_reading(port, connection)
+    update_reading(connection)
 
 
 def on_read_paused(port: PortState, message: RequestReadPaused) -> None:
@@ -227,7 +227,7 @@
         # Only whole requests are ahead of their turn.
         return
     connection.exchange.is_read_paused = True
-    update_reading(port, connection)
+    update_reading(connection)
 
 
 def on_read_resumed(port: PortState, message: RequestReadResumed) -> None:
@@ -244,4 +244,4 @@
     if exchange.is_continue_due and not exchange.is_response_started:
         exchange.is_continue_due = False
         connection.stream.write(CONTINUE)
-    update_reading(port, connection)
+    update_reading(connection)
