Take a connection that a server ends at once for a full server, not a broken one

A health check that ends with its connection leaves the server out for 150 ms; a request that is reset does so only if the server had told that it is full. The tests of the decision, the measurement and the judgement fail on the code before.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -148,6 +148,16 @@
     return busy_places(record, now_ms) < limit
 
 
+def is_full(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether all slots of a server are taken.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    return busy_places(record, now_ms) >= record.server.slots
+
+
 def has_room(record: ServerRecord, now_ms: float) -> bool:
     """
     Tell whether a server is sure enough not to reset one more request.
@@ -185,19 +195,19 @@
     if near is not None:
         return near
     best, predicted_ms = _find_best(records, work, now_ms, rng)
-    is_full = busy_places(best, now_ms) >= best.server.slots
+    is_best_full = is_full(best, now_ms)
     late_ms = predicted_ms - work.left_ms * LEFT_SHARE
     if late_ms > 0.0:
-        if not is_full and may_wait_for_speed(work):
+        if not is_best_full and may_wait_for_speed(work):
             return Wait("machines-slow")
         return NotPlaced("no-answer-in-time", max(RETRY_AFTER_MIN_MS, late_ms))
     is_late = work.waited_ms + predicted_ms > work.target_ms
     is_good = is_comfortable(best, now_ms) and not is_late
     if is_good or (work.is_resend and may_queue(best, work, now_ms)):
         return Placed(best, predicted_ms)
-    if work.waited_ms < longest_wait_ms(work, is_late and not is_full):
+    if work.waited_ms < longest_wait_ms(work, is_late and not is_best_full):
         return Wait("no-server-in-time" if is_late else "servers-nearly-full")
-    if is_late and is_full:
+    if is_late and is_best_full:
         return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
     if may_queue(best, work, now_ms):
         return Placed(best, predicted_ms)
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -14,6 +14,9 @@
 FAILURES_TO_LEAVE_OUT = 2
 LEFT_OUT_FIRST_MS = 500.0
 LEFT_OUT_MAX_MS = 4_000.0
+# A server that has turned a connection away has room again about as soon as
+# one of its requests ends.
+TURNED_AWAY_MS = 150.0
 
 
 class ServerLoad(NamedTuple):
@@ -146,6 +149,20 @@
     note_failure(record, now_ms)
 
 
+def note_turned_away(record: ServerRecord, now_ms: float) -> None:
+    """
+    Take a connection that the server has ended at once.
+
+    It is full rather than broken. Many instances see that at the same moment;
+    if each left it out as broken, the others would be full next.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    until_ms = now_ms + TURNED_AWAY_MS
+    record.left_out_until_ms = max(record.left_out_until_ms, until_ms)
+
+
 def failed_share(record: ServerRecord, now_ms: float) -> float:
     """
     Return the share of recent requests that failed.
--- a/src/cuminhatch/messages/loads.py
+++ b/src/cuminhatch/messages/loads.py
@@ -47,6 +47,18 @@
     reason: str
 
 
+class ServerTurnedAway(NamedTuple):
+    """
+    A backend server has ended the connection of a health check.
+
+    One that has too many connections does, and so does one that has closed an
+    idle connection; neither has failed.
+    """
+
+    server_id: str
+    reason: str
+
+
 class LoadsMeasured(NamedTuple):
     """What answered in time has been told; the rest comes late or never."""
 
--- a/src/cuminhatch/services/forwarding/_answers.py
+++ b/src/cuminhatch/services/forwarding/_answers.py
@@ -2,11 +2,13 @@
 
 from cuminhatch.codecs.dialect import AnswerFacts
 from cuminhatch.codecs.http1 import ResponseHead
+from cuminhatch.decisions.placement import is_full
 from cuminhatch.decisions.server_records import (
     ServerLoad,
     note_failure,
     note_load,
     note_success,
+    note_turned_away,
     note_unreachable,
 )
 from cuminhatch.messages import (
@@ -17,6 +19,7 @@
     ResponseStarted,
 )
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
+from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
 from cuminhatch.services.forwarding._attempts import (
     cancel_attempt,
     cancel_attempts,
@@ -258,11 +261,14 @@
 def judge_failure(
     state: ForwardingState, attempt: Attempt, message: AttemptFailed
 ) -> None:
-    """Hold a failure against the server, unless the connection is old."""
+    """Hold a failure against the server, unless the connection explains it."""
     now_ms = state.clock.now_ms
     if message.reason == CONNECTION_LIMIT or message.is_reused:
         return
-    if message.is_sent:
+    is_ended = message.reason in (CONNECTION_FAILED, CONNECTION_CLOSED)
+    if is_ended and (not message.is_sent or is_full(attempt.record, now_ms)):
+        note_turned_away(attempt.record, now_ms)
+    elif message.is_sent:
         note_failure(attempt.record, now_ms)
     else:
         note_unreachable(attempt.record, now_ms)
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -8,11 +8,16 @@
     ServerRecord,
     note_failure,
     note_load,
+    note_turned_away,
     note_unreachable,
 )
 from cuminhatch.messages import ConfigurationChanged
 from cuminhatch.messages.catalog import InstancesCounted
-from cuminhatch.messages.loads import ServerObserved, ServerSilent
+from cuminhatch.messages.loads import (
+    ServerObserved,
+    ServerSilent,
+    ServerTurnedAway,
+)
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
@@ -106,3 +111,13 @@
         "failures": record.failures,
     }
     state.record("server_silent", "", details)
+
+
+def on_server_turned_away(state: ForwardingState, message: ServerTurnedAway) -> None:
+    """Take a health check whose connection the server has ended."""
+    record = state.find_server(message.server_id)
+    if record is None:
+        return
+    note_turned_away(record, state.clock.now_ms)
+    details = {"server": message.server_id, "reason": message.reason}
+    state.record("server_turned_away", "", details)
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -21,7 +21,12 @@
     RequestReceived,
 )
 from cuminhatch.messages.catalog import InstancesCounted
-from cuminhatch.messages.loads import LoadsMeasured, ServerObserved, ServerSilent
+from cuminhatch.messages.loads import (
+    LoadsMeasured,
+    ServerObserved,
+    ServerSilent,
+    ServerTurnedAway,
+)
 from cuminhatch.services.forwarding._answers import (
     on_attempt_body,
     on_attempt_failed,
@@ -50,6 +55,7 @@
     on_instances_counted,
     on_server_observed,
     on_server_silent,
+    on_server_turned_away,
 )
 from cuminhatch.services.forwarding._state import (
     NAME,
@@ -93,6 +99,7 @@
             InstancesCounted: on_instances_counted,
             ServerObserved: on_server_observed,
             ServerSilent: on_server_silent,
+            ServerTurnedAway: on_server_turned_away,
             LoadsMeasured: on_loads_measured,
             RequestFailed: on_request_failed,
             GaugesRequested: on_gauges_requested,
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -22,7 +22,11 @@
     LoadTarget,
     ServerObserved,
     ServerSilent,
+    ServerTurnedAway,
 )
+from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
+
+Observation = ServerObserved | ServerSilent | ServerTurnedAway
 
 # A server that has not answered by then is as good as down; later answers
 # are still read until here.
@@ -158,10 +162,14 @@
     def _on_http_failed(self, message: HttpFailed) -> None:
         probe = self._probes.pop(message.token)
         self.send("metrics", CounterIncremented("probe_failures_total", {}))
-        is_unreachable = not message.is_sent and message.reason != "timeout"
-        self._tell(probe, ServerSilent(probe.server_id, is_unreachable, message.reason))
+        reason = message.reason
+        if reason in (CONNECTION_FAILED, CONNECTION_CLOSED):
+            self._tell(probe, ServerTurnedAway(probe.server_id, reason))
+            return
+        is_unreachable = not message.is_sent and reason != "timeout"
+        self._tell(probe, ServerSilent(probe.server_id, is_unreachable, reason))
 
-    def _tell(self, probe: _Probe, observation: ServerObserved | ServerSilent) -> None:
+    def _tell(self, probe: _Probe, observation: Observation) -> None:
         measurement = self._measurements.get(probe.measurement_id)
         # Late observations count as well.
         self.send("forwarding", observation)
--- a/tests/decisions/test_server_records.py
+++ b/tests/decisions/test_server_records.py
@@ -3,6 +3,7 @@
 from cuminhatch.decisions.configuration import BackendServer
 from cuminhatch.decisions.server_records import (
     LEFT_OUT_MAX_MS,
+    TURNED_AWAY_MS,
     ServerLoad,
     ServerRecord,
     failed_share,
@@ -11,9 +12,12 @@
     note_load,
     note_sent,
     note_success,
+    note_turned_away,
     note_unreachable,
 )
 
+NOW_MS = 1_000.0
+
 
 def make_record():
     server = BackendServer("b", "s", "10.0.0.1", 80, "here", 3, 200)
@@ -66,3 +70,18 @@
     assert record.sent_since_load == 1
     note_load(record, ServerLoad(1, 0, 3, 1.0, 60.0))
     assert record.sent_since_load == 0
+
+
+def test_server_that_turned_a_connection_away_is_back_soon():
+    """
+    Guards against a fleet that runs out of servers when some are full.
+
+    Load: 142 instances start at the same moment, and all callers with them;
+    full servers reset 3,305 connections within two seconds.
+    """
+    record = make_record()
+    for _ in range(5):
+        note_turned_away(record, NOW_MS)
+    assert is_left_out(record, NOW_MS + TURNED_AWAY_MS - 1.0)
+    assert not is_left_out(record, NOW_MS + TURNED_AWAY_MS)
+    assert failed_share(record, NOW_MS) == 0.0
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -1,9 +1,19 @@
 """Tests of forwarding with fakes of its neighbours."""
 
+from types import SimpleNamespace
+
 import pytest
 
+from cuminhatch.clock import ManualClock
 from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.server_records import (
+    ServerLoad,
+    ServerRecord,
+    is_left_out,
+    note_load,
+)
 from cuminhatch.messages import (
+    AttemptFailed,
     CallerLeft,
     EventRecorded,
     RequestRefused,
@@ -13,7 +23,11 @@
 )
 from cuminhatch.messages.loads import LoadsMeasured, ServerObserved, ServerSilent
 from cuminhatch.outcomes import Outcome
-from cuminhatch.services.forwarding._answers import KEPT_ANSWER_BYTES
+from cuminhatch.services.forwarding._answers import (
+    KEPT_ANSWER_BYTES,
+    judge_failure,
+)
+from cuminhatch.services.forwarding._exchange import Attempt
 from tests.services.forwarding_world import RULES, ForwardingWorld, id_of, make_server
 
 
@@ -460,3 +474,22 @@
     only_send(world)
     world.advance(600)
     assert not world.sends()
+
+
+@pytest.mark.parametrize(("running", "is_broken"), [(3, False), (0, True)])
+def test_full_server_that_resets_is_not_taken_for_a_broken_one(running, is_broken):
+    """
+    Guards against a fleet that runs out of servers when some are full.
+
+    A server that resets two requests with free slots is left out for half a
+    second; one that has told that it is full has room again sooner.
+    """
+    clock = ManualClock(1_000.0)
+    record = ServerRecord(make_server("a"), True, 0.0)
+    note_load(record, ServerLoad(running, 0, 3, 1.0, 999.0))
+    attempt = Attempt(1, record, 999.0, False, 1.0)
+    for _ in range(2):
+        failed = AttemptFailed(1, "connection failed", True, False)
+        judge_failure(SimpleNamespace(clock=clock), attempt, failed)
+    assert is_left_out(record, 1_100.0)
+    assert is_left_out(record, 1_300.0) == is_broken
--- a/tests/services/test_loads.py
+++ b/tests/services/test_loads.py
@@ -13,6 +13,7 @@
     LoadTarget,
     ServerObserved,
     ServerSilent,
+    ServerTurnedAway,
 )
 from cuminhatch.platform.headers import DIALECT
 from cuminhatch.services.loads import Loads
@@ -30,7 +31,7 @@
     def __init__(self, probes_per_s=100.0):
         self.clock = ManualClock(1_000.0)
         self.kernel = Kernel(self.clock)
-        kinds = (LoadsMeasured, ServerObserved, ServerSilent)
+        kinds = (LoadsMeasured, ServerObserved, ServerSilent, ServerTurnedAway)
         self.forwarding = self.kernel.register(
             Recorder(self.kernel, "forwarding", *kinds)
         )
@@ -108,3 +109,22 @@
     assert asked.count(80) <= 100.0 / 50 * 4
     measured = [m for m in world.forwarding.received if type(m) is LoadsMeasured]
     assert len(measured) >= 30, "what may not be asked is not waited for"
+
+
+@pytest.mark.parametrize("reason", ["connection failed", "connection closed"])
+def test_full_server_is_not_taken_for_a_dead_one(world, reason):
+    """Guards against sound servers that all instances leave out at once."""
+    world.measure()
+    first, _ = world.client.received
+    world.kernel.send("loads", HttpFailed(first.token, reason, False))
+    world.run()
+    assert world.forwarding.received == [ServerTurnedAway("a", reason)]
+
+
+def test_server_that_nothing_listens_for_is_unreachable(world):
+    """Guards against requests to a server that has ended."""
+    world.measure()
+    first, _ = world.client.received
+    world.kernel.send("loads", HttpFailed(first.token, "connection refused", False))
+    world.run()
+    assert world.forwarding.received == [ServerSilent("a", True, "connection refused")]
