--- a/src/cuminhatch/cli/commands.py
+++ b/src/cuminhatch/cli/commands.py
@@ -1,6 +1,7 @@
 """The commands of the operators' tool by their words."""
 
 from cuminhatch.cli.explain import plan_explain
+from cuminhatch.cli.losses import plan_losses
 from cuminhatch.cli.plans import (
     CommandError,
     Maker,
@@ -24,6 +25,7 @@
     ("timeline",): plan_timeline,
     ("drain",): plan_drain,
     ("explain",): plan_explain,
+    ("losses",): plan_losses,
 }
 
 
--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -2,8 +2,8 @@
 Operators' tool of cuminhatch.
 
 Commands: note check FILE, note submit FILE, note show, note history, status,
-timeline, drain, explain REQUEST-ID FILE... The operators' key is read from
-CUMINHATCH_OPERATORS_KEY.
+timeline, drain, explain REQUEST-ID FILE..., losses FILE... The operators' key
+is read from CUMINHATCH_OPERATORS_KEY.
 Exit status: 0 done, 1 refused or failed, 2 usage error, 3 outcome unknown.
 """
 
--- a/src/cuminhatch/services/forwarding/_intake.py
+++ b/src/cuminhatch/services/forwarding/_intake.py
@@ -46,6 +46,7 @@
         "service": service_id,
         "configuration": state.configuration.sequence,
         "budget_ms": facts.budget_ms,
+        "target_ms": rule.target_latency_ms,
     }
     state.record("received", trace_id, details)
     pool = state.pools.get(service_id)
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -139,3 +139,18 @@
     """Guards against a traceback for a mistake on the command line."""
     with pytest.raises(CommandError):
         make_plan(OPTIONS, ["explain", *arguments])
+
+
+def test_losses_are_shown_as_a_table(tmp_path):
+    """Guards against a command that reads none of the files."""
+    log = tmp_path / "day.log"
+    lines = [
+        make_line("front-1", 1.0, "received", "a", target_ms=400.0),
+        make_line("front-1", 9.0, "refused", "a", reason="servers-full"),
+    ]
+    log.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    output = make_plan(OPTIONS, ["losses", str(log)]).show([])
+    assert "refused  servers-full  1         100.00%" in output.text
+    assert output.value["requests"] == 1
+    with pytest.raises(CommandError):
+        make_plan(OPTIONS, ["losses"])
