--- a/src/cuminhatch/decisions/losses.py
+++ b/src/cuminhatch/decisions/losses.py
@@ -107,9 +107,14 @@
 def take_line(
     traces: dict[tuple[str, str], _Trace], key: tuple[str, str], line: Line
 ) -> None:
-    """Take one line of a request; those without a begin are passed over."""
+    """
+    Take one line of a request.
+
+    Requests without a begin are passed over, and those of a version that did
+    not log their target latency.
+    """
     event = line["event"]
-    if event == "received":
+    if event == "received" and "target_ms" in line:
         trace = traces[key] = _Trace()
         trace.target_ms = line["target_ms"]
         trace.received_ms = line["now_ms"]
--- a/tests/decisions/test_losses.py
+++ b/tests/decisions/test_losses.py
@@ -74,6 +74,12 @@
     )
 
 
+def test_requests_of_an_earlier_version_are_passed_over():
+    """Guards against a tool that ends at the first old log."""
+    lines = [line("received", 0.0), line("refused", 9.0, reason="servers-full")]
+    assert list_losses(lines).requests == 0
+
+
 def test_lines_without_a_begin_are_passed_over():
     """Guards against requests that were thinned out of the log."""
     assert list_losses([line("answered", 9.0, took_ms=9.0)]).requests == 0
