--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -37,6 +37,7 @@
 DRAINING_PARTS = ("callers", "claims")
 
 SETTINGS = flags.DEFINE_string("settings", None, "File with the settings, in TOML.")
+CHECK = flags.DEFINE_bool("check", False, "Only tell whether the settings are valid.")
 
 
 def build_kernel(settings: Settings) -> Kernel:
@@ -142,6 +143,9 @@
     try:
         settings = load_settings(SETTINGS.value)
         logger.configure(settings.instance.instance_id, settings.log_level)
+        if CHECK.value:
+            print(f"{SETTINGS.value}: valid")
+            return 0
         kernel = open_kernel(settings, SETTINGS.value)
     except SettingsError as error:
         print(f"cuminhatchd: {error}", file=sys.stderr)
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -171,9 +171,9 @@
         return_to_origin(view, failed)
         return
     view.pull = None
+    # Those that have waited here ask the origin themselves.
+    answer_held_pulls(view)
     # The sender may be overrun by pulls of all; another instance may have
     # pulled meanwhile. If not, the next news starts the next pull.
     if view.members:
         pull(view, view.rng.choice(list(view.members.values())))
-    else:
-        answer_held_pulls(view)
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -14,6 +14,8 @@
 # An instance stores a record of itself if no contact has answered by then.
 ENROLMENT_DELAY_MS = 1_500.0
 GREETING_INTERVAL_MS = 250.0
+# Contacts without the store have nothing to tell; they are greeted less often.
+GREETING_INTERVAL_MAX_MS = 2_000.0
 # When the whole system starts for the first time, no caller waits, and the
 # first contacts read the store for all.
 FIRST_READING_WAIT_MS = 2_000.0
@@ -29,4 +31,10 @@
 
 
 class GreetingDue(NamedTuple):
-    """The first contacts are to be greeted again, unless one has answered."""
+    """
+    The first contacts are to be greeted, unless one has answered.
+
+    ``interval_ms`` is the time until the next greeting.
+    """
+
+    interval_ms: float
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -50,6 +50,7 @@
     ENROLMENT_DELAY_MS,
     FIRST_READING_SPREAD_MS,
     FIRST_READING_WAIT_MS,
+    GREETING_INTERVAL_MAX_MS,
     GREETING_INTERVAL_MS,
     EnrolmentDue,
     GreetingDue,
@@ -143,7 +144,7 @@
         """
         self._sock = bind_datagram_socket(self._address)
         self.watch_read(self._sock, self._read_datagrams)
-        self._greet_seeds(GreetingDue())
+        self._greet_seeds(GreetingDue(GREETING_INTERVAL_MS))
         self._plan_enrolment()
         self._plan_first_reading()
         schedule_turn(self._view)
@@ -154,7 +155,8 @@
             return
         for seed in self._seeds:
             tell(self._view, seed, Greeting(self._view.own, (), True))
-        self.call_after(GREETING_INTERVAL_MS, message)
+        later_ms = min(message.interval_ms * 2.0, GREETING_INTERVAL_MAX_MS)
+        self.call_after(message.interval_ms, GreetingDue(later_ms))
 
     def _plan_enrolment(self) -> None:
         delay_ms = 0.0 if self._view.is_first_contact else ENROLMENT_DELAY_MS
