--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -13,6 +13,7 @@
 from cuminhatch.messages import Address
 from cuminhatch_standins.bound_child import bound_command
 from soak.documents import (
+    ROUTES,
     SERVERS,
     make_configuration,
     make_registration,
@@ -220,7 +221,8 @@
 
         :param version: its number.
         """
-        self.write("op", "config", make_configuration(version))
+        routes = ROUTES | {f"v{version}": ("safe", "board")}
+        self.write("op", "config", make_configuration(version, routes))
 
     def list_own_ends(self) -> list[str]:
         """Return the gateways that have ended without being asked to."""
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -1,5 +1,6 @@
 """Settings of gateways, and what operators and servers write to the store."""
 
+from collections.abc import Mapping
 from typing import Any
 
 import orjson
@@ -13,6 +14,7 @@
 ROUTES = {"status": ("safe", "board"), "confirm": ("unsafe", "ledger")}
 # The platform kills a process this long after asking it to end.
 GRACE_MS = 5_000
+TIMEOUT_MS = 4_000
 ANNOUNCE_MS = 1_000
 # A leaving server gets nothing new from then on.
 DRAIN_GRACE_MS = 2_000
@@ -68,13 +70,15 @@
     }
 
 
-def make_configuration(version: int) -> dict[str, Any]:
+def make_configuration(
+    version: int, routes: Mapping[str, tuple[str, str]]
+) -> dict[str, Any]:
     """
-    Return a configuration with a route named by its version.
+    Return the operator's document.
 
     :param version: its number.
+    :param routes: kind and service of each route, by its name and prefix.
     """
-    routes = ROUTES | {f"v{version}": ("safe", "board")}
     return {
         "version": f"r{version}",
         "routes": [
@@ -83,7 +87,7 @@
                 "host": "desk.example",
                 "prefix": f"/{name}/",
                 "kind": kind,
-                "timeout-ms": 2_500,
+                "timeout-ms": TIMEOUT_MS,
                 "target-latency-ms": 500,
                 "priority": 1,
                 "service": service,
