--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -107,7 +107,7 @@
 
     @property
     def targets(self) -> Targets:
-        """Return what faults can strike."""
+        """Return what faults can concern."""
         return Targets(tuple(self.gateways), tuple(SERVERS), tuple(self.links))
 
     def _take_port(self) -> int:
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,7 +19,7 @@
     for_s: float
 
 
-# Faults by what they strike.
+# Faults by what they concern.
 GATEWAY_FAULTS = ("kill", "pause", "restart", "pause-short")
 SERVER_FAULTS = ("kill", "pause", "slow", "shed", "errors", "reset-answers")
 LINK_FAULTS = ("delay", "cut-to", "cut-from", "cut-both", "reset")
@@ -28,7 +28,7 @@
 
 
 class Targets(NamedTuple):
-    """What faults can strike, by name."""
+    """What faults can concern, by name."""
 
     gateways: Sequence[str]
     servers: Sequence[str]
@@ -43,7 +43,7 @@
 
     :param seed: seed of the run.
     :param seconds: length of the run.
-    :param targets: what can be struck.
+    :param targets: what faults can concern.
     """
     rng = Random(seed)
     begin_s = PLANNED_S * len(PLANNED)
@@ -65,7 +65,7 @@
     Choose what planned work concerns.
 
     :param kind: the work.
-    :param targets: what can be struck.
+    :param targets: what faults can concern.
     :param rng: source of randomness.
     """
     names = {"drain-server": targets.servers, "stop-gateway": targets.gateways}
@@ -76,9 +76,9 @@
     """
     Draw one fault.
 
-    :param at_s: when it strikes.
+    :param at_s: when it begins.
     :param left_s: time until the calm end.
-    :param targets: what can be struck.
+    :param targets: what faults can concern.
     :param rng: source of randomness.
     """
     pools: Mapping[str, tuple[Sequence[str], Sequence[str]]] = {
--- a/soak/run.py
+++ b/soak/run.py
@@ -1,4 +1,4 @@
-"""Plays one seed: starts everything, strikes, and checks the promises."""
+"""Plays one seed: starts everything, injects faults, and checks the promises."""
 
 import os
 import signal
@@ -89,23 +89,23 @@
                 heappop(self._due)[2]()
             time.sleep(POLL_S)
 
-    def strike(self, fault: Fault) -> None:
+    def inject(self, fault: Fault) -> None:
         """
         Inject a fault, and plan its end.
 
         :param fault: the fault.
         """
         group, _, kind = fault.kind.partition(":")
-        strikes: Mapping[str, Callable[[str, Fault], None]] = {
-            "gateway": self._strike_gateway,
-            "server": self._strike_server,
-            "link": self._strike_link,
-            "store": self._strike_store,
+        injectors: Mapping[str, Callable[[str, Fault], None]] = {
+            "gateway": self._inject_gateway_fault,
+            "server": self._inject_server_fault,
+            "link": self._inject_link_fault,
+            "store": self._inject_store_fault,
             "drain-server": self._drain_server,
             "stop-gateway": self._stop_gateway,
             "configure": self._configure,
         }
-        strikes[group](kind, fault)
+        injectors[group](kind, fault)
 
     def list_violations(self, attempts: list[Attempt]) -> list[str]:
         """
@@ -117,7 +117,7 @@
 
     # Processes
 
-    def _strike_gateway(self, kind: str, fault: Fault) -> None:
+    def _inject_gateway_fault(self, kind: str, fault: Fault) -> None:
         gateway = self._deployment.gateways[fault.target]
         process = gateway.process
         if process.poll() is not None:
@@ -140,7 +140,7 @@
             end_process(gateway.process)
             self._deployment.start_gateway(name)
 
-    def _strike_server(self, kind: str, fault: Fault) -> None:
+    def _inject_server_fault(self, kind: str, fault: Fault) -> None:
         server = self._deployment.servers[fault.target]
         if kind == "kill":
             end_process(server.process)
@@ -180,7 +180,7 @@
 
     # Links and store
 
-    def _strike_link(self, kind: str, fault: Fault) -> None:
+    def _inject_link_fault(self, kind: str, fault: Fault) -> None:
         address = self._deployment.links[fault.target].address
         if kind == "reset":
             self._set(address, {"reset": True})
@@ -191,7 +191,7 @@
         end = {"cut_to": False, "cut_from": False, "delay": 0}
         self.at(self.now_s + fault.for_s, lambda: self._set(address, end))
 
-    def _strike_store(self, kind: str, fault: Fault) -> None:
+    def _inject_store_fault(self, kind: str, fault: Fault) -> None:
         address = self._deployment.store.address
         faults = {
             "busy": ({"busy": True}, {"busy": False}),
@@ -226,7 +226,7 @@
 
     def _stop_gateway(self, kind: str, fault: Fault) -> None:
         stop_s = time.time()
-        self._strike_gateway("restart", fault)
+        self._inject_gateway_fault("restart", fault)
         self._checks.append(lambda attempts: check_stop(attempts, fault.target, stop_s))
 
     def _configure(self, kind: str, fault: Fault) -> None:
@@ -260,7 +260,7 @@
         soak_run = SoakRun(deployment)
         plan = draw_plan(seed, seconds, deployment.targets)
         for fault in plan:
-            soak_run.at(fault.at_s, lambda fault=fault: soak_run.strike(fault))
+            soak_run.at(fault.at_s, lambda fault=fault: soak_run.inject(fault))
         soak_run.play(seconds)
         from_s = time.time() - CALM_S + RECOVERY_S
         is_over.set()
