--- a/soak/run.py
+++ b/soak/run.py
@@ -1,4 +1,4 @@
-"""Plays one seed: starts everything, injects faults, and checks the promises."""
+"""Plays one seed: starts all, injects faults, and checks the promises."""
 
 import os
 import signal
