--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -24,7 +24,7 @@
 from cuminhatch.services.event_log import EventLog
 from cuminhatch.services.forwarding import Forwarding, ForwardingSettings
 from cuminhatch.services.http_client import HttpClient
-from cuminhatch.services.http_listener import DEFAULT_LIMITS, HttpListener
+from cuminhatch.services.http_listener import HttpListener
 from cuminhatch.services.loads import Loads
 from cuminhatch.services.metrics import PORT_NAME as METRICS_PORT, Metrics
 from cuminhatch.services.readiness import PORT_NAME as READINESS_PORT, Readiness
@@ -32,8 +32,6 @@
 from cuminhatch.services.supervisor import Supervisor
 from cuminhatch.settings_file import read_settings_text
 
-# A caller's long read must not hold up those that it sent behind it.
-CALLERS_LIMITS = DEFAULT_LIMITS._replace(pipelined=4)
 DRAINING_PARTS = ("callers",)
 # Time to end the process itself before it is killed.
 STOP_RESERVE_MS = 300.0
@@ -83,9 +81,7 @@
         BackendConnections(kernel, "forwarding"),
         Readiness(kernel),
         HttpListener(kernel, settings.readiness_address, "readiness", READINESS_PORT),
-        HttpListener(
-            kernel, settings.callers_address, "forwarding", limits=CALLERS_LIMITS
-        ),
+        HttpListener(kernel, settings.callers_address, "forwarding"),
     )
     for service in services:
         kernel.register(service)
