Put the proof's datagrams back on its own fake

The fake was patched where the socket is no longer made, so the proof of leaving servers bound real ports from 7000 on, and two copies disturbed each other. With the fake in place it passes beside a second copy. No assertion is changed.

--- a/tests/proofs/test_leaving.py
+++ b/tests/proofs/test_leaving.py
@@ -110,7 +110,7 @@
             )
             world.kernel.register(world.peers)
             world.peers.watch_read = lambda *_: None
-            with patch("cuminhatch.services.peers.socket") as make_socket:
+            with patch("cuminhatch.services._bound_socket.socket") as make_socket:
                 make_socket.return_value = DatagramSocket(queues)
                 world.peers.open()
             world.configure(*self.servers)
