Believe a response or refusal only if it belongs to the request

Cause: forwarding handled a refusal before it compared the request id, and dispatch compared nothing, so a refusal or a second copy of a response that a faulty server wrote again on a kept connection was taken for the next request's: a write that ran was reported as not run, or a keyed one was sent to a second server. A response that was rejected although complete left its connection in the pool, with the own response still to come on it.

Change: one decision, decisions/response_origin.py, for both front ends. The daemon sends Cuminhatch-Attempt, an id of each attempt; connections to a server that does not return it are not reused. On the platform, requests without an id or to a server tried before take a new connection, as non-idempotent ones did. A refusal with bytes behind it proves nothing, nor does a success that says it was not executed. Loads are taken only from own responses. AttemptCancelled closes a connection whose response was complete.

--- a/src/cuminhatch/decisions/servers.py
+++ b/src/cuminhatch/decisions/servers.py
@@ -74,6 +74,7 @@
         "ejections",
         "failures",
         "in_flight",
+        "is_attempt_id_returned",
         "is_near",
         "is_open",
         "latency_at_ms",
@@ -127,6 +128,8 @@
         self.slow_start_since_ms = slow_start_since_ms
         self.slow_start_ms = slow_start_ms
         self.leaving_signs: LeavingSigns = NO_SIGNS
+        # Whether the latest response carried the id of its attempt.
+        self.is_attempt_id_returned = False
         # Whether the server may get requests, and its index in the pool's list
         # of such servers.
         self.is_open = False
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -49,7 +49,12 @@
 
 
 class AttemptCancelled(NamedTuple):
-    """The response is no longer needed; its connection is to be closed."""
+    """
+    The response is no longer needed; its connection is to be closed.
+
+    That holds for a complete response, too, as long as no other attempt uses
+    the connection.
+    """
 
     attempt_id: int
 
@@ -70,13 +75,21 @@
 
 
 class AttemptResponse(NamedTuple):
-    """The response head has arrived, with the body received so far."""
+    """
+    The response head has arrived, with the body received so far.
+
+    ``is_reused`` is True if the connection had served other requests, so that
+    the response may be a repetition of an earlier one. ``has_trailing_data``
+    is True if more bytes arrived behind the complete response.
+    """
 
     attempt_id: int
     head: ResponseHead
     body_length: int | None
     data: bytes
     is_complete: bool
+    is_reused: bool
+    has_trailing_data: bool
 
 
 class AttemptResponseBody(NamedTuple):
--- a/src/cuminhatch/outcomes.py
+++ b/src/cuminhatch/outcomes.py
@@ -5,6 +5,8 @@
 OUTCOME_HEADER = b"cuminhatch-outcome"
 REASON_HEADER = b"cuminhatch-reason"
 REQUEST_ID_HEADER = b"x-request-id"
+# Id of one attempt, which a backend server repeats in its response.
+ATTEMPT_HEADER = b"cuminhatch-attempt"
 
 
 class Outcome(StrEnum):
--- a/src/cuminhatch/platform/headers.py
+++ b/src/cuminhatch/platform/headers.py
@@ -28,6 +28,7 @@
 
 STATUS_MISDIRECTED = 421
 STATUS_OK = 200
+STATUS_ERROR_MIN = 400
 NORMAL_DURATION_PERCENT = 100.0
 # Longer numbers are treated as malformed.
 MAX_DIGITS = 9
@@ -86,25 +87,26 @@
 
     :param head: head of the response.
     """
-    request_id = b""
+    request_ids: dict[bytes, None] = {}
     is_authenticated = is_not_executed = False
     load = None
     forwarded = []
     for header in head.headers:
         name, value = header
         if name == ATTEMPT_ID:
-            request_id = value.strip()
+            request_ids[value.strip()] = None
         elif name == RESPONSE_SEAL:
             is_authenticated = True
         elif name == NOT_EXECUTED:
-            is_not_executed = True
+            # A success that also says this contradicts itself.
+            is_not_executed = head.status >= STATUS_ERROR_MIN
         elif name == BACKEND_LOAD:
             load = parse_load(value)
         if name not in _NOT_RETURNED:
             forwarded.append(header)
     is_misdirected = head.status == STATUS_MISDIRECTED
     return ResponseMetadata(
-        request_id,
+        tuple(request_ids),
         is_authenticated,
         is_not_executed or is_misdirected,
         is_misdirected,
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -78,6 +78,8 @@
         # When connecting started; None once the connection is established.
         self.connect_started_ms: float | None = None
         self.idle_since_ms = 0.0
+        # The attempt that was completed before the connection became idle.
+        self.last_attempt_id = 0
 
 
 class _Attempt:
@@ -124,6 +126,8 @@
         self._idle_timeout_ms = idle_timeout_ms
         self._idle: defaultdict[_ServerKey, list[_Connection]] = defaultdict(list)
         self._by_attempt: dict[int, _Connection] = {}
+        # Idle connections by the attempt that used them last.
+        self._idle_by_attempt: dict[int, _Connection] = {}
         self._open_counts: Counter[str] = Counter()
 
     def message_handlers(self) -> MessageTable:
@@ -186,6 +190,7 @@
             connection.stream.read()
             if not connection.is_closed:
                 idle.pop()
+                del self._idle_by_attempt[connection.last_attempt_id]
                 connection.is_reused = True
                 return connection
         if not self._free_connection_slot(message.server_id):
@@ -289,6 +294,10 @@
             # Unsolicited bytes make the connection unusable.
             self._close_connection(connection)
             return
+        if connection.stream.sent_bytes == attempt.sent_bytes_at_start:
+            # Nothing of the request has been sent, so this can't answer it.
+            self._fail_attempt(connection, "unsolicited data")
+            return
         attempt.last_progress_ms = self.kernel.clock.now_ms
         events = attempt.parser.feed(data)
         if attempt.parser.error is not None:
@@ -310,17 +319,18 @@
                 attempt.is_keep_alive = event.is_keep_alive
             elif isinstance(event, MessageParsed):
                 is_complete = True
-        self._report_response(attempt, parsed, b"".join(parts), is_complete)
+        self._report_response(connection, parsed, b"".join(parts), is_complete)
         if is_complete:
             self._complete_attempt(connection, attempt)
 
     def _report_response(
         self,
-        attempt: _Attempt,
+        connection: _Connection,
         parsed: HeadParsed | None,
         data: bytes,
         is_complete: bool,
     ) -> None:
+        attempt = connection.attempt
         if parsed is not None:
             self.send(
                 self._target,
@@ -330,6 +340,8 @@
                     parsed.body_length,
                     data,
                     is_complete,
+                    connection.is_reused,
+                    attempt.parser.has_trailing_data,
                 ),
             )
         elif data or is_complete:
@@ -352,14 +364,16 @@
             return
         connection.stream.start_reading()
         connection.idle_since_ms = self.kernel.clock.now_ms
+        connection.last_attempt_id = attempt.attempt_id
         self._idle[connection.key].append(connection)
+        self._idle_by_attempt[attempt.attempt_id] = connection
 
     def _on_connection_lost(self, connection: _Connection, reason: str) -> None:
         attempt = connection.attempt
         if attempt is None:
             self._close_connection(connection)
         elif attempt.parser.is_close_delimited and reason == CONNECTION_CLOSED:
-            self._report_response(attempt, None, b"", True)
+            self._report_response(connection, None, b"", True)
             attempt.is_keep_alive = False
             self._complete_attempt(connection, attempt)
         else:
@@ -386,6 +400,7 @@
         counts[server_id] -= 1
         if not counts[server_id]:
             del counts[server_id]
+        self._idle_by_attempt.pop(connection.last_attempt_id, None)
         idle = self._idle.get(connection.key, ())
         if connection in idle:
             idle.remove(connection)
@@ -398,6 +413,12 @@
             self.kernel.cancel(connection.attempt.timer)
             connection.attempt = None
             self._close_connection(connection)
+            return
+        # The response was complete, but it belongs to another request; the own
+        # one may still follow on this connection.
+        connection = self._idle_by_attempt.get(message.attempt_id)
+        if connection is not None:
+            self._close_connection(connection)
 
     def _on_read_paused(self, message: AttemptReadPaused) -> None:
         connection = self._by_attempt.get(message.attempt_id)
--- a/src/cuminhatch/services/dispatch/_attempt_failures.py
+++ b/src/cuminhatch/services/dispatch/_attempt_failures.py
@@ -63,6 +63,19 @@
     start_waiting_requests(state, record.pool)
 
 
+def reject_response(state: DispatchState, record: RequestRecord, reason: str) -> None:
+    """
+    Drop a response that is not valid for its request, and its connection.
+
+    The request may have run; it is retried if that is safe.
+    """
+    cancel_attempt(state, record)
+    count_server_failure(state, record.pool, record.view)
+    if not retry_request(state, record, is_sent=True, is_shed=False, is_reused=False):
+        give_up(state, record, True, reason)
+    start_waiting_requests(state, record.pool)
+
+
 def on_attempt_failed(state: DispatchState, message: AttemptFailed) -> None:
     """Retry a request whose attempt failed, or report its outcome."""
     record = state.by_attempt.get(message.attempt_id)
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -2,6 +2,11 @@
 
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.leaving import apply_observation
+from cuminhatch.decisions.response_origin import (
+    ResponseEvidence,
+    is_own_response,
+    is_refusal_proven,
+)
 from cuminhatch.decisions.servers import (
     LoadReport,
     ServerView,
@@ -20,7 +25,10 @@
     refresh_and_start_waiting,
     start_waiting_requests,
 )
-from cuminhatch.services.dispatch._attempt_failures import handle_shed
+from cuminhatch.services.dispatch._attempt_failures import (
+    handle_shed,
+    reject_response,
+)
 from cuminhatch.services.dispatch._attempts import cancel_attempt, end_attempt
 from cuminhatch.services.dispatch._dispatch_state import DispatchState
 from cuminhatch.services.dispatch._request import Phase, RequestRecord
@@ -48,6 +56,11 @@
         return
     now_ms = state.clock.now_ms
     parsed = parse_response_headers(message.head)
+    fault = check_response(record, message, parsed)
+    if fault:
+        reject_response(state, record, fault)
+        return
+    record.view.is_attempt_id_returned = bool(parsed.attempt_ids)
     update_view_from_response(state, record, parsed, message.head.status, now_ms)
     if parsed.is_shed:
         handle_shed(state, record, parsed, message)
@@ -61,6 +74,23 @@
     process_body_part(state, record, message.data, message.is_complete)
 
 
+def check_response(
+    record: RequestRecord, message: AttemptResponse, parsed: ParsedResponseHeaders
+) -> str:
+    """Return why a response is not valid for a request, or an empty string."""
+    evidence = ResponseEvidence(
+        record.attempt_tag,
+        parsed.attempt_ids,
+        message.is_reused,
+        message.has_trailing_data,
+    )
+    if not is_own_response(evidence):
+        return "response-of-another-request"
+    if parsed.is_shed and not is_refusal_proven(evidence):
+        return "refusal-not-proven"
+    return ""
+
+
 def update_view_from_response(
     state: DispatchState,
     record: RequestRecord,
--- a/src/cuminhatch/services/dispatch/_attempts.py
+++ b/src/cuminhatch/services/dispatch/_attempts.py
@@ -39,15 +39,17 @@
     record.view = view
     record.attempts += 1
     record.attempt_id = next(state.attempt_ids)
+    record.attempt_tag = b"%s-%d" % (state.instance_id.encode(), record.attempt_id)
     record.phase = Phase.AWAITING_RESPONSE
     record.sent_ms = now_ms
     state.by_attempt[record.attempt_id] = record
     view.in_flight += 1
     view.long_in_flight += record.is_long
     record.pool.refresh(view, now_ms)
-    state.send(
-        "backends", build_attempt_request(record, is_new_connection_required, now_ms)
-    )
+    # A repeated response can't be told apart if the server repeats no ids, so
+    # it never meets a connection that is in use again.
+    is_new = is_new_connection_required or not view.is_attempt_id_returned
+    state.send("backends", build_attempt_request(record, is_new, now_ms))
     if len(record.body) > RETRY_BODY_BYTES_MAX and not record.is_keyed:
         record.is_body_kept = False
         record.body = b""
--- a/src/cuminhatch/services/dispatch/_request.py
+++ b/src/cuminhatch/services/dispatch/_request.py
@@ -10,7 +10,7 @@
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.decisions.servers import ServerView
 from cuminhatch.messages import RequestReceived
-from cuminhatch.outcomes import REQUEST_ID_HEADER
+from cuminhatch.outcomes import ATTEMPT_HEADER, REQUEST_ID_HEADER
 from cuminhatch.services.dispatch._pool import ServerPool
 
 DEADLINE_HEADER = b"request-deadline-ms"
@@ -58,6 +58,7 @@
 
     __slots__ = (
         "attempt_id",
+        "attempt_tag",
         "attempts",
         "body",
         "body_length",
@@ -142,6 +143,8 @@
         self.permit_requests = 0
         # 0 while no attempt is in flight.
         self.attempt_id = 0
+        # Value of ``Cuminhatch-Attempt`` of the latest attempt.
+        self.attempt_tag = b""
         self.attempts = 0
         # Backend server of the latest attempt.
         self.view: ServerView | None = None
@@ -245,7 +248,7 @@
         elif name == REQUEST_ID_HEADER:
             if trace_id is None:
                 trace_id = value
-        elif name != EXPECT_HEADER:
+        elif name not in (EXPECT_HEADER, ATTEMPT_HEADER):
             kept.append(header)
             if name == KEY_HEADER and idempotency_key is None:
                 idempotency_key = value.strip()
@@ -305,6 +308,7 @@
     added = (
         Header(DEADLINE_HEADER, b"%d" % left_ms),
         Header(REQUEST_ID_HEADER, record.trace_id),
+        Header(ATTEMPT_HEADER, record.attempt_tag),
     )
     head = record.head
     return RequestHead(head.method, head.target, record.forwarded_headers + added)
--- a/src/cuminhatch/services/dispatch/_response_headers.py
+++ b/src/cuminhatch/services/dispatch/_response_headers.py
@@ -4,7 +4,12 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import Header, ResponseHead
-from cuminhatch.outcomes import OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER
+from cuminhatch.outcomes import (
+    ATTEMPT_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+)
 
 # Set by this instance; values from the backend server are dropped.
 _OWN_HEADERS = frozenset({OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER})
@@ -16,10 +21,13 @@
     """
     Values of the response headers that dispatch acts on.
 
+    ``attempt_ids`` are the distinct ids of the attempts that the response
+    claims to belong to: one, unless the server is faulty or repeats none.
     ``load`` is ``(in_flight, queued, slots)``, None if the report is missing
     or malformed. ``headers`` are those to forward to the caller.
     """
 
+    attempt_ids: tuple[bytes, ...]
     is_shed: bool
     is_draining: bool
     load: tuple[int, int, int] | None
@@ -34,11 +42,15 @@
     """
     is_shed = is_draining = False
     load = None
+    attempt_ids: dict[bytes, None] = {}
     kept = []
     for header in head.headers:
         name = header.name
         if name in _OWN_HEADERS:
             continue
+        if name == ATTEMPT_HEADER:
+            attempt_ids[header.value.strip()] = None
+            continue
         kept.append(header)
         if name == b"load-report":
             load = parse_load_report(header.value)
@@ -47,7 +59,9 @@
         elif name == b"request-outcome":
             # Only with status 503 does the header state that nothing ran.
             is_shed = head.status == 503 and header.value.strip() == b"not-run"
-    return ParsedResponseHeaders(is_shed, is_draining, load, tuple(kept))
+    return ParsedResponseHeaders(
+        tuple(attempt_ids), is_shed, is_draining, load, tuple(kept)
+    )
 
 
 # Few distinct values occur, because the counts are small.
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -4,6 +4,7 @@
 from cuminhatch.decisions.hedging import hedge_delay_ms
 from cuminhatch.decisions.placement import Placed
 from cuminhatch.decisions.request_estimates import RequestEstimate
+from cuminhatch.decisions.response_origin import is_new_connection_required
 from cuminhatch.decisions.server_records import record_ended, record_sent
 from cuminhatch.messages import (
     Address,
@@ -103,9 +104,11 @@
         bytes(exchange.body),
         exchange.is_body_complete,
         max(1.0, left_ms),
-        # The server may be closing an idle connection at this moment, and a
-        # request that is lost on it may have been executed.
-        is_new_connection_required=not exchange.is_idempotent,
+        is_new_connection_required(
+            exchange.facts.request_id,
+            exchange.is_idempotent,
+            exchange.attempted_server_ids.count(server.server_id) > 1,
+        ),
     )
 
 
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -3,6 +3,11 @@
 from cuminhatch.codecs.dialect import ResponseMetadata
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.placement import is_full
+from cuminhatch.decisions.response_origin import (
+    ResponseEvidence,
+    is_own_response,
+    is_refusal_proven,
+)
 from cuminhatch.decisions.server_records import (
     ServerLoad,
     record_failure,
@@ -55,12 +60,7 @@
     exchange, attempt = found
     facts = state.dialect.read_response(message.head)
     now_ms = state.clock.now_ms
-    if facts.load is not None:
-        record_load(attempt.record, ServerLoad(*facts.load, now_ms))
-    if facts.is_not_executed:
-        handle_not_run(state, exchange, attempt, facts, message)
-        return
-    fault = check_response(exchange, message.head, facts)
+    fault = check_response(exchange, message, facts)
     if fault:
         record_failure(attempt.record, now_ms)
         cancel_attempt(state, exchange, attempt)
@@ -68,6 +68,11 @@
         exchange.last_failure = fault
         resend_or_give_up(state, exchange, fault)
         return
+    if facts.load is not None:
+        record_load(attempt.record, ServerLoad(*facts.load, now_ms))
+    if facts.is_not_executed:
+        handle_not_run(state, exchange, attempt, facts, message)
+        return
     attempt.head = message.head
     attempt.facts = facts
     attempt.body_length = message.body_length
@@ -75,12 +80,20 @@
 
 
 def check_response(
-    exchange: Exchange, head: ResponseHead, facts: ResponseMetadata
+    exchange: Exchange, message: AttemptResponse, facts: ResponseMetadata
 ) -> str:
     """Return why a response is not valid for a request, or an empty string."""
-    if facts.request_id != exchange.facts.request_id:
+    evidence = ResponseEvidence(
+        exchange.facts.request_id,
+        facts.request_ids,
+        message.is_reused,
+        message.has_trailing_data,
+    )
+    if not is_own_response(evidence):
         return "answer-of-another-request"
-    if head.status in SUCCESS_STATUSES and not facts.is_authenticated:
+    if facts.is_not_executed and not is_refusal_proven(evidence):
+        return "refusal-not-proven"
+    if message.head.status in SUCCESS_STATUSES and not facts.is_authenticated:
         return "answer-not-vouched"
     return ""
 
--- a/src/cuminhatch_standins/backend_server.py
+++ b/src/cuminhatch_standins/backend_server.py
@@ -34,6 +34,7 @@
     ResponseBody,
     ResponseStarted,
 )
+from cuminhatch.outcomes import ATTEMPT_HEADER
 from cuminhatch_standins._fault_injector import LISTENER, FaultsChanged
 from cuminhatch_standins._faults import (
     COMMON_FAULTS,
@@ -185,13 +186,16 @@
         if request.path == "/load":
             self._probe_times_ms.append(self.kernel.clock.now_ms)
             response = make_json_response(
-                request, 200, self._get_report()._asdict(), self._state_headers()
+                request,
+                200,
+                self._get_report()._asdict(),
+                self._response_headers(request),
             )
             self.send(LISTENER, response)
         elif request.path == "/health":
             status, state = (503, "draining") if self._is_draining else (200, "live")
             response = make_json_response(
-                request, status, {"state": state}, self._state_headers()
+                request, status, {"state": state}, self._response_headers(request)
             )
             self.send(LISTENER, response)
         elif request.path == "/runs":
@@ -202,7 +206,8 @@
         elif (request.method, request.path) == ("POST", "/drain"):
             self._is_drain_requested = True
             self.send(
-                LISTENER, make_json_response(request, 200, {}, self._state_headers())
+                LISTENER,
+                make_json_response(request, 200, {}, self._response_headers(request)),
             )
         else:
             self._admit(request)
@@ -216,11 +221,15 @@
         if not isfinite(work_ms) or work_ms < 0 or size < 0:
             error = {"error": "ms and bytes must be numbers that are not negative"}
             self.send(
-                LISTENER, make_json_response(request, 400, error, self._state_headers())
+                LISTENER,
+                make_json_response(
+                    request, 400, error, self._response_headers(request)
+                ),
             )
         elif self._faults["fail_fast"]:
             self.send(
-                LISTENER, make_json_response(request, 500, {}, self._state_headers())
+                LISTENER,
+                make_json_response(request, 500, {}, self._response_headers(request)),
             )
         elif self._is_draining:
             self._refuse(request, "draining")
@@ -258,7 +267,7 @@
         return request.received_ms + deadline_ms - self.kernel.clock.now_ms
 
     def _refuse(self, request: CompleteRequest, reason: str) -> None:
-        headers = (NOT_RUN, *self._state_headers())
+        headers = (NOT_RUN, *self._response_headers(request))
         self.send(
             LISTENER, make_json_response(request, 503, {"reason": reason}, headers)
         )
@@ -295,7 +304,7 @@
         if self._faults["freeze"]:
             self._release_slot(message.request_id)
         elif self._faults["cut"]:
-            head = make_response_head(200, self._state_headers())
+            head = make_response_head(200, self._response_headers(request))
             started = ResponseStarted(
                 request.request_id, head, max(state.size, 1), b"", False
             )
@@ -306,10 +315,11 @@
             self._release_slot(message.request_id)
             body = self._take_chunk(state)
             self.send(
-                LISTENER, make_response(request, 200, body, self._state_headers())
+                LISTENER,
+                make_response(request, 200, body, self._response_headers(request)),
             )
         else:
-            head = make_response_head(200, self._state_headers())
+            head = make_response_head(200, self._response_headers(request))
             chunk = self._take_chunk(state)
             started = ResponseStarted(
                 request.request_id, head, state.size, chunk, False
@@ -380,10 +390,15 @@
 
     # Reports
 
-    def _state_headers(self) -> tuple[Header, ...]:
+    def _response_headers(self, request: CompleteRequest) -> tuple[Header, ...]:
         report = ", ".join(f"{k}={v}" for k, v in self._get_report()._asdict().items())
-        header = Header(b"load-report", report.encode())
-        return (header, DRAINING) if self._is_draining else (header,)
+        headers = [Header(b"load-report", report.encode())]
+        attempt_id = find_header(request.headers, ATTEMPT_HEADER)
+        if attempt_id is not None:
+            headers.append(Header(ATTEMPT_HEADER, attempt_id))
+        if self._is_draining:
+            headers.append(DRAINING)
+        return tuple(headers)
 
     def _make_report(self) -> LoadReport:
         return LoadReport(
--- a/src/cuminhatch_standins/registered_server.py
+++ b/src/cuminhatch_standins/registered_server.py
@@ -133,11 +133,13 @@
 
     def _admit(self, request: CompleteRequest) -> None:
         expected = find_header(request.headers, b"expected-instance")
+        attempt_id = find_header(request.headers, b"attempt-id") or b""
+        echo = Header(b"attempt-id", attempt_id)
         if expected is not None and expected.decode() != self._server_id:
-            response = make_response(request, 421, b"", self._server_headers())
-            self.send(LISTENER, response)
+            headers = (echo, *self._server_headers())
+            self.send(LISTENER, make_response(request, 421, b"", headers))
         elif self._faults["shed"]:
-            headers = (Header(b"not-executed", b"1"), *self._server_headers())
+            headers = (echo, Header(b"not-executed", b"1"), *self._server_headers())
             self.send(LISTENER, make_response(request, 503, b"", headers))
         elif len(self._in_progress) < self._slots:
             self._start(request)
--- a/tests/bench/test_load.py
+++ b/tests/bench/test_load.py
@@ -42,7 +42,7 @@
 def make_response(attempt_id, status):
     headers = (Header(OUTCOME_HEADER, b"ran" if status == 200 else b"not-run"),)
     head = ResponseHead(status, b"", headers)
-    return AttemptResponse(attempt_id, head, 0, b"", True)
+    return AttemptResponse(attempt_id, head, 0, b"", True, False, False)
 
 
 def test_arrivals_keep_to_their_phase_and_seed():
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -80,7 +80,7 @@
     )
     facts = DIALECT.read_response(head)
     assert facts.is_authenticated
-    assert facts.request_id == b"9c41"
+    assert facts.request_ids == (b"9c41",)
     assert facts.load == ReportedLoad(3, 1, 8, 2.5)
     assert [header.name for header in facts.headers] == [
         b"attempt-id",
--- a/tests/proofs/dispatch_harness.py
+++ b/tests/proofs/dispatch_harness.py
@@ -38,7 +38,7 @@
     ResponseBody,
     ResponseStarted,
 )
-from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
+from cuminhatch.outcomes import ATTEMPT_HEADER, OUTCOME_HEADER, Outcome
 
 ALL_MESSAGES = tuple(
     getattr(messages, name) for name in messages.__all__ if name != "Address"
@@ -161,7 +161,9 @@
     def respond(self, attempt, status=200, body=b"ok", headers=()):
         """Deliver the complete response to an attempt in one message."""
         head = ResponseHead(status, b"", tuple(Header(*h) for h in headers))
-        message = AttemptResponse(attempt.attempt_id, head, len(body), body, True)
+        message = AttemptResponse(
+            attempt.attempt_id, head, len(body), body, True, False, False
+        )
         self.deliver(message)
 
     def shed(self, attempt):
@@ -181,9 +183,11 @@
 class _Attempt:
     """An attempt as the backend server sees it."""
 
-    def __init__(self, request_id, server_id):
+    def __init__(self, request_id, message):
         self.request_id = request_id
-        self.server_id = server_id
+        self.server_id = message.server_id
+        self.tag = dict(message.head.headers)[ATTEMPT_HEADER]
+        self.is_new = message.is_new_connection_required
         self.is_open = True
         # Whether the backend server may have run the request.
         self.may_have_run = True
@@ -267,7 +271,9 @@
             # A late response: the complete response is delivered again.
             head = ResponseHead(200, b"OK", ())
             body = attempt.body
-            self.deliver(AttemptResponse(attempt_id, head, len(body), body, True))
+            self.deliver(
+                AttemptResponse(attempt_id, head, len(body), body, True, False, False)
+            )
             self.deliver(AttemptResponseBody(attempt_id, body, True))
             return
         is_first = attempt.sent == 0
@@ -278,9 +284,11 @@
         if is_first and not data:
             return
         if is_first:
-            head = ResponseHead(200, b"OK", ())
+            head = ResponseHead(200, b"OK", (Header(ATTEMPT_HEADER, attempt.tag),))
             size = len(attempt.body)
-            self.deliver(AttemptResponse(attempt_id, head, size, data, is_last))
+            self.deliver(
+                AttemptResponse(attempt_id, head, size, data, is_last, False, False)
+            )
         else:
             self.deliver(AttemptResponseBody(attempt_id, data, is_last))
 
@@ -309,7 +317,41 @@
             attempt.may_have_run = False
             headers = (Header(b"request-outcome", b"not-run"),)
             head = ResponseHead(503, b"", headers)
-            self.deliver(AttemptResponse(attempt_id, head, 4, b"full", True))
+            self.deliver(
+                AttemptResponse(attempt_id, head, 4, b"full", True, False, False)
+            )
+
+    def repeat_earlier_response(self, attempt_id, is_shed, has_id):
+        """Deliver a response that the connection has delivered before."""
+        attempt = self.attempts[attempt_id]
+        earlier = [
+            other_id
+            for other_id, other in self.attempts.items()
+            if other_id < attempt_id and other.server_id == attempt.server_id
+        ]
+        if not (attempt.is_open and earlier) or attempt.sent or attempt.is_new:
+            return
+        attempt.is_open = False
+        headers = [Header(ATTEMPT_HEADER, b"i-%d" % earlier[-1])] if has_id else []
+        body = self.attempts[earlier[-1]].body or b"full"
+        if is_shed:
+            headers.append(Header(b"request-outcome", b"not-run"))
+        head = ResponseHead(503 if is_shed else 200, b"", tuple(headers))
+        message = AttemptResponse(attempt_id, head, len(body), body, True, True, False)
+        self.deliver(message)
+
+    def shed_and_respond(self, attempt_id):
+        """Refuse an attempt, with the response to it behind the refusal."""
+        attempt = self.attempts[attempt_id]
+        if not attempt.is_open or attempt.sent:
+            return
+        attempt.is_open = False
+        headers = (
+            Header(ATTEMPT_HEADER, attempt.tag),
+            Header(b"request-outcome", b"not-run"),
+        )
+        head = ResponseHead(503, b"", headers)
+        self.deliver(AttemptResponse(attempt_id, head, 4, b"full", True, False, True))
 
     def decide_claim(self, request_id, is_granted):
         """Grant or refuse the claim that a request waits for."""
@@ -417,7 +459,7 @@
                 p.server_id == message.server_id and p.number == request_id
                 for p in self.held_permits
             ), "long request without a permit"
-        self.attempts[message.attempt_id] = _Attempt(request_id, message.server_id)
+        self.attempts[message.attempt_id] = _Attempt(request_id, message)
 
     def _check_caller(self, message):
         if not isinstance(
--- a/tests/proofs/test_forwarding.py
+++ b/tests/proofs/test_forwarding.py
@@ -126,6 +126,27 @@
         attempt.is_open = attempt.may_have_run = False
         self.check_after(self.harness.refuse, attempt.message, status)
 
+    def repeat_earlier_response(self, attempt, status, has_id):
+        """Deliver a response that the connection has delivered before."""
+        earlier = [
+            other
+            for other in self.attempts.values()
+            if other.message.server_id == attempt.message.server_id
+            and other.message.attempt_id < attempt.message.attempt_id
+        ]
+        if not earlier:
+            return
+        pairs = [(b"seal", b"s")] if status == 200 else [(b"not-run", b"1")]
+        if has_id:
+            pairs.append((b"id", get_request_id(earlier[-1].message)))
+        body = earlier[-1].body if status == 200 else b"-"
+        self.respond(attempt, status, body, headers=tuple(pairs), is_reused=True)
+
+    def refuse_and_answer(self, attempt):
+        """Deliver a refusal with the response to its request behind it."""
+        headers = ((b"id", get_request_id(attempt.message)), (b"not-run", b"1"))
+        self.respond(attempt, 503, b"-", headers=headers, has_trailing_data=True)
+
     def fail(self, attempt, is_sent, is_reused):
         attempt.is_open = False
         attempt.may_have_run = is_sent or attempt.sent > 0
@@ -278,6 +299,20 @@
         if not attempt.sent:
             self.oracle.refuse(attempt, status)
 
+    @precondition(has_open_attempts)
+    @rule(data=st.data(), status=st.sampled_from([200, 503, 421]), has_id=st.booleans())
+    def repeat_an_earlier_response(self, data, status, has_id):
+        attempt = self.pick_attempt(data)
+        if not attempt.sent and not attempt.message.is_new_connection_required:
+            self.oracle.repeat_earlier_response(attempt, status, has_id)
+
+    @precondition(has_open_attempts)
+    @rule(data=st.data())
+    def refuse_and_answer(self, data):
+        attempt = self.pick_attempt(data)
+        if not attempt.sent:
+            self.oracle.refuse_and_answer(attempt)
+
     @precondition(has_open_attempts)
     @rule(data=st.data(), is_sent=st.booleans(), is_reused=st.booleans())
     def fail(self, data, is_sent, is_reused):
@@ -319,11 +354,25 @@
     return None
 
 
-def accept_any_response(exchange, head, facts):
+def accept_any_response(exchange, message, facts):
     """Accepts every response."""
     return ""
 
 
+def believe_any_refusal(original):
+    """Believes a refusal before it asks whose it is."""
+
+    def check_response(exchange, message, facts):
+        return "" if facts.is_not_executed else original(exchange, message, facts)
+
+    return check_response
+
+
+def ignore_trailing_data(evidence):
+    """Believes a refusal that has more bytes behind it."""
+    return True
+
+
 def report_not_run(original):
     """Reports not-run whatever was sent."""
 
@@ -344,6 +393,10 @@
     "accepts any response": [
         ("_responses", "check_response", lambda original: accept_any_response)
     ],
+    "believes any refusal": [("_responses", "check_response", believe_any_refusal)],
+    "ignores bytes behind a refusal": [
+        ("_responses", "is_refusal_proven", lambda original: ignore_trailing_data)
+    ],
     "refuses after a run": [
         ("_completion", "give_up", report_not_run),
         ("_resending", "give_up", report_not_run),
--- a/tests/proofs/test_whole_answers.py
+++ b/tests/proofs/test_whole_answers.py
@@ -114,6 +114,20 @@
     return forward_head
 
 
+def accept_any_response(original):
+    """Takes every response for that of the waiting request."""
+    return lambda record, message, parsed: ""
+
+
+def believe_any_refusal(original):
+    """Believes a refusal before it asks whose it is."""
+
+    def check_response(record, message, parsed):
+        return "" if parsed.is_shed else original(record, message, parsed)
+
+    return check_response
+
+
 def leak_in_flight(original):
     """Never removes a cancelled attempt from the in-flight count."""
 
@@ -153,6 +167,8 @@
     },
     "sends before claim": {"start_keyed_request": send_before_claim},
     "forwards short responses": {"forward_head": forward_short_responses},
+    "accepts any response": {"check_response": accept_any_response},
+    "believes any refusal": {"check_response": believe_any_refusal},
     "leaks in flight": {"cancel_attempt": leak_in_flight},
     "leaks permits": {"cancel_attempt": leak_permits},
     "ignores the list": {"on_leaving_servers_changed": ignore_message},
@@ -269,6 +285,18 @@
             attempt_id = self._pick_attempt(pick)
             self.oracle.shed(attempt_id)
 
+        @precondition(has_attempts)
+        @rule(pick=PICK, is_shed=st.booleans(), has_id=st.booleans())
+        def server_repeats_an_earlier_response(self, pick, is_shed, has_id):
+            attempt_id = self._pick_attempt(pick)
+            self.oracle.repeat_earlier_response(attempt_id, is_shed, has_id)
+
+        @precondition(has_attempts)
+        @rule(pick=PICK)
+        def server_sheds_and_responds(self, pick):
+            attempt_id = self._pick_attempt(pick)
+            self.oracle.shed_and_respond(attempt_id)
+
         @precondition(has_pending_claims)
         @rule(pick=PICK, is_granted=st.sampled_from([True, True, False]))
         def claim_is_decided(self, pick, is_granted):
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -31,6 +31,7 @@
     RequestReceived,
 )
 from cuminhatch.messages.loads import HealthCheckAnswered, LoadsMeasured, LoadsRequested
+from cuminhatch.services.backends import BackendConnections
 from cuminhatch.services.forwarding import Forwarding, ForwardingSettings
 
 RULES = {
@@ -88,8 +89,9 @@
 def read_response(head):
     """Read the response headers of the test dialect."""
     values = dict(head.headers)
+    ids = dict.fromkeys(value for name, value in head.headers if name == b"id")
     return ResponseMetadata(
-        values.get(b"id", b""),
+        tuple(ids),
         b"seal" in values,
         b"not-run" in values or head.status == 421,
         head.status == 421,
@@ -126,12 +128,17 @@
 class ForwardingWorld:
     """Forwarding, with fakes of other services that keep their messages."""
 
-    def __init__(self, *server_ids, seed=1):
+    def __init__(self, *server_ids, seed=1, has_connections=False):
         self.clock = ManualClock(1000.0)
         self.kernel = Kernel(self.clock)
         self.received = defaultdict(list)
-        for name in ("callers", "backends", "metrics", "event_log", SUPERVISOR):
+        for name in ("callers", "metrics", "event_log", SUPERVISOR):
             self._add_fake(name, self.received[name].append)
+        if has_connections:
+            backends = BackendConnections(self.kernel, "forwarding")
+            self.kernel.register(backends).open()
+        else:
+            self._add_fake("backends", self.received["backends"].append)
         self._add_fake("loads", self._answer_load_request)
         self.kernel.register(Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed)))
         # (running, waiting, slowdown) by server; None for a silent server.
@@ -228,9 +235,21 @@
         """Remove and return the ids of attempts that were cancelled."""
         return [m.attempt_id for m in self.take("backends", AttemptCancelled)]
 
-    def respond(self, attempt, status=200, body=b"ok", request_id=None, headers=None):
+    def respond(
+        self,
+        attempt,
+        status=200,
+        body=b"ok",
+        request_id=None,
+        headers=None,
+        is_reused=False,
+        has_trailing_data=False,
+    ):
         """Answer an attempt with a complete response."""
-        self.tell(make_response(attempt, status, body, request_id, headers))
+        response = make_response(attempt, status, body, request_id, headers)
+        self.tell(
+            response._replace(is_reused=is_reused, has_trailing_data=has_trailing_data)
+        )
 
     def start_response(self, attempt, length, data):
         """Answer an attempt with a head and a part of the body."""
@@ -243,7 +262,8 @@
 
     def refuse(self, attempt, status=503):
         """Answer that the backend server did not execute the request."""
-        self.respond(attempt, status, b"", headers=((b"not-run", b"1"),))
+        headers = ((b"id", get_request_id(attempt)), (b"not-run", b"1"))
+        self.respond(attempt, status, b"", headers=headers)
 
     def fail(self, attempt, is_sent=True, is_reused=False, reason="connection failed"):
         """Report the failure of an attempt."""
@@ -261,4 +281,6 @@
         caller_id = get_request_id(attempt) if request_id is None else request_id
         headers = ((b"id", caller_id), (b"seal", b"s"))
     head = ResponseHead(status, b"", tuple(Header(*pair) for pair in headers))
-    return AttemptResponse(attempt.attempt_id, head, len(body), body, True)
+    return AttemptResponse(
+        attempt.attempt_id, head, len(body), body, True, False, False
+    )
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -27,6 +27,7 @@
     AttemptWriteStalled,
     ConfigurationChanged,
 )
+from cuminhatch.services._stream import Stream
 from cuminhatch.services.backends import IDLE_TIMEOUT_MS, BackendConnections
 from tests.services._loopback import Peer, run_until
 from tests.support import Recorder, run_ticks
@@ -200,6 +201,28 @@
     assert harness.connections == 0
 
 
+def test_bytes_before_the_request_answer_nothing(harness, monkeypatch):
+    """Guards against a response that was written before its request."""
+    monkeypatch.setattr(Stream, "write", lambda stream, data: None)
+    attempt_id = harness.request()
+    peer = harness.accept()
+    peer.send(OK)
+    run_until(harness.kernel, lambda: harness.failures_of(attempt_id))
+    [failed] = harness.failures_of(attempt_id)
+    assert (failed.reason, failed.is_sent) == ("unsolicited data", False)
+    assert not harness.body_of(attempt_id)
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_rejected_response_closes_its_idle_connection(harness, peer):
+    """Guards against a connection on which the own response may still come."""
+    attempt_id = harness.serve(peer)
+    assert harness.connections == 1
+    harness.send(AttemptCancelled(attempt_id))
+    assert harness.connections == 0
+    peer.run_until(lambda: peer.is_closed)
+
+
 def test_timeout_on_reused_connection_is_reported_and_a_new_one_works(harness, peer):
     """Guards against one dead connection that counts against its server."""
     attempt_id = harness.request()
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -432,14 +432,14 @@
     world.request("pull")
     (first,) = world.take_attempts()
     head = ResponseHead(200, b"", (Header(b"server-state", b"draining"),))
-    world.deliver(AttemptResponse(first.attempt_id, head, 2, b"o", False))
+    world.deliver(AttemptResponse(first.attempt_id, head, 2, b"o", False, False, False))
     assert world.take("backends") == []
     [shared] = world.take("peers", LoadObserved)
     assert (shared.server_id, shared.is_leaving) == (first.server_id, True)
     for _ in range(3):
         world.request("read")
     assert first.server_id not in {a.server_id for a in world.take_attempts()}
-    world.deliver(AttemptResponse(first.attempt_id, head, 2, b"o", False))
+    world.deliver(AttemptResponse(first.attempt_id, head, 2, b"o", False, False, False))
     assert world.dispatch.count_in_flight(first.server_id) == 1
 
 
@@ -708,7 +708,9 @@
     world.request("read")
     head = ResponseHead(200, b"", ())
     streaming = world.take_attempts()[1]
-    world.deliver(AttemptResponse(streaming.attempt_id, head, 9, b"a", False))
+    world.deliver(
+        AttemptResponse(streaming.attempt_id, head, 9, b"a", False, False, False)
+    )
     world.take("callers")
     for request_id in (1, 2, 3, 4, 4):
         fail_request(world.dispatch._state, request_id, "handler-failed")
--- /dev/null
+++ b/tests/services/test_stale_responses.py
@@ -0,0 +1,276 @@
+"""
+Backend servers that write earlier responses again, over real connections.
+
+The services that handle requests run with the real ``backends``; the server is
+a listening socket that the test writes to byte by byte.
+"""
+
+import socket
+from random import Random
+
+import pytest
+
+from cuminhatch.messages import (
+    ConfigurationChanged,
+    RequestRefused,
+    ResponseStarted,
+)
+from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
+from cuminhatch.services import BackendConnections
+from cuminhatch.services.dispatch import Dispatch
+from tests.proofs.dispatch_harness import (
+    DispatchHarness,
+    make_configuration,
+    make_server as make_dispatch_server,
+)
+from tests.services._loopback import MAX_TICKS, Peer, run_until
+from tests.services.forwarding_world import ForwardingWorld, make_server
+
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+
+
+class _FrontEnd:
+    """A front end before one backend server, and what its callers receive."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.port = self.sock.getsockname()[1]
+        self.world = self.make_world()
+
+    @property
+    def kernel(self):
+        return self.world.kernel
+
+    def close(self):
+        self.world.close()
+        self.sock.close()
+
+    def accept(self):
+        for _ in range(MAX_TICKS):
+            self.kernel.tick(0)
+            try:
+                return Peer(self.kernel, self.sock.accept()[0])
+            except BlockingIOError:
+                pass
+        raise AssertionError("no connection was opened")
+
+    def has_new_connection(self):
+        for _ in range(20):
+            self.kernel.tick(0)
+        try:
+            self.sock.accept()[0].close()
+        except BlockingIOError:
+            return False
+        return True
+
+    def request(self, kind):
+        return self.world.request(kind)
+
+    def take_final(self):
+        """Wait for the final response of a caller and return it."""
+        kinds = (ResponseStarted, RequestRefused)
+        received = self.world.received["callers"]
+        run_until(self.kernel, lambda: any(type(m) in kinds for m in received))
+        (final,) = [m for m in received if type(m) in kinds]
+        received.clear()
+        return final
+
+    def receive(self, peer):
+        """Wait for a request and return the id that a response repeats."""
+        peer.received = b""
+        peer.run_until(lambda: b"\r\n\r\n" in peer.received)
+        for line in peer.received.split(b"\r\n"):
+            name, _, value = line.partition(b": ")
+            if name == self.id_header:
+                return value
+        return b""
+
+    def response(self, given_id, body=b"ok", status=200, extra=()):
+        """Return the bytes of a response with the given id."""
+        lines = [b"HTTP/1.1 %d X" % status, b"content-length: %d" % len(body)]
+        if given_id is not None:
+            lines.append(self.id_header + b": " + given_id)
+        return b"\r\n".join([*lines, *extra, b"", body])
+
+    def success(self, given_id, body=b"ok"):
+        return self.response(given_id, body, 200, self.success_headers)
+
+    def refusal(self, given_id):
+        return self.response(given_id, b"", 503, (self.refusal_header,))
+
+    def serve_first(self, make_bytes):
+        """Serve one read on a new connection and return both."""
+        self.request("read")
+        peer = self.accept()
+        given_id = self.receive(peer)
+        peer.send(make_bytes(given_id))
+        self.take_final()
+        return peer, given_id
+
+
+class _Gateway(_FrontEnd):
+    """The ``forwarding`` service."""
+
+    id_header = b"id"
+    success_headers = (b"seal: 1",)
+    refusal_header = b"not-run: 1"
+
+    def make_world(self):
+        world = ForwardingWorld(has_connections=True)
+        # Two ids at one address, so that a request can be sent a second time.
+        world.configure(
+            *(
+                make_server(name)._replace(host="127.0.0.1", port=self.port)
+                for name in ("a", "b")
+            )
+        )
+        return world
+
+
+class _Daemon(_FrontEnd):
+    """The ``dispatch`` service."""
+
+    id_header = b"cuminhatch-attempt"
+    success_headers = ()
+    refusal_header = b"request-outcome: not-run"
+
+    def make_world(self):
+        world = DispatchHarness(
+            lambda kernel: Dispatch(kernel, "i", "a", Random(1)), ["callers"]
+        )
+        world.kernel.register(BackendConnections(world.kernel)).open()
+        server = make_dispatch_server(0)._replace(port=self.port)
+        world.deliver(ConfigurationChanged(make_configuration(1, [server])))
+        return world
+
+
+@pytest.fixture(params=[_Gateway, _Daemon])
+def front_end(request):
+    front_end = request.param()
+    yield front_end
+    front_end.close()
+
+
+@pytest.fixture
+def daemon():
+    daemon = _Daemon()
+    yield daemon
+    daemon.close()
+
+
+@pytest.fixture
+def gateway():
+    gateway = _Gateway()
+    yield gateway
+    gateway.close()
+
+
+def is_not_run(final):
+    """Tell whether a caller was told that its request did not run."""
+    if isinstance(final, RequestRefused):
+        return final.outcome is Outcome.NOT_RUN or final.status in NOT_RUN_STATUSES
+    outcome = dict(final.head.headers).get(OUTCOME_HEADER)
+    return final.head.status in NOT_RUN_STATUSES or outcome == b"not-run"
+
+
+def finish_on_new_connection(front_end, body):
+    """Answer the request that was sent again on a new connection."""
+    peer = front_end.accept()
+    peer.send(front_end.success(front_end.receive(peer), body))
+    return front_end.take_final()
+
+
+@pytest.mark.parametrize("repeated", ["success", "refusal"])
+def test_repetition_on_an_idle_connection_closes_it(front_end, repeated):
+    """Guards against the use of a connection that holds unread bytes."""
+    peer, first_id = front_end.serve_first(front_end.success)
+    peer.send(getattr(front_end, repeated)(first_id))
+    front_end.request("read")
+    final = finish_on_new_connection(front_end, b"second")
+    assert final.data == b"second"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("has_id", [True, False])
+@pytest.mark.parametrize("repeated", ["success", "refusal"])
+@pytest.mark.parametrize("is_answer_behind", [False, True])
+def test_repetition_is_not_taken_for_the_next_response(
+    front_end, repeated, has_id, is_answer_behind
+):
+    """Guards against a response or a not-run of another request."""
+    peer, first_id = front_end.serve_first(front_end.success)
+    front_end.request("read")
+    second_id = front_end.receive(peer)
+    assert second_id != first_id
+    data = getattr(front_end, repeated)(first_id if has_id else None)
+    if is_answer_behind:
+        data += front_end.success(second_id, b"second")
+    peer.send(data)
+    final = finish_on_new_connection(front_end, b"sent again")
+    assert final.data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_response_with_two_ids_belongs_to_no_request(front_end):
+    """Guards against a response that names its own and another request."""
+    peer, first_id = front_end.serve_first(front_end.success)
+    front_end.request("read")
+    second_id = front_end.receive(peer)
+    other = front_end.id_header + b": " + first_id
+    peer.send(
+        front_end.response(second_id, b"", 503, (other, front_end.refusal_header))
+    )
+    assert finish_on_new_connection(front_end, b"third").data == b"third"
+
+
+def test_interim_response_before_the_own_one_is_skipped(front_end):
+    """Guards against an interim response that ends or replaces a request."""
+    peer, _ = front_end.serve_first(front_end.success)
+    front_end.request("read")
+    second_id = front_end.receive(peer)
+    peer.send(b"HTTP/1.1 103 Early\r\nx: y\r\n\r\n")
+    peer.send(front_end.success(second_id, b"second"))
+    assert front_end.take_final().data == b"second"
+
+
+def test_write_is_unknown_after_the_refusal_of_an_earlier_request(daemon):
+    """Guards against a not-run of a write that is running (REFUSED)."""
+    peer, first_id = daemon.serve_first(daemon.success)
+    daemon.request("write")
+    assert daemon.receive(peer) != first_id
+    peer.send(daemon.refusal(first_id))
+    final = daemon.take_final()
+    assert not is_not_run(final)
+    assert final.outcome is Outcome.UNKNOWN
+    assert not daemon.has_new_connection()
+
+
+@pytest.mark.parametrize("given_id", [b"999", None])
+def test_write_is_not_sent_again_after_a_refusal_of_another_request(gateway, given_id):
+    """Guards against a second run of a write (TWICE), and a false not-run."""
+    gateway.request("write")
+    peer = gateway.accept()
+    own_id = gateway.receive(peer)
+    answer = gateway.refusal(own_id) + gateway.success(own_id)
+    peer.send(gateway.refusal(given_id) if given_id else answer)
+    assert not is_not_run(gateway.take_final())
+    assert not gateway.has_new_connection()
+
+
+@pytest.mark.parametrize("status", [503, 421])
+def test_own_refusal_is_believed(gateway, status):
+    """Guards against callers that are told less than the server said."""
+    gateway.request("write")
+    for _ in range(2):
+        peer = gateway.accept()
+        given_id = gateway.receive(peer)
+        peer.send(gateway.response(given_id, b"", status, (gateway.refusal_header,)))
+    assert is_not_run(gateway.take_final())
+
+
+def test_connection_of_a_server_that_returns_no_ids_is_not_reused(daemon):
+    """Guards against repetitions that nothing tells apart."""
+    peer, _ = daemon.serve_first(lambda given_id: daemon.success(None))
+    daemon.request("read")
+    assert finish_on_new_connection(daemon, b"second").data == b"second"
