Bound what a server may send without end, and drop second copies in the HTTP client

Cause: the HTTP client kept a connection whose response had bytes behind it and did not read an idle connection before it used it again, so a second copy of a health check or store response was taken for the next one. A response that a server sent on without end after its caller had left was read for ever: streamed ones in forwarding, those of keyed requests in dispatch, which also kept their slot.

Change: trailing bytes close the connection, idle connections are read before use, bytes before the request fail it; health checks and load probes are limited to 64 KB; such responses end at the deadline, in dispatch at the deadline and not before 60 s after the caller has left.

--- a/src/cuminhatch/messages/http_client.py
+++ b/src/cuminhatch/messages/http_client.py
@@ -10,6 +10,10 @@
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.messages.address import Address
 
+# Response limit of health checks and load probes: they hold some headers and
+# counts, and many of them are in flight at a time.
+PROBE_RESPONSE_MAX_BYTES = 64 * 1024
+
 
 class HttpRequested(NamedTuple):
     """
@@ -18,6 +22,8 @@
     ``timeout_ms`` limits the time until the response is complete.
     ``is_retryable`` allows a GET or HEAD to be resent when a reused
     connection breaks; the server may then receive it twice.
+    ``response_max_bytes`` limits the response body, None for the limit of the
+    client.
     """
 
     reply_to: str
@@ -29,6 +35,7 @@
     body: bytes
     timeout_ms: float
     is_retryable: bool = True
+    response_max_bytes: int | None = None
 
 
 class HttpReplied(NamedTuple):
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -68,7 +68,8 @@
     if not message.is_complete:
         # A complete response refreshes the view when its attempt ends.
         refresh_and_start_waiting(state, record.pool, record.view)
-    state.disarm_timer(record)
+    if not record.is_caller_gone:
+        state.disarm_timer(record)
     record.phase = Phase.FORWARDING_RESPONSE
     forward_head(state, record, parsed, message)
     process_body_part(state, record, message.data, message.is_complete)
--- a/src/cuminhatch/services/dispatch/_attempts.py
+++ b/src/cuminhatch/services/dispatch/_attempts.py
@@ -24,6 +24,10 @@
 )
 from cuminhatch.services.dispatch._request_completion import refuse_waiting_request
 
+# Time that an attempt has left when its caller leaves, at least. A server that
+# sends without end would hold it otherwise.
+DETACHED_ATTEMPT_TIMEOUT_MS = 60_000.0
+
 
 def start_attempt(
     state: DispatchState,
@@ -100,9 +104,10 @@
 
 
 def detach_caller(state: DispatchState, record: RequestRecord) -> None:
-    """Let an attempt finish without a caller to answer."""
+    """Let an attempt finish, within a limit, without a caller to answer."""
     record.is_caller_gone = True
-    state.disarm_timer(record)
+    timeout_ms = state.clock.now_ms + DETACHED_ATTEMPT_TIMEOUT_MS
+    state.arm_timer(record, max(record.deadline_ms, timeout_ms))
     state.send("backends", AttemptReadResumed(record.attempt_id))
 
 
--- a/src/cuminhatch/services/dispatch/_request_deadlines.py
+++ b/src/cuminhatch/services/dispatch/_request_deadlines.py
@@ -37,7 +37,11 @@
         return
     record.timer = None
     now_ms = state.clock.now_ms
-    if record.phase is Phase.AWAITING_CLAIM:
+    if record.is_caller_gone and record.attempt_id:
+        cancel_attempt(state, record)
+        give_up(state, record, True, "response-not-completed")
+        start_waiting_requests(state, record.pool)
+    elif record.phase is Phase.AWAITING_CLAIM:
         if now_ms < record.deadline_ms:
             state.arm_timer(record, record.deadline_ms + CLAIM_GRACE_MS)
             return
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -106,14 +106,18 @@
     """
     End a request at its deadline with an error response.
 
-    Does nothing if a response is already being streamed.
+    A response that is already being streamed goes on as long as its caller
+    reads it.
     """
     exchange = state.exchanges.get(message.request_id)
     if exchange is None:
         return
     exchange.deadline_timer = None
     if exchange.stage is Stage.ANSWERING:
-        # The caller decides how long it waits for the rest of the response.
+        # The caller decides how long it waits for the rest of the response. A
+        # server that sends without end must not outlive it.
+        if exchange.is_caller_gone:
+            abort_response(state, exchange, "timeout")
         return
     if exchange.attempts:
         exchange.may_have_run = True
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -175,16 +175,24 @@
                 continue
             # The connection used last is the least likely to have been closed
             # by the server.
-            connection = (
-                pool.idle.pop()
-                if pool.idle
-                else self._connect(exchange.request.address)
+            connection = self._take_idle(pool) or self._connect(
+                exchange.request.address
             )
             if connection is None:
                 self._fail_exchange(exchange, "no connection")
             else:
                 self._start_exchange(pool, connection, exchange)
 
+    def _take_idle(self, pool: _Pool) -> _Connection | None:
+        while pool.idle:
+            connection = pool.idle[-1]
+            # Bytes that arrived while it was idle, such as a second copy of
+            # the last response, or its end, close the connection.
+            connection.stream.read()
+            if connection.stream.is_open:
+                return pool.idle.pop()
+        return None
+
     def _connect(self, address: Address) -> _Connection | None:
         try:
             sock = socket()
@@ -231,6 +239,10 @@
             # Unsolicited bytes make the connection unusable.
             self._close_idle(connection)
             return
+        if connection.stream.sent_bytes == exchange.sent_bytes_at_start:
+            # Nothing of the request has been sent, so this can't answer it.
+            self._fail_exchange(exchange, "unsolicited data")
+            return
         events = exchange.parser.feed(data)
         if exchange.parser.error is not None:
             self._fail_exchange(exchange, "malformed response")
@@ -244,7 +256,8 @@
                 exchange.body += event.data
             elif isinstance(event, MessageParsed):
                 is_complete = True
-        if len(exchange.body) > self._max_response_bytes:
+        max_bytes = exchange.request.response_max_bytes or self._max_response_bytes
+        if len(exchange.body) > max_bytes:
             self._fail_exchange(exchange, "response too large")
         elif is_complete:
             self._complete_exchange(exchange)
@@ -252,7 +265,12 @@
     def _complete_exchange(self, exchange: _Exchange) -> None:
         connection = self._release_connection(exchange)
         stream = connection.stream
-        if exchange.is_keep_alive and stream.is_open and not stream.pending_bytes:
+        if (
+            exchange.is_keep_alive
+            and not exchange.parser.has_trailing_data
+            and stream.is_open
+            and not stream.pending_bytes
+        ):
             connection.is_reused = True
             connection.idle_since_ms = self.kernel.clock.now_ms
             self._pools[connection.address].idle.append(connection)
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -15,7 +15,7 @@
     SettingsChanged,
 )
 from cuminhatch.messages.catalog import InstanceCountChanged
-from cuminhatch.messages.http_client import HttpRequested
+from cuminhatch.messages.http_client import PROBE_RESPONSE_MAX_BYTES, HttpRequested
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
@@ -146,6 +146,7 @@
                 b"",
                 PROBE_TIMEOUT_MS,
                 is_retryable=False,
+                response_max_bytes=PROBE_RESPONSE_MAX_BYTES,
             ),
         )
 
--- a/src/cuminhatch/services/probes.py
+++ b/src/cuminhatch/services/probes.py
@@ -33,6 +33,7 @@
     PermitReturned,
     ProbeFailed,
 )
+from cuminhatch.messages.http_client import PROBE_RESPONSE_MAX_BYTES
 
 PROBE_KIND = "probe"
 PROBE_TARGET = b"/load"
@@ -197,6 +198,7 @@
                 b"",
                 PROBE_TIMEOUT_MS,
                 is_retryable=False,
+                response_max_bytes=PROBE_RESPONSE_MAX_BYTES,
             ),
         )
 
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -13,6 +13,7 @@
     AttemptReadResumed,
     AttemptRequestBody,
     AttemptResponse,
+    AttemptResponseBody,
     CallerDisconnected,
     CallerResumed,
     CallerStalled,
@@ -580,6 +581,25 @@
     assert world.take("callers") == []
 
 
+def test_response_without_end_is_given_up_after_the_caller_has_left(make_world):
+    """Guards against an attempt that a server holds by sending on."""
+    world = make_world("claims", servers=1)
+    world.request("write", headers=(KEY_HEADER,))
+    world.take("claims")
+    world.deliver(ClaimGranted(1, "c1"))
+    (attempt,) = world.take_attempts()
+    world.deliver(CallerDisconnected(1))
+    head = ResponseHead(200, b"", ())
+    message = AttemptResponse(attempt.attempt_id, head, None, b"x", False, False, False)
+    world.deliver(message)
+    for _ in range(90):
+        world.deliver(AttemptResponseBody(attempt.attempt_id, b"x", False))
+        world.advance(1000.0)
+    assert world.take("backends", AttemptCancelled)
+    assert world.take("claims", ClaimOutcomeUnknown)
+    assert world.dispatch.count_in_flight("b0") == 0
+
+
 @pytest.mark.parametrize("is_confirmed", [True, False])
 def test_not_run_is_reported_only_after_the_claim_is_voided(make_world, is_confirmed):
     """Guards against not-run while a delayed claim write may take effect."""
--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -193,6 +193,29 @@
     assert harness.connection_count == 0
 
 
+@pytest.mark.parametrize("is_idle", [False, True])
+def test_second_copy_of_a_response_closes_the_connection(harness, is_idle):
+    """Guards against a late copy that is taken for the next response."""
+    connection = harness.begin(1)
+    connection.sendall(OK if is_idle else OK + OK[:10])
+    assert harness.next_reply() == HttpReplied(1, 200, (), b"hi")
+    if is_idle:
+        # The copy has arrived, but the kernel has not read it yet.
+        connection.sendall(OK)
+    else:
+        assert harness.connection_count == 0
+    exchange(harness, 2)
+
+
+def test_response_limit_of_a_request_applies(harness):
+    """Guards against health checks that fill the memory."""
+    harness.request(1, response_max_bytes=10)
+    connection = harness.accept()
+    harness.receive(connection)
+    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"x" * 11)
+    assert harness.next_reply() == HttpFailed(1, "response too large", True)
+
+
 def test_connections_are_limited_and_waiting_requests_are_not_sent(harness):
     """Guards against a slow server that uses up all file descriptors."""
     for token in range(MAX_CONNECTIONS_PER_ADDRESS + MAX_WAITING_PER_ADDRESS):
