Survive malformed registrations and addresses, and hand out answers at a stop

Found by fuzzing the decoders from valid messages (cuts, flips, repeats, replaced fields): a registration whose port was a digit outside ASCII or had thousands of digits raised ValueError, so the whole reading of the table was given up and every server of the fleet stayed as it was; an address with a name or a null character failed the handler that connects, and the request or reply hung until its timeout.

test_supervisor.py expected no message at all to the listener before the drain starts; it now expects exactly the announcement, by type, since named tuples without fields are equal.

--- a/src/cuminhatch/messages/lifecycle.py
+++ b/src/cuminhatch/messages/lifecycle.py
@@ -10,7 +10,12 @@
 
 
 class DrainAnnounced(NamedTuple):
-    """Health checks report not ready; requests are still accepted."""
+    """
+    Health checks report not ready; requests are still accepted.
+
+    A listener forwards no more requests ahead of their turn: their responses
+    could still wait for an earlier one when the process ends.
+    """
 
 
 class DrainStarted(NamedTuple):
@@ -22,6 +27,10 @@
     """
 
 
+class DrainLimitReached(NamedTuple):
+    """The process ends now; responses that are complete are to be sent."""
+
+
 class ReadinessChanged(NamedTuple):
     """A service, named by ``part``, has become ready or not ready."""
 
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -1,10 +1,12 @@
 """Decode the operators' configuration and the server registrations."""
 
+from ipaddress import AddressValueError, IPv4Address
 from types import MappingProxyType
 from typing import Any
 
 import orjson
 
+from cuminhatch.address import Address
 from cuminhatch.decisions.catalog import ConfigurationDocument
 from cuminhatch.decisions.configuration import (
     BackendServer,
@@ -21,6 +23,7 @@
 ROUTE_KINDS = SAFE_ROUTE_KINDS | {"unsafe"}
 SERVER_STATES = frozenset({"ready", "draining"})
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 
 
 class DocumentError(CodecError):
@@ -130,9 +133,9 @@
     """
     document = _load_json(data)
     service_id = _get_string(document, "service")
-    host, separator, port = _get_string(document, "address").rpartition(":")
-    if not separator or not host or not port.isdigit() or not 0 < int(port) <= MAX_PORT:
-        raise DocumentError("address: expected HOST:PORT")
+    address = parse_address(_get_string(document, "address"))
+    if address is None:
+        raise DocumentError("address: expected an IPv4 address and a port")
     state = _get_string(document, "state")
     if state not in SERVER_STATES:
         raise DocumentError(f"state: unknown state {state!r}")
@@ -145,8 +148,8 @@
     return BackendServer(
         server_id,
         service_id,
-        host,
-        int(port),
+        address.host,
+        address.port,
         _get_string(document, "zone"),
         slots,
         0,
@@ -156,6 +159,25 @@
     )
 
 
+def parse_address(text: str) -> Address | None:
+    """
+    Parse an address such as ``10.1.64.31:8384``.
+
+    Host names are not accepted: looking one up blocks the process.
+
+    :param text: IPv4 address and port.
+    :returns: the address, None if the text is malformed.
+    """
+    host, _, port = text.rpartition(":")
+    if not port.isascii() or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        return None
+    try:
+        IPv4Address(host)
+    except AddressValueError:
+        return None
+    return Address(host, int(port)) if 0 < int(port) <= MAX_PORT else None
+
+
 def _load_json(data: bytes) -> dict[str, Any]:
     try:
         document = orjson.loads(data)
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -27,7 +27,7 @@
 )
 from cuminhatch.messages.http_client import HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.messages.telemetry import CounterIncremented
-from cuminhatch.platform.documents import DocumentError, decode_server
+from cuminhatch.platform.documents import DocumentError, decode_server, parse_address
 
 SERVERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
@@ -128,9 +128,9 @@
     def _finish_instance_records(self, range_read: _RangeRead, version: int) -> None:
         members = {}
         for row in range_read.rows:
-            host, _, port = row.value.decode("latin-1").rpartition(":")
-            if port.isdigit():
-                members[row.key] = Address(host, int(port))
+            address = parse_address(row.value.decode("latin-1"))
+            if address is not None:
+                members[row.key] = address
         request = range_read.request
         self.send(request.reply_to, InstanceRecordsRead(request.token, members))
 
@@ -190,7 +190,7 @@
             self.send("metrics", counter)
             try:
                 handle_response(_decode_reply(reply))
-            except (CodecError, KeyError, TypeError, ValueError) as error:
+            except (CodecError, LookupError, TypeError, ValueError) as error:
                 self.send(request.reply_to, StoreUnavailable(request.token, str(error)))
 
         self._pending_calls[token] = handle_reply
--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -2,6 +2,7 @@
 
 import struct
 from collections.abc import Callable
+from errno import ECONNREFUSED, EINPROGRESS, EINVAL
 from socket import (
     IPPROTO_TCP,
     SHUT_WR,
@@ -16,6 +17,7 @@
     socket,
 )
 
+from cuminhatch.address import Address
 from cuminhatch.kernel import Service
 
 READ_BYTES = 64 * 1024
@@ -47,6 +49,31 @@
     sock.setsockopt(IPPROTO_TCP, TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
 
 
+def open_connection(address: Address) -> socket | str:
+    """
+    Start to connect a new socket.
+
+    :param address: address of the server.
+    :returns: the connecting socket, or one of the ``CONNECTION_`` constants.
+    """
+    try:
+        sock = socket()
+    except OSError:
+        # The process is out of file descriptors.
+        return CONNECTION_FAILED
+    set_stream_options(sock)
+    try:
+        error = sock.connect_ex(address)
+    except (OSError, OverflowError, TypeError, ValueError):
+        # The host is neither an address nor a known name, or the port is too
+        # large.
+        error = EINVAL
+    if error in (0, EINPROGRESS):
+        return sock
+    sock.close()
+    return CONNECTION_REFUSED if error == ECONNREFUSED else CONNECTION_FAILED
+
+
 class Stream:
     """
     A TCP connection of a service, with a write buffer.
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -1,9 +1,7 @@
 """Connections to backend servers: pool, requests, responses, timeouts."""
 
 from collections import Counter, defaultdict
-from errno import ECONNREFUSED, EINPROGRESS
 from math import inf
-from socket import socket
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import (
@@ -36,10 +34,8 @@
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.services._stream import (
     CONNECTION_CLOSED,
-    CONNECTION_FAILED,
-    CONNECTION_REFUSED,
     Stream,
-    set_stream_options,
+    open_connection,
 )
 
 WRITE_HIGH_WATER_BYTES = 256 * 1024
@@ -195,12 +191,9 @@
                 return connection
         if not self._free_connection_slot(message.server_id):
             return CONNECTION_LIMIT
-        sock = socket()
-        set_stream_options(sock)
-        error = sock.connect_ex(message.address)
-        if error not in (0, EINPROGRESS):
-            sock.close()
-            return CONNECTION_REFUSED if error == ECONNREFUSED else CONNECTION_FAILED
+        sock = open_connection(message.address)
+        if isinstance(sock, str):
+            return sock
         connection = _Connection(key)
         connection.stream = Stream(
             self,
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -61,6 +61,13 @@
             view, Address(member.host, member.port), Greeting(view.own, (), False)
         )
     if is_added:
+        # The key of a response that lists the instances holds only their
+        # number, which a changed address leaves as it is.
+        view.cached_responses = {
+            missing: response
+            for missing, response in view.cached_responses.items()
+            if not missing.instances
+        }
         for name in INSTANCE_COUNT_CONSUMERS:
             view.send(name, InstanceCountChanged(view.instance_count))
 
--- a/src/cuminhatch/services/catalog/_pull_responses.py
+++ b/src/cuminhatch/services/catalog/_pull_responses.py
@@ -22,6 +22,8 @@
 
 # Instances that have missed different changes need different responses.
 CACHED_RESPONSES_MAX = 8
+# Versions fit in 64 bits.
+MAX_VERSION_DIGITS = 19
 
 
 class PullQuery(NamedTuple):
@@ -79,7 +81,9 @@
 
 def parse_version(text: str | None) -> int:
     """Parse a version; a missing or malformed one counts as 0, unknown."""
-    return int(text) if text is not None and text.isdecimal() else 0
+    if text is None or not text.isdecimal() or len(text) > MAX_VERSION_DIGITS:
+        return 0
+    return int(text)
 
 
 def find_missing(view: CatalogView, query: PullQuery) -> MissingParts:
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -7,6 +7,7 @@
 )
 from cuminhatch.decisions.placement import (
     REPORT_MAX_AGE_MS,
+    RETRY_AFTER_MIN_MS,
     NotPlaced,
     Placed,
     RequestProfile,
@@ -39,7 +40,7 @@
     pool = state.pools.get(exchange.service_id)
     records = pool.usable if pool is not None else []
     if not records:
-        no_server = NotPlaced("no-backend-server", LOAD_WAIT_MS)
+        no_server = NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
         fail_placement(state, exchange, no_server)
         return
     # The first search prefers this instance's failure domain. Servers of other
--- a/src/cuminhatch/services/forwarding/_resending.py
+++ b/src/cuminhatch/services/forwarding/_resending.py
@@ -42,6 +42,17 @@
 
 def acquire_resend(state: ForwardingState, exchange: Exchange) -> ResendDenied | None:
     """Take a resend from the budget, or return why it is denied."""
+    denied = check_exchange_resend(state, exchange)
+    if denied is not None:
+        details = {"reason": denied.reason, "failure": exchange.last_failure}
+        state.record("resend_denied", exchange.trace_id, details)
+    return denied
+
+
+def check_exchange_resend(
+    state: ForwardingState, exchange: Exchange
+) -> ResendDenied | None:
+    """Take a resend from the budget of the service unless it is denied."""
     if exchange.is_caller_gone:
         return ResendDenied("caller-left")
     pool = state.pools.get(exchange.service_id)
@@ -50,11 +61,7 @@
     if exchange.placement_retries >= PLACEMENT_RETRIES_MAX:
         return ResendDenied("no-server-accepts")
     now_ms = state.clock.now_ms
-    denied = check_resend(exchange.get_history(now_ms), pool.budget, now_ms)
-    if denied is not None:
-        details = {"reason": denied.reason, "failure": exchange.last_failure}
-        state.record("resend_denied", exchange.trace_id, details)
-    return denied
+    return check_resend(exchange.get_history(now_ms), pool.budget, now_ms)
 
 
 def on_hedge_due(state: ForwardingState, message: HedgeDue) -> None:
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -1,9 +1,7 @@
 """HTTP client for small requests: connection pool, timeout, size limit."""
 
 from collections import defaultdict, deque
-from errno import EINPROGRESS
 from itertools import count
-from socket import socket
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import (
@@ -19,7 +17,7 @@
 )
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
-from cuminhatch.services._stream import Stream, set_stream_options
+from cuminhatch.services._stream import Stream, open_connection
 
 # More than an instance needs: at most several hundred writes a second to the
 # platform, of a few milliseconds each.
@@ -194,14 +192,8 @@
         return None
 
     def _connect(self, address: Address) -> _Connection | None:
-        try:
-            sock = socket()
-        except OSError:
-            # The process is out of file descriptors.
-            return None
-        set_stream_options(sock)
-        if sock.connect_ex(address) not in (0, EINPROGRESS):
-            sock.close()
+        sock = open_connection(address)
+        if isinstance(sock, str):
             return None
         connection = _Connection(address)
         connection.stream = Stream(
--- a/src/cuminhatch/services/http_listener/_requests.py
+++ b/src/cuminhatch/services/http_listener/_requests.py
@@ -113,7 +113,7 @@
         and not last_exchange.is_http_1_0
         and connection.message_end_count
     )
-    if not is_next_allowed or state.is_draining:
+    if not is_next_allowed or state.is_stop_announced:
         return False
     if len(connection.pipelined_exchanges) + 1 >= state.limits.pipelined:
         return False
--- a/src/cuminhatch/services/http_listener/_responses.py
+++ b/src/cuminhatch/services/http_listener/_responses.py
@@ -11,12 +11,18 @@
 from cuminhatch.messages import (
     CallerResumed,
     CallerStalled,
+    DrainLimitReached,
     RequestRefused,
     ResponseAborted,
     ResponseBody,
     ResponseStarted,
 )
-from cuminhatch.outcomes import OUTCOME_HEADER, REASON_HEADER, REQUEST_ID_HEADER
+from cuminhatch.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+    Outcome,
+)
 from cuminhatch.services.http_listener._connections import (
     WRITE_HIGH_WATER_BYTES,
     abort_connection,
@@ -176,6 +182,23 @@
     )
 
 
+def on_drain_limit_reached(state: ListenerState, message: DrainLimitReached) -> None:
+    """
+    Send the complete responses that wait for an earlier one.
+
+    Requests before them whose response has not begun end with an unknown
+    outcome.
+    """
+    for connection in list(state.connections):
+        while any(e.is_response_buffered for e in connection.pipelined_exchanges):
+            if connection.exchange.is_response_started:
+                # The rest of this response would have to be sent first.
+                break
+            request_id = connection.exchange.request_id
+            refusal = RequestRefused(request_id, 504, Outcome.UNKNOWN, "stopping")
+            on_request_refused(state, refusal)
+
+
 def on_write_buffer_drained(state: ListenerState, connection: Connection) -> None:
     """Finish closing, start the next request or resume the response."""
     connection.last_progress_ms = state.clock.now_ms
--- a/src/cuminhatch/services/http_listener/_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -79,6 +79,14 @@
         self.buffered: list[ResponseMessage] = []
         self.buffered_bytes = 0
 
+    @property
+    def is_response_buffered(self) -> bool:
+        """Tell whether the complete response is buffered."""
+        if not self.buffered:
+            return False
+        last = self.buffered[-1]
+        return isinstance(last, RequestRefused) or getattr(last, "is_complete", False)
+
     def buffer(self, message: ResponseMessage) -> None:
         """
         Buffer a message until the earlier responses are complete.
@@ -187,4 +195,6 @@
         self.connections: set[Connection] = set()
         self.connections_by_request: dict[int, Connection] = {}
         self.request_ids = count(1)
+        # A stop has been announced, or has begun.
+        self.is_stop_announced = False
         self.is_draining = False
--- a/src/cuminhatch/services/http_listener/service.py
+++ b/src/cuminhatch/services/http_listener/service.py
@@ -10,7 +10,9 @@
 from cuminhatch.messages import (
     Address,
     ConfigurationChanged,
+    DrainAnnounced,
     DrainFinished,
+    DrainLimitReached,
     DrainStarted,
     RequestReadPaused,
     RequestReadResumed,
@@ -32,6 +34,7 @@
     on_read_resumed,
 )
 from cuminhatch.services.http_listener._responses import (
+    on_drain_limit_reached,
     on_request_refused,
     on_response_aborted,
     on_response_body,
@@ -104,11 +107,13 @@
             RequestRefused: on_request_refused,
             RequestReadPaused: on_read_paused,
             RequestReadResumed: on_read_resumed,
+            DrainLimitReached: on_drain_limit_reached,
         }
         table = {
             kind: partial(handle, self._state) for kind, handle in handlers.items()
         }
         return table | {
+            DrainAnnounced: self._on_drain_announced,
             DrainStarted: self._on_drain_started,
             ConfigurationChanged: self._on_configuration_changed,
             SweepTimerExpired: self._on_sweep_timer_expired,
@@ -197,10 +202,13 @@
         if self._sock is not None and has_capacity:
             self.watch_read(self._sock, self._accept)
 
+    def _on_drain_announced(self, message: DrainAnnounced) -> None:
+        self._state.is_stop_announced = True
+
     def _on_drain_started(self, message: DrainStarted) -> None:
         if self._state.is_draining:
             return
-        self._state.is_draining = True
+        self._state.is_stop_announced = self._state.is_draining = True
         if self._sock is not None:
             # Closing the socket resets the connections in its listen queue;
             # accept them first.
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -11,6 +11,7 @@
     CounterIncremented,
     DrainAnnounced,
     DrainFinished,
+    DrainLimitReached,
     DrainRequested,
     DrainStarted,
     EventRecorded,
@@ -36,6 +37,10 @@
     """The drain has taken too long; the remaining requests are cut off."""
 
 
+class StopDue(NamedTuple):
+    """The listener has handled the end of the drain; the process stops."""
+
+
 class Supervisor(Service):
     """Tracks whether the process is ready and shuts it down gracefully."""
 
@@ -78,6 +83,7 @@
             AnnouncementEnded: self._on_announcement_ended,
             DrainFinished: self._on_drain_finished,
             DrainTimedOut: self._on_drain_timed_out,
+            StopDue: self._on_stop_due,
         }
 
     @handler("signal", channel="*")
@@ -118,7 +124,8 @@
         logger.info("supervisor: Drain announced: {}.", message.reason)
         self._record_event("drain_announced", {"reason": message.reason})
         self._on_readiness_changed(ReadinessChanged(SUPERVISOR, False, "draining"))
-        self.send("peers", DrainAnnounced())
+        for name in ("peers", "callers"):
+            self.send(name, DrainAnnounced())
         self.call_after(self._announce_ms, AnnouncementEnded())
         self.call_after(self._announce_ms + self._limit_ms, DrainTimedOut())
 
@@ -144,6 +151,10 @@
             "supervisor: Drain timed out; not finished: {}.",
             ", ".join(self._undrained_parts),
         )
+        self.send("callers", DrainLimitReached())
+        self.send(self.name, StopDue())
+
+    def _on_stop_due(self, message: StopDue) -> None:
         self.kernel.stop()
 
     def _record_event(self, name: str, details: dict[str, Any]) -> None:
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -223,6 +223,16 @@
     peer.run_until(lambda: peer.is_closed)
 
 
+@pytest.mark.parametrize("address", [("a\0b", 80), ("10.0.0.1", 70_000), ("", -1)])
+def test_address_that_cannot_be_connected_to_fails_the_attempt(harness, address):
+    """Guards against a request that hangs after an error of its handler."""
+    attempt_id = harness.request(address=Address(*address))
+    run_ticks(harness.kernel, 3)
+    [failed] = harness.failures_of(attempt_id)
+    assert (failed.reason, failed.is_sent) == ("connection failed", False)
+    assert harness.connections == 0
+
+
 def test_timeout_on_reused_connection_is_reported_and_a_new_one_works(harness, peer):
     """Guards against one dead connection that counts against its server."""
     attempt_id = harness.request()
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -6,6 +6,7 @@
 
 from cuminhatch.clock import ManualClock
 from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS
 from cuminhatch.decisions.server_records import (
     ServerLoad,
     ServerRecord,
@@ -28,6 +29,7 @@
 )
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.forwarding._exchange import Attempt
+from cuminhatch.services.forwarding._resending import PLACEMENT_RETRIES_MAX
 from cuminhatch.services.forwarding._responses import (
     RESPONSE_BUFFER_MAX_BYTES,
     note_attempt_failure,
@@ -176,6 +178,29 @@
     assert not read.is_new_connection_required
 
 
+def test_resend_denied_because_no_server_accepts_is_logged(make_world):
+    """Guards against a request that ends without a logged reason."""
+    world = make_world("a")
+    world.request("write")
+    for _ in range(PLACEMENT_RETRIES_MAX + 1):
+        (attempt,) = world.take_attempts()
+        world.fail(attempt, is_sent=False, reason="connection refused")
+    assert take_only_refusal(world).outcome is Outcome.NOT_RUN
+    events = world.take("event_log", EventRecorded)
+    denied = [e.details["reason"] for e in events if e.name == "resend_denied"]
+    assert denied == ["no-server-accepts"]
+
+
+def test_callers_without_a_server_are_not_told_to_return_at_once(make_world):
+    """Guards against callers that return before a server can have come."""
+    world = make_world("a")
+    world.configure()
+    world.request("read")
+    refusal = take_only_refusal(world)
+    assert refusal.reason == "no-backend-server"
+    assert refusal.retry_after_ms >= RETRY_AFTER_MIN_MS * 0.7
+
+
 def test_request_is_refused_if_all_servers_refuse_connections(make_world):
     """Guards against reconnecting in a loop until the deadline."""
     world = make_world("a", "b")
--- a/tests/services/test_http_client.py
+++ b/tests/services/test_http_client.py
@@ -121,6 +121,13 @@
     assert (reply.token, reply.is_sent) == (1, False)
 
 
+@pytest.mark.parametrize("address", [("a\0b", 80), ("10.0.0.1", 70_000)])
+def test_address_that_cannot_be_connected_to_fails_the_request(harness, address):
+    """Guards against a reply that never comes after a handler has failed."""
+    harness.request(1, address=Address(*address))
+    assert harness.next_reply() == HttpFailed(1, "no connection", False)
+
+
 def test_lost_connection_counts_as_sent_and_post_is_not_retried(harness):
     """Guards against a transaction that is sent twice."""
     connection = exchange(harness, 1)
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -13,7 +13,9 @@
     CallerDisconnected,
     CallerResumed,
     CallerStalled,
+    DrainAnnounced,
     DrainFinished,
+    DrainLimitReached,
     DrainStarted,
     RequestBody,
     RequestReadPaused,
@@ -612,3 +614,29 @@
     peer.run_until(lambda: peer.is_closed)
     assert peer.received.count(b"connection: close") == 1
     assert peer.received.endswith(b"\r\nconnection: close\r\n\r\nsecond")
+
+
+def test_no_request_is_passed_on_ahead_of_its_turn_once_a_stop_is_announced(pipelined):
+    """Guards against responses that still wait when the process ends."""
+    pipelined.send(DrainAnnounced())
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_ticks(pipelined.kernel, 10)
+    assert len(pipelined.target.heads) == 1
+    pipelined.target.respond(1, b"first")
+    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
+    pipelined.target.respond(2, b"second")
+    peer.run_until(lambda: peer.received.endswith(b"second"))
+
+
+def test_complete_responses_are_sent_when_the_limit_of_the_drain_is_reached(pipelined):
+    """Guards against a response that a stop cuts off behind a slower one."""
+    peer = pipelined.begin(GET % 1 + GET % 2 + GET % 3)
+    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 3)
+    pipelined.send(DrainStarted())
+    pipelined.target.respond(2, b"second")
+    run_ticks(pipelined.kernel, 10)
+    assert not peer.received
+    pipelined.send(DrainLimitReached())
+    peer.run_until(lambda: b"second" in peer.received)
+    assert re.findall(rb"HTTP/1.1 (\d+)", peer.received) == [b"504", b"200"]
+    assert b"cuminhatch-outcome: unknown" in peer.received.lower()
--- a/tests/services/test_supervisor.py
+++ b/tests/services/test_supervisor.py
@@ -9,6 +9,7 @@
 from cuminhatch.messages import (
     DrainAnnounced,
     DrainFinished,
+    DrainLimitReached,
     DrainRequested,
     DrainStarted,
     ReadinessChanged,
@@ -29,7 +30,13 @@
         self.received = []
 
     def message_handlers(self):
-        kinds = (DrainAnnounced, DrainStarted, StatusReported, RequestFailed)
+        kinds = (
+            DrainAnnounced,
+            DrainLimitReached,
+            DrainStarted,
+            StatusReported,
+            RequestFailed,
+        )
         return dict.fromkeys(kinds, self.received.append)
 
 
@@ -68,9 +75,14 @@
     """Guards against a port closed while callers are still routed to it."""
     setup.send(DrainRequested("operator"))
     assert setup.services["peers"].received == [DrainAnnounced()]
-    assert setup.services["callers"].received == []
+    # Compares types: named tuples without fields are equal.
+    callers = setup.services["callers"]
+    assert [type(message) for message in callers.received] == [DrainAnnounced]
     setup.advance(ANNOUNCE_MS)
-    assert setup.services["callers"].received == [DrainStarted()]
+    assert [type(message) for message in callers.received] == [
+        DrainAnnounced,
+        DrainStarted,
+    ]
 
 
 def test_claims_drain_after_the_last_caller(setup):
