Add faulty servers that repeat refusals or send without end, and a flooding link

Cause: the guarantees on stale refusals and on responses without end were tested inside one process only; neither the stand-ins nor the soak could play them against real gateways.

Change: the stand-in of a registering server repeats the refusal of an earlier request (stale) or never ends a body (endless); a link floods its clients with bytes that are no protocol (flood). The soak draws all three. Three system tests play them, and malformed datagrams, rows and connections, against running gateways. The port for peers is one that free_port() has claimed instead of one derived from the process id, which an outgoing connection could hold.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -24,8 +24,17 @@
 # maintenance operation ``stop-gateway`` both send SIGTERM and start the
 # gateway again; only the latter is checked for interrupted requests.
 GATEWAY_FAULTS = ("kill", "pause", "restart", "pause-short")
-SERVER_FAULTS = ("kill", "pause", "slow", "shed", "errors", "reset-answers")
-LINK_FAULTS = ("delay", "cut-to", "cut-from", "cut-both", "reset")
+SERVER_FAULTS = (
+    "kill",
+    "pause",
+    "slow",
+    "shed",
+    "errors",
+    "reset-answers",
+    "stale-refusals",
+    "endless-answers",
+)
+LINK_FAULTS = ("delay", "cut-to", "cut-from", "cut-both", "reset", "flood")
 STORE_FAULTS = ("busy", "slow", "reply-lost")
 MAINTENANCE_KINDS = ("drain-server", "stop-gateway", "configure")
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,10 +37,11 @@
 RECOVERY_TIME_S = 5.0
 MS_PER_S = 1_000.0
 RESTART_DELAY_S = 0.5
-LINK_CUT_FAULTS = {
+LINK_FAULT_SETTINGS = {
     "cut-to": {"cut_to": True},
     "cut-from": {"cut_from": True},
     "cut-both": {"cut_to": True, "cut_from": True},
+    "flood": {"flood": True},
 }
 
 
@@ -171,6 +172,8 @@
             "shed": ({"shed": True}, {"shed": False}),
             "errors": ({"errors": 5}, {"errors": 0}),
             "reset-answers": ({"reset": 5}, {"reset": 0}),
+            "stale-refusals": ({"stale": True}, {"stale": False}),
+            "endless-answers": ({"endless": True}, {"endless": False}),
         }
         begin, end = faults[kind]
         self._set_faults(server.address, begin)
@@ -205,9 +208,9 @@
             self._set_faults(address, {"reset": True})
             self._set_faults(address, {"reset": False})
             return
-        begin = LINK_CUT_FAULTS.get(kind, {"delay": 300})
+        begin = LINK_FAULT_SETTINGS.get(kind, {"delay": 300})
         self._set_faults(address, begin)
-        end = {"cut_to": False, "cut_from": False, "delay": 0}
+        end = {"cut_to": False, "cut_from": False, "delay": 0, "flood": False}
         self.schedule(
             self.now_s + fault.duration_s, lambda: self._set_faults(address, end)
         )
--- a/src/cuminhatch_standins/faulty_link.py
+++ b/src/cuminhatch_standins/faulty_link.py
@@ -5,7 +5,8 @@
 apply to its control port only. Faults of the link: ``delay`` (ms added in
 both directions), ``cut_to`` and ``cut_from`` (bytes to or from the target are
 dropped silently), ``reset`` (while true, each change of a fault resets the
-connections that are open then; new ones work).
+connections that are open then; new ones work), ``flood`` (clients get bytes
+without end that are no protocol).
 """
 
 from socket import socket
@@ -37,7 +38,10 @@
     "cut_to": FaultSpec(False, is_flag),
     "cut_from": FaultSpec(False, is_flag),
     "reset": FaultSpec(False, is_flag),
+    "flood": FaultSpec(False, is_flag),
 }
+FLOOD_PART = b"\0" * 4096
+FLOOD_INTERVAL_MS = 20.0
 BACKLOG = 256
 
 flags.DEFINE_integer("link_port", 0, "TCP port of the link on 127.0.0.1.")
@@ -53,6 +57,10 @@
     data: bytes
 
 
+class FloodDue(NamedTuple):
+    """The next bytes of a flood are to be sent."""
+
+
 class _ForwardedConnection:
     """The two streams of a connection through the link."""
 
@@ -90,6 +98,7 @@
             CompleteRequest: self._on_complete_request,
             FaultsChanged: self._on_faults_changed,
             LinkDelayExpired: self._on_link_delay_expired,
+            FloodDue: self._on_flood_due,
         }
 
     def open(self) -> None:
@@ -108,10 +117,19 @@
 
     def _on_faults_changed(self, message: FaultsChanged) -> None:
         self._faults |= {name: message.faults[name] for name in message.names}
+        if "flood" in message.names:
+            self.send(self.name, FloodDue())
         if message.faults["reset"]:
             for connection in list(self._connections):
                 self._abort(connection)
 
+    def _on_flood_due(self, message: FloodDue) -> None:
+        if not self._faults["flood"]:
+            return
+        for connection in list(self._connections):
+            connection.client.write(FLOOD_PART)
+        self.call_after(FLOOD_INTERVAL_MS, message)
+
     def _accept(self) -> None:
         try:
             client, _ = self._sock.accept()
--- a/src/cuminhatch_standins/registered_server.py
+++ b/src/cuminhatch_standins/registered_server.py
@@ -13,7 +13,9 @@
 their connections are closed without a response), ``foreign`` (the next N
 responses carry another attempt id), ``unsealed`` (the next N responses lack
 ``response-seal``), ``errors`` (the next N requests run and get a 500),
-``drain`` (health checks get a 503).
+``drain`` (health checks get a 503), ``stale`` (a request that runs gets the
+refusal of an earlier one as its response), ``endless`` (the body of a response
+goes on until the connection is closed or the fault ends).
 """
 
 from typing import Any, NamedTuple
@@ -23,7 +25,12 @@
 from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.codecs.http1 import Header, find_header
 from cuminhatch.kernel import Kernel, MessageTable, Service
-from cuminhatch.messages import CallerDisconnected, ResponseAborted
+from cuminhatch.messages import (
+    CallerDisconnected,
+    ResponseAborted,
+    ResponseBody,
+    ResponseStarted,
+)
 from cuminhatch_standins._fault_injector import (
     IGNORED_CALLER_EVENTS,
     LISTENER,
@@ -41,6 +48,7 @@
     CompleteRequest,
     make_json_response,
     make_response,
+    make_response_head,
 )
 
 FAULTS = {
@@ -52,7 +60,11 @@
     "unsealed": FaultSpec(0, is_count),
     "errors": FaultSpec(0, is_count),
     "drain": FaultSpec(False, is_flag),
+    "stale": FaultSpec(False, is_flag),
+    "endless": FaultSpec(False, is_flag),
 }
+ENDLESS_PART = b"x" * 16 * 1024
+ENDLESS_INTERVAL_MS = 20.0
 
 flags.DEFINE_string("server_id", "i-1", "Id under which the server is registered.")
 flags.DEFINE_integer("slots", 3, "Number of requests that run concurrently.")
@@ -66,6 +78,12 @@
     request: CompleteRequest
 
 
+class EndlessPartDue(NamedTuple):
+    """The next part of a response without end is to be sent."""
+
+    request_id: int
+
+
 class RegisteredServer(Service):
     """Runs requests in slots and records each run."""
 
@@ -100,6 +118,9 @@
         self._queued: list[CompleteRequest] = []
         self._runs: list[dict[str, str]] = []
         self._runs_file = runs_file
+        self._endless_ids: set[int] = set()
+        # Attempt id of the latest request that was handled.
+        self._earlier_id = b""
 
     def message_handlers(self) -> MessageTable:
         """Return the handlers for requests, fault changes and the timer."""
@@ -109,6 +130,7 @@
             FaultsChanged: self._on_faults_changed,
             CallerDisconnected: self._on_caller_disconnected,
             WorkTimerExpired: self._on_work_timer_expired,
+            EndlessPartDue: self._on_endless_part_due,
         }
 
     def _on_faults_changed(self, message: FaultsChanged) -> None:
@@ -159,9 +181,21 @@
             with open(self._runs_file, "a") as file:
                 wall_s = self.kernel.clock.wall_ms / MS_PER_SECOND
                 file.write(f"{wall_s:.3f} {self._server_id} {run['id']}\n")
-        self._in_progress[request.request_id] = request
+        if self._faults["stale"] and self._earlier_id:
+            self._repeat_refusal(request)
+        else:
+            self._in_progress[request.request_id] = request
+        self._earlier_id = attempt_id
         self.call_after(self._work_ms + self._faults["slow"], WorkTimerExpired(request))
 
+    def _repeat_refusal(self, request: CompleteRequest) -> None:
+        headers = (
+            Header(b"attempt-id", self._earlier_id),
+            Header(b"not-executed", b"1"),
+            *self._server_headers(),
+        )
+        self.send(LISTENER, make_response(request, 503, b"", headers))
+
     def _on_work_timer_expired(self, message: WorkTimerExpired) -> None:
         request = message.request
         if self._in_progress.pop(request.request_id, None) is not None:
@@ -183,7 +217,32 @@
         status = 500 if self._consume_fault("errors") else 200
         body = b"answer to " + attempt_id
         all_headers = (*headers, *self._server_headers())
-        self.send(LISTENER, make_response(request, status, body, all_headers))
+        if self._faults["endless"]:
+            self._start_endless(request, all_headers)
+        else:
+            self.send(LISTENER, make_response(request, status, body, all_headers))
+
+    def _start_endless(
+        self, request: CompleteRequest, headers: tuple[Header, ...]
+    ) -> None:
+        request_id = request.request_id
+        head = make_response_head(200, headers)
+        self.send(
+            LISTENER, ResponseStarted(request_id, head, None, ENDLESS_PART, False)
+        )
+        self._endless_ids.add(request_id)
+        self.call_after(ENDLESS_INTERVAL_MS, EndlessPartDue(request_id))
+
+    def _on_endless_part_due(self, message: EndlessPartDue) -> None:
+        request_id = message.request_id
+        if request_id not in self._endless_ids:
+            return
+        if not self._faults["endless"]:
+            self._endless_ids.discard(request_id)
+            self.send(LISTENER, ResponseAborted(request_id))
+            return
+        self.send(LISTENER, ResponseBody(request_id, ENDLESS_PART, False))
+        self.call_after(ENDLESS_INTERVAL_MS, message)
 
     def _consume_fault(self, name: str) -> bool:
         """
@@ -201,6 +260,7 @@
         # A started request is already in the list of runs; only its response
         # is dropped.
         self._in_progress.pop(message.request_id, None)
+        self._endless_ids.discard(message.request_id)
         self._queued = [
             request
             for request in self._queued
--- a/tests/standins/test_faulty_link.py
+++ b/tests/standins/test_faulty_link.py
@@ -75,3 +75,17 @@
     client, server = open_connection(link)
     client.sendall(b"new")
     assert server.recv(99) == b"new"
+
+
+def test_flood_sends_bytes_until_it_ends(link):
+    """Guards against a flood without effect, or without end."""
+    client, server = open_connection(link)
+    set_faults(link[0], flood=True)
+    assert len(client.recv(99)) == 99
+    set_faults(link[0], flood=False)
+    client.settimeout(0.3)
+    with pytest.raises(TimeoutError):
+        while client.recv(65_536):
+            pass
+    server.sendall(b"answer")
+    assert client.recv(99) == b"answer"
--- a/tests/system/gateways.py
+++ b/tests/system/gateways.py
@@ -1,7 +1,6 @@
 """Harness for gateways as processes, with stand-ins around them."""
 
 import json
-import os
 from contextlib import ExitStack, contextmanager
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -166,8 +165,8 @@
     return Gateway(Program(process, address), readiness, metrics, log)
 
 
-# Concurrent test runs must use different ports.
-PEERS_PORT = 20_000 + os.getpid() % 20_000
+# The same on each loopback address, and of no other test run.
+PEERS_PORT = free_port()
 
 
 @contextmanager
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -4,6 +4,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
 from signal import SIGKILL, SIGTERM
+from socket import SOCK_DGRAM, create_connection, socket
 from subprocess import PIPE
 
 import pytest
@@ -14,7 +15,7 @@
     stop_process,
     wait_until,
 )
-from tests.system.gateways import running_gateways
+from tests.system.gateways import PEERS_PORT, running_gateways
 
 
 @pytest.fixture
@@ -81,6 +82,64 @@
     assert Counter(statuses.values())[200] >= 30
 
 
+def test_repeated_refusals_are_not_believed(cluster):
+    """Guards against REFUSED and TWICE after an earlier refusal."""
+    for name in ("l1", "l2"):
+        cluster.servers[name].set_faults(stale=True)
+    statuses = confirm_many(cluster, 60)
+    check_runs(cluster, statuses)
+    assert set(statuses.values()) <= {200, 502, 504}
+    for name in ("l1", "l2"):
+        cluster.servers[name].set_faults(stale=False)
+    statuses = {
+        f"after-{n}": get_status(cluster.gateways[n % 2], "confirm", f"after-{n}", b"x")
+        for n in range(20)
+    }
+    check_runs(cluster, statuses)
+    assert Counter(statuses.values())[200] >= 15
+
+
+def test_responses_without_end_leave_other_requests_alone(cluster):
+    """Guards against one server whose responses hold the gateways' memory."""
+    cluster.servers["b1"].set_faults(endless=True)
+    for n in range(20):
+        assert (
+            cluster.gateways[n % 2].send_request("confirm", f"e{n}", body=b"x").status
+        )
+    with ThreadPoolExecutor(8) as pool:
+        endless = [
+            pool.submit(get_status, cluster.gateways[n % 2], "status", f"f{n}")
+            for n in range(8)
+        ]
+        for n in range(20):
+            gateway = cluster.gateways[n % 2]
+            assert get_status(gateway, "confirm", f"g{n}", b"x") == 200
+        cluster.servers["b1"].set_faults(endless=False)
+        statuses = [future.result() for future in endless]
+    assert set(statuses) <= {0, 200, 502, 504}
+    for gateway in cluster.gateways:
+        assert gateway.program.process.poll() is None
+
+
+def test_bytes_that_are_no_protocol_end_no_process(cluster):
+    """Guards against one malformed message that takes a process down."""
+    gateway = cluster.gateways[0]
+    junk = [b"\0" * 2_000, b"GET", bytes(range(256)) * 4, b"\x80\x01{}[]" * 100]
+    with socket(type=SOCK_DGRAM) as datagrams:
+        for data in junk:
+            datagrams.sendto(data[:1_200], ("127.0.0.1", PEERS_PORT))
+    for address in (gateway.program.address, gateway.readiness, gateway.metrics):
+        for data in junk:
+            with create_connection(address, timeout=5) as connection:
+                connection.sendall(data)
+    cluster.write("servers", "odd", '{"address": "10.0.0.1:\u00b2"}')
+    cluster.write("servers", "odd2", "[" * 5_000)
+    cluster.write("instances", "front-9", "\x00\xff:99999999999")
+    for n in range(20):
+        assert cluster.gateways[n % 2].send_request("status", f"j{n}").status == 200
+    assert gateway.program.process.poll() is None
+
+
 def test_idempotent_requests_are_resent_after_faulty_responses(cluster):
     """Guards against faults of one server that callers see."""
     cluster.servers["b1"].set_faults(reset=3, foreign=3, unsealed=3, errors=3)
