Share the probe budget by failure domain, and probe spare servers

Cause: the probe budget of a server was divided by all instances. At 312 instances a share is 0.15 probes a second, while an instance sends some 7 to its ten preferred servers of one service. Most placements therefore had no load report of a near server; the search was widened, and a far server with a report, or one on a slow machine, was chosen.

Where a candidate may not be probed, another near server is probed instead. A changed number of instances no longer refills the allowances.

--- a/idl/catalog.thrift
+++ b/idl/catalog.thrift
@@ -9,6 +9,7 @@
   1: string instance_id
   2: string host
   3: i32 port
+  4: string failure_domain
 }
 
 struct ServerRegistration {
--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -21,11 +21,16 @@
 
 
 class CatalogMember(NamedTuple):
-    """Id and address of an instance."""
+    """
+    Id, address and failure domain of an instance.
+
+    The failure domain is empty if it is unknown.
+    """
 
     instance_id: str
     host: str
     port: int
+    failure_domain: str = ""
 
 
 class CatalogNews(NamedTuple):
@@ -114,7 +119,9 @@
 
 
 def _member_from_thrift(data: ThriftMember) -> CatalogMember:
-    return CatalogMember(data.instance_id, data.host, data.port)
+    return CatalogMember(
+        data.instance_id, data.host, data.port, data.failure_domain or ""
+    )
 
 
 def _news_to_thrift(message: CatalogNews) -> ThriftNews:
--- a/src/cuminhatch/codecs/gen/catalog/ttypes.py
+++ b/src/cuminhatch/codecs/gen/catalog/ttypes.py
@@ -22,14 +22,16 @@
      - instance_id
      - host
      - port
+     - failure_domain
 
     """
 
 
-    def __init__(self, instance_id=None, host=None, port=None,):
+    def __init__(self, instance_id=None, host=None, port=None, failure_domain=None,):
         self.instance_id = instance_id
         self.host = host
         self.port = port
+        self.failure_domain = failure_domain
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -55,6 +57,11 @@
                     self.port = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.failure_domain = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -77,6 +84,10 @@
             oprot.writeFieldBegin('port', TType.I32, 3)
             oprot.writeI32(self.port)
             oprot.writeFieldEnd()
+        if self.failure_domain is not None:
+            oprot.writeFieldBegin('failure_domain', TType.STRING, 4)
+            oprot.writeString(self.failure_domain.encode('utf-8') if sys.version_info[0] == 2 else self.failure_domain)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -725,6 +736,7 @@
     (1, TType.STRING, 'instance_id', 'UTF8', None, ),  # 1
     (2, TType.STRING, 'host', 'UTF8', None, ),  # 2
     (3, TType.I32, 'port', None, None, ),  # 3
+    (4, TType.STRING, 'failure_domain', 'UTF8', None, ),  # 4
 )
 all_structs.append(ServerRegistration)
 ServerRegistration.thrift_spec = (
--- a/src/cuminhatch/decisions/candidates.py
+++ b/src/cuminhatch/decisions/candidates.py
@@ -31,6 +31,23 @@
     far: int
 
 
+# Near servers that may be probed instead of candidates that were probed too
+# often lately.
+SPARE_CANDIDATES = 12
+
+
+class Candidates(NamedTuple):
+    """
+    Servers to probe for a request, in this order.
+
+    ``spare`` are near servers to probe instead of those of ``first`` that may
+    not be probed now, because this instance has used up its probes of them.
+    """
+
+    first: list[ServerRecord]
+    spare: list[ServerRecord]
+
+
 # Servers probed when none of the first candidates can take the request at
 # once. Probing more would open too many new connections for one request.
 WIDENED_COUNTS = CandidateCounts(8, 6)
@@ -52,7 +69,7 @@
     wanted: CandidateCounts,
     now_ms: float,
     rng: Random,
-) -> list[ServerRecord]:
+) -> Candidates:
     """
     Return the servers to probe for a request, near ones first.
 
@@ -75,7 +92,11 @@
     far = _shuffle([r for r in pool if not r.is_near], PREFERRED_FAR, rng)
     total = wanted.near + wanted.far
     far_count = min(len(far), max(wanted.far, total - len(near)))
-    return near[: total - far_count] + far[:far_count]
+    near_count = total - far_count
+    return Candidates(
+        near[:near_count] + far[:far_count],
+        near[near_count : near_count + SPARE_CANDIDATES],
+    )
 
 
 def _shuffle(
--- a/src/cuminhatch/messages/catalog.py
+++ b/src/cuminhatch/messages/catalog.py
@@ -98,6 +98,12 @@
 
 
 class InstanceCountChanged(NamedTuple):
-    """The number of instances, including this one, has changed."""
+    """
+    The number of instances, including this one, has changed.
+
+    ``near_instances`` counts those in the failure domain of this instance and
+    those whose failure domain is unknown.
+    """
 
     instances: int
+    near_instances: int
--- a/src/cuminhatch/messages/loads.py
+++ b/src/cuminhatch/messages/loads.py
@@ -12,19 +12,30 @@
 
 
 class LoadTarget(NamedTuple):
-    """A backend server whose load is to be measured, by a health check."""
+    """
+    A backend server whose load is to be measured, by a health check.
+
+    ``is_near`` tells whether it is in the failure domain of this instance.
+    """
 
     server_id: str
     address: Address
     path: str
+    is_near: bool
 
 
 class LoadsRequested(NamedTuple):
-    """The load of some servers is to be measured within ``wait_ms``."""
+    """
+    The load of some servers is to be measured within ``wait_ms``.
+
+    For each of the ``targets`` that may not be probed now, one of the
+    ``spare_targets`` is probed instead, in their order.
+    """
 
     reply_to: str
     token: int
     targets: tuple[LoadTarget, ...]
+    spare_targets: tuple[LoadTarget, ...]
     wait_ms: float
 
 
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -22,7 +22,8 @@
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView
 
-MAX_MEMBERS_PER_GREETING = 24
+# They fit in a datagram if ids and failure domains are not unusually long.
+MAX_MEMBERS_PER_GREETING = 16
 # Probability of sending members to an instance that knows fewer of them, so
 # that not all others answer the same datagram.
 MEMBERS_SENT_PROBABILITY = 0.1
@@ -52,8 +53,7 @@
     """
     is_added = False
     for member in members:
-        known = view.members.get(member.instance_id)
-        if member.instance_id == view.own.instance_id or known == member:
+        if not is_news(view, member):
             continue
         view.members[member.instance_id] = member
         is_added = True
@@ -69,7 +69,26 @@
             if not missing.instances
         }
         for name in INSTANCE_COUNT_CONSUMERS:
-            view.send(name, InstanceCountChanged(view.instance_count))
+            view.send(
+                name,
+                InstanceCountChanged(view.instance_count, view.near_instance_count),
+            )
+
+
+def is_news(view: CatalogView, member: CatalogMember) -> bool:
+    """
+    Tell whether an instance is unknown here or has changed.
+
+    :param view: state of the catalog.
+    :param member: an instance named by another one or by the store.
+    """
+    if member.instance_id == view.own.instance_id:
+        return False
+    known = view.members.get(member.instance_id)
+    if known is not None and not member.failure_domain:
+        # Records in the store do not name the failure domain.
+        member = member._replace(failure_domain=known.failure_domain)
+    return known != member
 
 
 def on_greeting(view: CatalogView, message: Greeting) -> None:
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -139,6 +139,13 @@
         """Return the number of known instances, this one included."""
         return len(self.members) + 1
 
+    @property
+    def near_instance_count(self) -> int:
+        """Return how many instances are in this failure domain, or may be."""
+        domains = (self.failure_domain, "")
+        near = sum(member.failure_domain in domains for member in self.members.values())
+        return near + 1
+
     def call_at(self, at_ms: float, message: Any) -> int:
         """
         Schedule a message to the catalog itself.
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -105,7 +105,7 @@
         self._sock: socket | None = None
         self._view = CatalogView(
             kernel,
-            CatalogMember(instance_id, *address),
+            CatalogMember(instance_id, *address, failure_domain),
             failure_domain,
             key.encode(),
             decode_configuration,
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -3,6 +3,7 @@
 from cuminhatch.decisions.candidates import (
     WIDENED_COUNTS,
     CandidateCounts,
+    Candidates,
     pick_candidates,
 )
 from cuminhatch.decisions.placement import (
@@ -57,7 +58,7 @@
 
 
 def request_loads(
-    state: ForwardingState, exchange: Exchange, candidates: list[ServerRecord]
+    state: ForwardingState, exchange: Exchange, candidates: Candidates
 ) -> None:
     """Ask candidate servers for their load."""
     measurement_id = next(state.ids)
@@ -65,17 +66,30 @@
     if not exchange.is_hedging:
         exchange.stage = Stage.MEASURING
     state.exchanges_by_measurement[measurement_id] = exchange
+    request = LoadsRequested(
+        NAME,
+        measurement_id,
+        make_load_targets(state, candidates.first),
+        make_load_targets(state, candidates.spare),
+        LOAD_WAIT_MS,
+    )
+    state.send("loads", request)
+
+
+def make_load_targets(
+    state: ForwardingState, records: list[ServerRecord]
+) -> tuple[LoadTarget, ...]:
+    """Return where the health checks of some servers are sent."""
     services = state.configuration.services
-    targets = tuple(
+    return tuple(
         LoadTarget(
             record.server.server_id,
             Address(record.server.host, record.server.port),
             services[record.server.service_id].health_path,
+            record.is_near,
         )
-        for record in candidates
+        for record in records
     )
-    request = LoadsRequested(NAME, measurement_id, targets, LOAD_WAIT_MS)
-    state.send("loads", request)
 
 
 def on_loads_measured(state: ForwardingState, message: LoadsMeasured) -> None:
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -1,11 +1,11 @@
 """Asks backend servers for their load before a request is placed."""
 
-from itertools import count
+from itertools import chain, count
 from typing import NamedTuple
 
 from cuminhatch.codecs.dialect import Dialect
 from cuminhatch.codecs.http1 import Header
-from cuminhatch.decisions.probe_allowance import ProbeAllowance
+from cuminhatch.decisions.probe_allowance import ProbeAllowance, share_probe_budget
 from cuminhatch.decisions.server_records import ServerLoad
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
@@ -60,6 +60,13 @@
     measurement_id: int
 
 
+class _Limit(NamedTuple):
+    """Rate limit of the probes to one server, and whether it is near."""
+
+    allowance: ProbeAllowance
+    is_near: bool
+
+
 class Loads(Service):
     """Owns the probes in progress and their rate limit for each server."""
 
@@ -78,7 +85,9 @@
         self._dialect = dialect
         self._probes_per_s = probes_per_s
         self._instance_count = 1
-        self._allowances: dict[str, ProbeAllowance] = {}
+        self._near_instance_count = 1
+        # By server id.
+        self._limits: dict[str, _Limit] = {}
         self._measurements: dict[int, _Measurement] = {}
         self._probes: dict[int, _Probe] = {}
         self._ids = count(1)
@@ -101,11 +110,23 @@
 
     def _on_instance_count_changed(self, message: InstanceCountChanged) -> None:
         self._instance_count = message.instances
-        self._allowances.clear()
+        self._near_instance_count = message.near_instances
+        self._update_limits()
 
     def _on_settings_changed(self, message: SettingsChanged) -> None:
         self._probes_per_s = message.settings.placement.probes_per_s
-        self._allowances.clear()
+        self._update_limits()
+
+    def _update_limits(self) -> None:
+        # Tokens in use are kept: many instances may join one after the other.
+        now_ms = self.kernel.clock.now_ms
+        for limit in self._limits.values():
+            limit.allowance.set_rate(self._get_share(limit.is_near), now_ms)
+
+    def _get_share(self, is_near: bool) -> float:
+        return share_probe_budget(
+            self._probes_per_s, self._instance_count, self._near_instance_count, is_near
+        )
 
     def _on_loads_requested(self, message: LoadsRequested) -> None:
         now_ms = self.kernel.clock.now_ms
@@ -113,21 +134,32 @@
         timer = self.call_after(message.wait_ms, MeasurementTimedOut(measurement_id))
         measurement = _Measurement(message, timer)
         self._measurements[measurement_id] = measurement
-        for target in message.targets:
-            if self._get_allowance(target.server_id, now_ms).take(now_ms):
-                measurement.pending_probes += 1
-                self._send_probe(target, measurement_id)
+        for target in self._take_allowed_targets(message, now_ms):
+            measurement.pending_probes += 1
+            self._send_probe(target, measurement_id)
         if measurement.pending_probes == 0:
             self._finish(measurement_id)
 
-    def _get_allowance(self, server_id: str, now_ms: float) -> ProbeAllowance:
-        allowance = self._allowances.get(server_id)
-        if allowance is None:
-            allowance = ProbeAllowance(
-                self._probes_per_s / self._instance_count, now_ms
-            )
-            self._allowances[server_id] = allowance
-        return allowance
+    def _take_allowed_targets(
+        self, message: LoadsRequested, now_ms: float
+    ) -> list[LoadTarget]:
+        """Return the servers to probe now, and charge their allowances."""
+        wanted = len(message.targets)
+        allowed: list[LoadTarget] = []
+        for target in chain(message.targets, message.spare_targets):
+            if len(allowed) == wanted:
+                break
+            if self._get_allowance(target, now_ms).take(now_ms):
+                allowed.append(target)
+        return allowed
+
+    def _get_allowance(self, target: LoadTarget, now_ms: float) -> ProbeAllowance:
+        limit = self._limits.get(target.server_id)
+        if limit is None:
+            share = self._get_share(target.is_near)
+            limit = _Limit(ProbeAllowance(share, now_ms), target.is_near)
+            self._limits[target.server_id] = limit
+        return limit.allowance
 
     def _send_probe(self, target: LoadTarget, measurement_id: int) -> None:
         token = next(self._ids)
@@ -196,9 +228,9 @@
     def _on_sweep_timer_expired(self, message: SweepTimerExpired) -> None:
         # An allowance that is full again is the same as a new one.
         now_ms = self.kernel.clock.now_ms
-        self._allowances = {
-            server_id: allowance
-            for server_id, allowance in self._allowances.items()
-            if not allowance.is_full(now_ms)
+        self._limits = {
+            server_id: limit
+            for server_id, limit in self._limits.items()
+            if not limit.allowance.is_full(now_ms)
         }
         self.call_after(SWEEP_INTERVAL_MS, SweepTimerExpired())
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -6,6 +6,7 @@
 from cuminhatch.decisions.candidates import (
     PREFERRED_FAR,
     PREFERRED_NEAR,
+    SPARE_CANDIDATES,
     WIDENED_COUNTS,
     CandidateCounts,
     pick_candidates,
@@ -24,7 +25,9 @@
 
 def test_one_candidate_is_far():
     """Guards against using a near failure domain that is slow as a whole."""
-    picked = pick_candidates(make_service(5, 5), frozenset(), NARROW, NOW_MS, Random(2))
+    picked = pick_candidates(
+        make_service(5, 5), frozenset(), NARROW, NOW_MS, Random(2)
+    ).first
     assert sum(record.is_near for record in picked) == 3
     assert len(picked) == 4
 
@@ -37,11 +40,11 @@
         record.server.server_id
         for record in pick_candidates(
             records, frozenset("a"), NARROW, NOW_MS, Random(3)
-        )
+        ).first
     ]
     assert names == ["b"]
     fallback = pick_candidates(records, frozenset("abc"), NARROW, NOW_MS, Random(3))
-    assert len(fallback) == 2, "the unreachable one is used last"
+    assert len(fallback.first) == 2, "the unreachable one is used last"
 
 
 def test_same_few_servers_are_probed():
@@ -56,7 +59,7 @@
     probed = Counter()
     for _ in range(400):
         picked = pick_candidates(records, frozenset(), NARROW, NOW_MS, rng)
-        probed.update(record.server.server_id for record in picked)
+        probed.update(record.server.server_id for record in picked.first)
     assert len(probed) == PREFERRED_NEAR + PREFERRED_FAR
 
 
@@ -75,7 +78,7 @@
     """Guards against 158 new connections for a single request."""
     picked = pick_candidates(
         make_service(53, 105), frozenset(), WIDENED_COUNTS, NOW_MS, Random(1)
-    )
+    ).first
     assert len(picked) == sum(WIDENED_COUNTS)
     assert sum(record.is_near for record in picked) == WIDENED_COUNTS.near
 
@@ -85,5 +88,17 @@
     for near, far in ((4, 6), (5, 9), (14, 0), (0, 14)):
         picked = pick_candidates(
             make_service(near, far), frozenset(), WIDENED_COUNTS, NOW_MS, Random(1)
-        )
+        ).first
         assert len(picked) == near + far
+
+
+def test_spare_candidates_are_near_and_bounded():
+    """Guards against a far server chosen for want of a probe of a near one."""
+    picked = pick_candidates(
+        make_service(48, 192), frozenset(), CandidateCounts(4, 0), NOW_MS, Random(1)
+    )
+    assert len(picked.first) == 4
+    assert len(picked.spare) == SPARE_CANDIDATES
+    assert all(record.is_near for record in (*picked.first, *picked.spare))
+    names = [record.server.server_id for record in (*picked.first, *picked.spare)]
+    assert len(set(names)) == len(names)
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -101,8 +101,11 @@
 
 
 def read_health(status, headers):
-    """Never called: the fake of ``loads`` sends no health checks."""
-    return HealthCheckMetadata("", status == 200, None)
+    """Read the headers of a health check of the test dialect."""
+    values = dict(headers)
+    running, waiting, slowdown = values[b"load"].split(b",")
+    load = (int(running), int(waiting), 3, float(slowdown))
+    return HealthCheckMetadata(values[b"server"].decode(), status == 200, load)
 
 
 DIALECT = Dialect(read_request, forward_request, read_response, read_health)
@@ -110,10 +113,13 @@
 
 def make_server(server_id, **fields):
     """Return a backend server of service ``s``."""
-    values = {"failure_domain": "here", "slots": 3, "connections": 200} | fields
-    return BackendServer(
-        server_id, "s", "10.0.0.1", 9000 + ord(server_id[-1]), **values
-    )
+    values = {
+        "port": 9000 + ord(server_id[-1]),
+        "failure_domain": "here",
+        "slots": 3,
+        "connections": 200,
+    }
+    return BackendServer(server_id, "s", "10.0.0.1", **(values | fields))
 
 
 class _FakeService(Service):
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -367,7 +367,7 @@
     kinds = [type(message) for message in harness.sent]
     assert kinds.count(CatalogNews) == 1
     assert Greeting in kinds
-    assert InstanceCountChanged(2) in harness.received("forwarding")
+    assert InstanceCountChanged(2, 2) in harness.received("forwarding")
 
 
 def test_unchanged_servers_are_not_published_again(harness):
@@ -574,12 +574,16 @@
 
     An instance that knows too few of the others takes too large a share.
     """
-    members = tuple(CatalogMember(f"front-{n}", "127.0.0.1", n) for n in range(2, 9))
+    members = tuple(
+        CatalogMember(f"front-{n}", "127.0.0.1", n, "here" if n < 4 else "there")
+        for n in range(2, 9)
+    )
     harness.receive_news(11, instances=9)
     request = harness.received("http_client")[-1]
     assert b"members=1" in request.target
     harness.reply(request, CatalogState(None, False, 1, b"", (PEER, *members)))
-    assert InstanceCountChanged(9) in harness.received("forwarding")
+    # The failure domain of PEER is unknown; it counts as near.
+    assert InstanceCountChanged(9, 4) in harness.received("forwarding")
     assert {
         member.instance_id for member in harness.pull(1, 11, members=1).members
     } == {
--- a/tests/services/test_loads.py
+++ b/tests/services/test_loads.py
@@ -20,9 +20,10 @@
 from tests.support import Recorder
 
 TARGETS = tuple(
-    LoadTarget(name, Address("10.0.0.1", 80 + n), "/health")
+    LoadTarget(name, Address("10.0.0.1", 80 + n), "/health", True)
     for n, name in enumerate("ab")
 )
+SPARE_TARGET = LoadTarget("c", Address("10.0.0.1", 82), "/health", True)
 
 
 class World:
@@ -49,8 +50,8 @@
         for _ in range(5):
             self.kernel.tick()
 
-    def measure(self, token=7, wait_ms=12.0):
-        request = LoadsRequested("forwarding", token, TARGETS, wait_ms)
+    def measure(self, token=7, wait_ms=12.0, spare=()):
+        request = LoadsRequested("forwarding", token, TARGETS, spare, wait_ms)
         self.kernel.send("loads", request)
         self.run()
 
@@ -107,7 +108,7 @@
 
 def test_health_checks_stay_within_the_share_of_the_instance(world):
     """Guards against health checks beyond the limit over all instances."""
-    world.kernel.send("loads", InstanceCountChanged(50))
+    world.kernel.send("loads", InstanceCountChanged(50, 50))
     for token in range(40):
         world.measure(token)
     probed_ports = [request.address.port for request in world.client.received]
@@ -118,6 +119,17 @@
     )
 
 
+def test_spare_server_is_probed_instead_of_one_without_allowance(world):
+    """Guards against a placement without a load report in a large fleet."""
+    world.kernel.send("loads", InstanceCountChanged(1_000, 1_000))
+    world.measure(1, spare=(SPARE_TARGET,))
+    assert [request.address.port for request in world.client.received] == [80, 81]
+    world.measure(2, spare=(SPARE_TARGET,))
+    assert [request.address.port for request in world.client.received] == [80, 81, 82]
+    world.measure(3, spare=(SPARE_TARGET,))
+    assert len(world.client.received) == 3
+
+
 @pytest.mark.parametrize("reason", ["connection failed", "connection closed"])
 def test_full_server_is_not_treated_as_failed(world, reason):
     """Guards against healthy servers that all instances leave out at once."""
