Never replace a registration by an older row

Cause: above 500 registrations a read of the table takes two pages, and has the version of the last one. A change of a row of the first page that another reader has sent meanwhile was replaced by the older row until the next read: a draining server got requests again.

Change: a row of an older version does not replace a known one, neither in a read nor in a change from another instance.

Result: tests/decisions/test_catalog.py:: test_older_row_does_not_replace_a_newer_one failed before and passes.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -110,11 +110,14 @@
     changed = []
     for server_id, registration in rows.items():
         known = previous.get(server_id)
-        if known is None or _is_relevant_change(known, registration):
+        if known is not None and (
+            _is_older_row(registration, known)
+            or not _is_relevant_change(known, registration)
+        ):
+            kept[server_id] = known
+        else:
             kept[server_id] = registration
             changed.append(registration)
-        else:
-            kept[server_id] = known
     missing_since_ms = _find_missing_in_grace(catalog, rows, now_ms, is_after_outage)
     kept.update({server_id: previous[server_id] for server_id in missing_since_ms})
     removed = tuple(server_id for server_id in previous if server_id not in kept)
@@ -148,6 +151,16 @@
     return before.server != after.server._replace(warmup_left_ms=warmup_left_ms)
 
 
+def _is_older_row(registration: Registration, known: Registration) -> bool:
+    """
+    Return whether a registration was replaced by the known one.
+
+    A read of several pages has the version of its last page. Another instance
+    may have read a change of a row in between.
+    """
+    return registration.row_version < known.row_version
+
+
 def apply_change(catalog: Catalog, change: CatalogChange) -> Catalog | VersionGap:
     """
     Apply a change that another instance has sent.
@@ -168,7 +181,9 @@
     for server_id in change.removed_ids:
         registrations.pop(server_id, None)
     for registration in change.changed:
-        registrations[registration.server.server_id] = registration
+        known = registrations.get(registration.server.server_id)
+        if known is None or not _is_older_row(registration, known):
+            registrations[registration.server.server_id] = registration
     missing_since_ms = {
         server_id: since_ms
         for server_id, since_ms in catalog.missing_since_ms.items()
--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -4,6 +4,7 @@
     EMPTY_CATALOG,
     EXPIRY_GRACE_MS,
     Catalog,
+    CatalogChange,
     ConfigurationDocument,
     Registration,
     VersionGap,
@@ -109,6 +110,27 @@
     assert apply_change(drained, old) is drained
 
 
+def test_older_row_does_not_replace_a_newer_one():
+    """
+    Guards against a drained server that is in use again.
+
+    A read of several pages has the version of its last page, but its first
+    page may be older than a change that another reader has sent meanwhile.
+    """
+    rows = make_rows("a", "b", version=5)
+    start, change = read(EMPTY_CATALOG, 5, rows)
+    draining = make_rows("a", version=8, is_draining=True)
+    drained = apply_change(start, CatalogChange(5, 9, tuple(draining.values()), ()))
+    assert drained.registrations["a"].server.is_draining
+    merged, change = read(drained, 10, make_rows("a", "b", version=7))
+    assert merged.registrations["a"].server.is_draining
+    assert change.changed == ()
+    older = CatalogChange(9, 11, tuple(make_rows("a", version=7).values()), ())
+    assert apply_change(merged, older).registrations["a"].server.is_draining
+    newer = CatalogChange(9, 12, tuple(make_rows("a", version=12).values()), ())
+    assert not apply_change(merged, newer).registrations["a"].server.is_draining
+
+
 def test_servers_of_unknown_services_are_left_out():
     """Guards against registrations of services that are not configured."""
     catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a"))
