--- a/src/cuminhatch/cli/commands.py
+++ b/src/cuminhatch/cli/commands.py
@@ -1,5 +1,8 @@
 """Table of the commands, and their selection by command line."""
 
+from difflib import get_close_matches
+from typing import NamedTuple
+
 from cuminhatch.cli.explain import plan_explain
 from cuminhatch.cli.losses import plan_losses
 from cuminhatch.cli.plans import (
@@ -16,17 +19,130 @@
     plan_timeline,
 )
 
-COMMANDS: dict[tuple[str, ...], PlanMaker] = {
-    ("note", "check"): plan_note_check,
-    ("note", "submit"): plan_note_submit,
-    ("note", "show"): plan_note_show,
-    ("note", "history"): plan_note_history,
-    ("status",): plan_status,
-    ("timeline",): plan_timeline,
-    ("drain",): plan_drain,
-    ("explain",): plan_explain,
-    ("losses",): plan_losses,
-}
+
+class Command(NamedTuple):
+    """
+    A command, and what its help says.
+
+    ``arguments`` names its arguments, and ``flags`` those flags that only some
+    commands use. ``example`` is a command line without the program name.
+    """
+
+    words: tuple[str, ...]
+    arguments: str
+    summary: str
+    example: str
+    flags: tuple[str, ...]
+    make_plan: PlanMaker
+
+    @property
+    def name(self) -> str:
+        """Return the words of the command, separated by spaces."""
+        return " ".join(self.words)
+
+
+COMMANDS = (
+    Command(
+        ("note", "check"),
+        "FILE",
+        "Check a release note without submitting it.",
+        "note check examples/first-note.toml",
+        (),
+        plan_note_check,
+    ),
+    Command(
+        ("note", "submit"),
+        "FILE",
+        "Submit a release note; the same note twice is one note.",
+        "note submit examples/first-note.toml --daemon 127.0.0.1:8181",
+        ("daemon",),
+        plan_note_submit,
+    ),
+    Command(
+        ("note", "show"),
+        "",
+        "Show the configuration in force on each daemon.",
+        "note show --json",
+        ("daemon",),
+        plan_note_show,
+    ),
+    Command(
+        ("note", "history"),
+        "",
+        "List the accepted notes, the latest last.",
+        "note history --note 12 --limit 20",
+        ("daemon", "note", "limit"),
+        plan_note_history,
+    ),
+    Command(
+        ("status",),
+        "",
+        "Show whether each daemon is ready, and what it waits for.",
+        "status --daemon 127.0.0.1:8081 --daemon 127.0.0.1:8181",
+        ("daemon",),
+        plan_status,
+    ),
+    Command(
+        ("timeline",),
+        "",
+        "Merge the events of all daemons, or those of one request or note.",
+        "timeline --request 9c41d07be2a35f68",
+        ("daemon", "request", "note", "limit"),
+        plan_timeline,
+    ),
+    Command(
+        ("drain",),
+        "",
+        "Stop the daemons gracefully.",
+        "drain --daemon 127.0.0.1:8081",
+        ("daemon",),
+        plan_drain,
+    ),
+    Command(
+        ("explain",),
+        "REQUEST-ID FILE...",
+        "Explain from log files what happened to a request.",
+        "explain 9c41d07be2a35f68 front-1.log front-2.log",
+        (),
+        plan_explain,
+    ),
+    Command(
+        ("losses",),
+        "FILE...",
+        "Count from log files why requests were late, refused or failed.",
+        "losses front-*.log",
+        (),
+        plan_losses,
+    ),
+)
+
+
+def find_command(arguments: list[str]) -> Command:
+    """
+    Return the command that a command line names.
+
+    :param arguments: command line without program name and flags.
+    :raises CommandError: the command is unknown.
+    """
+    for command in COMMANDS:
+        if tuple(arguments[: len(command.words)]) == command.words:
+            return command
+    raise CommandError(describe_unknown_command(arguments))
+
+
+def describe_unknown_command(arguments: list[str]) -> str:
+    """
+    Return an error message that names similar commands.
+
+    :param arguments: command line without program name and flags.
+    """
+    given = " ".join(arguments) or "nothing"
+    names = [command.name for command in COMMANDS]
+    similar = [name for name in names if arguments and name.split()[0] == given]
+    similar = similar or get_close_matches(" ".join(arguments[:2]), names)
+    similar = similar or get_close_matches("".join(arguments[:1]), names)
+    hint = f"did you mean: {', '.join(similar)}?" if similar else "see cuminhatch help"
+    return f"unknown command: {given}; {hint}"
 
 
 def make_plan(options: Options, arguments: list[str]) -> Plan:
@@ -38,9 +154,5 @@
     :raises CommandError: the command is unknown or its arguments are
         invalid.
     """
-    for words, plan_maker in COMMANDS.items():
-        if tuple(arguments[: len(words)]) == words:
-            return plan_maker(options, arguments[len(words) :])
-    known = ", ".join(" ".join(words) for words in COMMANDS)
-    given = " ".join(arguments) or "nothing"
-    raise CommandError(f"unknown command: {given}; known commands are {known}")
+    command = find_command(arguments)
+    return command.make_plan(options, arguments[len(command.words) :])
--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -1,22 +1,21 @@
 """
 Command-line tool for operators.
 
-Commands: note check FILE, note submit FILE, note show, note history, status,
-timeline, drain, explain REQUEST-ID FILE..., losses FILE... The operators' key
-is read from CUMINHATCH_OPERATORS_KEY.
-
-Exit status: 0 success, 1 refused or failed, 2 usage error, 3 outcome unknown.
+``cuminhatch help`` lists the commands, see ``cuminhatch.cli.commands``.
 """
 
 import os
 import sys
+from importlib.metadata import version
 
 import orjson
 from absl import app, flags
 
 from cuminhatch.cli.commands import make_plan
+from cuminhatch.cli.help import FlagHelp, find_help
 from cuminhatch.cli.plan_runner import PlanRunner
 from cuminhatch.cli.plans import (
+    EXIT_SUCCESS,
     EXIT_USAGE,
     CommandError,
     Options,
@@ -31,16 +30,16 @@
 DEFAULT_DAEMON = "127.0.0.1:8081"
 
 DAEMON = flags.DEFINE_multi_string(
-    "daemon", [DEFAULT_DAEMON], "Address of a daemon's operators' port; repeatable."
+    "daemon",
+    [DEFAULT_DAEMON],
+    "Operators' port of a daemon, HOST:PORT. May be repeated.",
 )
 JSON = flags.DEFINE_bool("json", False, "Print JSON instead of text.")
-REQUEST = flags.DEFINE_string(
-    "request", "", "timeline: only events of this request id."
-)
+REQUEST = flags.DEFINE_string("request", "", "Only events of this request id.")
 NOTE = flags.DEFINE_integer(
     "note",
     0,
-    "timeline: only events of this note number; note history: only later notes.",
+    "Only events of this note number, or only notes after it.",
     lower_bound=0,
 )
 LIMIT = flags.DEFINE_integer(
@@ -102,6 +101,50 @@
     return output.status
 
 
+def describe_flags() -> dict[str, FlagHelp]:
+    """Return what the help says of the flags of this tool, by name."""
+    return {
+        holder.name: FlagHelp(
+            flags.FLAGS[holder.name].help.partition(";\n")[0],
+            format_default(holder.default),
+        )
+        for holder in (DAEMON, JSON, REQUEST, NOTE, LIMIT)
+    }
+
+
+def format_default(value: object) -> str:
+    """Return the default value of a flag as help shows it."""
+    if isinstance(value, list):
+        return ", ".join(value)
+    if value is False:
+        return "off"
+    return str(value or "none")
+
+
+def run_help(arguments: list[str]) -> int | None:
+    """
+    Print help or the version if the command line asks for it.
+
+    :param arguments: command line without program name.
+    :returns: exit status, None if it asks for neither.
+    """
+    if arguments == ["--version"]:
+        print(f"cuminhatch {version('cuminhatch')}")
+        return EXIT_SUCCESS
+    try:
+        text = find_help(arguments, describe_flags())
+    except CommandError as error:
+        print(f"cuminhatch: {error}", file=sys.stderr)
+        return EXIT_USAGE
+    if text is None:
+        return None
+    print(text)
+    return EXIT_SUCCESS
+
+
 def main() -> None:
     """Run the command-line tool as a program."""
+    status = run_help(sys.argv[1:])
+    if status is not None:
+        sys.exit(status)
     app.run(run_command)
