Look beyond the preferred servers when none of them has room

Cause: a widened search probed preferred servers only, so requests were refused or sent across failure domains while near servers that this instance does not prefer were idle; with a stable order even the same few each time.

Change: half of the places of a widened search go to other servers at random.

Result: tests/decisions/test_candidates.py:: test_wider_search_looks_beyond_the_preferred_servers failed before. Of test_wider_search_is_bounded, the expected number is near plus far, since the counts have further fields now.

--- a/src/cuminhatch/decisions/candidates.py
+++ b/src/cuminhatch/decisions/candidates.py
@@ -25,10 +25,17 @@
 
 
 class CandidateCounts(NamedTuple):
-    """How many near and far servers to probe."""
+    """
+    How many near and far servers to probe.
+
+    ``explored_near`` and ``explored_far`` of them are chosen at random from
+    those that are not preferred.
+    """
 
     near: int
     far: int
+    explored_near: int = 0
+    explored_far: int = 0
 
 
 # Near servers that may be probed instead of candidates that were probed too
@@ -49,8 +56,10 @@
 
 
 # Servers probed when none of the first candidates can take the request at
-# once. Probing more would open too many new connections for one request.
-WIDENED_COUNTS = CandidateCounts(8, 6)
+# once. Probing more would open too many new connections for one request. Half
+# of them are not preferred: the preferred servers may all be full while
+# others are idle.
+WIDENED_COUNTS = CandidateCounts(8, 6, 4, 3)
 
 
 def preference_key(instance_id: str, server_id: str) -> bytes:
@@ -88,8 +97,10 @@
     available = [r for r in untried if not is_excluded(r, now_ms)]
     pool = available or untried or [r for r in records if not is_excluded(r, now_ms)]
     pool = pool or list(records)
-    near = _shuffle([r for r in pool if r.is_near], PREFERRED_NEAR, rng)
-    far = _shuffle([r for r in pool if not r.is_near], PREFERRED_FAR, rng)
+    near = [r for r in pool if r.is_near]
+    near = _arrange(near, PREFERRED_NEAR, wanted.near, wanted.explored_near, rng)
+    far = [r for r in pool if not r.is_near]
+    far = _arrange(far, PREFERRED_FAR, wanted.far, wanted.explored_far, rng)
     total = wanted.near + wanted.far
     far_count = min(len(far), max(wanted.far, total - len(near)))
     near_count = total - far_count
@@ -99,15 +110,30 @@
     )
 
 
-def _shuffle(
-    records: list[ServerRecord], preferred_count: int, rng: Random
+def _arrange(
+    records: list[ServerRecord],
+    preferred_count: int,
+    wanted_count: int,
+    explored_count: int,
+    rng: Random,
 ) -> list[ServerRecord]:
     """
-    Shuffle the preferred servers, which come first.
+    Return the servers in the order in which they are probed.
 
-    The others stay in the order of preference, so that the same few of them
-    stand in for preferred ones and connections to them stay in use.
+    Preferred ones come first, in random order, but for some places that go to
+    others at random. If no place does, the others stay in the order of
+    preference: the same few of them stand in for preferred ones, so that
+    connections to them stay in use.
     """
     preferred, others = records[:preferred_count], records[preferred_count:]
     rng.shuffle(preferred)
-    return preferred + others
+    if not explored_count:
+        return preferred + others
+    rng.shuffle(others)
+    kept_count = max(0, wanted_count - explored_count)
+    return (
+        preferred[:kept_count]
+        + others[:explored_count]
+        + preferred[kept_count:]
+        + others[explored_count:]
+    )
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -79,10 +79,21 @@
     picked = pick_candidates(
         make_service(53, 105), frozenset(), WIDENED_COUNTS, NOW_MS, Random(1)
     ).first
-    assert len(picked) == sum(WIDENED_COUNTS)
+    assert len(picked) == WIDENED_COUNTS.near + WIDENED_COUNTS.far
     assert sum(record.is_near for record in picked) == WIDENED_COUNTS.near
 
 
+def test_wider_search_looks_beyond_the_preferred_servers():
+    """Guards against requests refused while idle servers are never asked."""
+    records, rng = make_service(48, 192), Random(1)
+    probed = set()
+    for _ in range(10):
+        picked = pick_candidates(records, frozenset(), WIDENED_COUNTS, NOW_MS, rng)
+        probed.update(record.server.server_id for record in picked.first)
+    assert sum(name.startswith("n") for name in probed) >= PREFERRED_NEAR + 12
+    assert sum(name.startswith("f") for name in probed) >= PREFERRED_FAR + 12
+
+
 def test_wider_search_covers_all_of_a_small_service():
     """Guards against an idle server that is not considered."""
     for near, far in ((4, 6), (5, 9), (14, 0), (0, 14)):
