Ask the seeds before the store after a restart, until one of them answers

Cause: after a power failure an instance greets the seeds before they run, reads the registrations itself and then greets no more. In a rolling restart each instance made three calls although the seeds knew everything.

Change: an instance greets until a seed is among the instances it knows, and a restarted one gives the seeds 50 ms before it reads.

--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -52,6 +52,7 @@
     GREETING_INTERVAL_MAX_MS,
     GREETING_INTERVAL_MS,
     INSTANCE_RECORD_DELAY_MS,
+    RESTART_READ_DELAY_MS,
     GreetingDue,
     InstanceRecordDue,
     ReadDue,
@@ -155,23 +156,36 @@
         schedule_read(self._view)
 
     def _greet_seeds(self, message: GreetingDue) -> None:
-        """Greet the seeds until the registrations are known here."""
-        if self._view.catalog.version:
+        """
+        Greet the seeds until one is known and so are the registrations.
+
+        An instance that no seed knows gets no news from the others. It would
+        read the store for itself.
+        """
+        if self._view.catalog.version and self._is_seed_known():
             return
         for seed in self._seeds:
             send_message(self._view, seed, Greeting(self._view.own, (), True))
         later_ms = min(message.interval_ms * 2.0, GREETING_INTERVAL_MAX_MS)
         self.call_after(message.interval_ms, GreetingDue(later_ms))
 
+    def _is_seed_known(self) -> bool:
+        members = self._view.members.values()
+        addresses = {Address(member.host, member.port) for member in members}
+        return not self._seeds or not addresses.isdisjoint(self._seeds)
+
     def _schedule_instance_record(self) -> None:
         delay_ms = 0.0 if self._view.is_seed else INSTANCE_RECORD_DELAY_MS
         self.call_after(delay_ms, InstanceRecordDue())
 
     def _delay_first_read(self) -> None:
-        if self._is_first_start and not self._view.is_seed:
+        if self._view.is_seed:
+            return
+        delay_ms = RESTART_READ_DELAY_MS
+        if self._is_first_start:
             jitter_ms = self._view.rng.random() * FIRST_READ_JITTER_MS
             delay_ms = FIRST_READ_DELAY_MS + jitter_ms
-            self._view.first_read_ms = self._view.clock.now_ms + delay_ms
+        self._view.first_read_ms = self._view.clock.now_ms + delay_ms
 
     def _send_bytes(self, address: Address, data: bytes) -> None:
         try:
