--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -25,7 +25,7 @@
 FIRST_READ_JITTER_MS = 1_000.0
 # Time for a seed to answer an instance that restarts. Pulling its state takes
 # less time than reading the whole table.
-RESTART_READ_DELAY_MS = 50.0
+RESTART_READ_DELAY_MS = 15.0
 
 
 class ReadDue(NamedTuple):
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -550,7 +550,7 @@
     """Guards against callers that wait for seeds that start late."""
     harness = make_harness(seeds=(SEED,))
     assert harness.store.reads == 0
-    harness.advance(50.0)
+    harness.advance(15.0)
     assert harness.store.reads == 1
     assert harness.received(SUPERVISOR)[-1].is_ready
 
