Split the notes service by what its parts do

No behaviour changes: tests/services/test_notes.py and tests/proofs/test_notes_never_revert.py pass as they were, but for the name of a private attribute.

--- a/tests/services/test_notes.py
+++ b/tests/services/test_notes.py
@@ -278,7 +278,7 @@
     instance = start_instance()
     instance.send(NotesRequested("operators", 1, 2, 2))
     assert instance.operators.received[-1] == NotesReplied(1, make_accepted_notes(3, 4))
-    instance.notes._recent_notes.clear()
+    instance.notes._state.recent_notes.clear()
     instance.send(NotesRequested("operators", 2, 0, 2))
     assert instance.operators.received[-1] == NotesReplied(2, make_accepted_notes(1, 2))
 
