--- a/src/cuminhatch/decisions/candidates.py
+++ b/src/cuminhatch/decisions/candidates.py
@@ -40,7 +40,7 @@
 
 # Near servers that may be probed instead of candidates that were probed too
 # often lately.
-SPARE_CANDIDATES = 12
+SPARE_CANDIDATES = 40
 
 
 class Candidates(NamedTuple):
