--- a/src/cuminhatch/services/catalog/_gauges.py
+++ b/src/cuminhatch/services/catalog/_gauges.py
@@ -15,6 +15,7 @@
         "registrations_age_ms": age_ms,
         "registrations_known": len(view.catalog.registrations),
         "instances_known": view.instance_count,
+        "instances_near": view.near_instance_count,
         "store_reader": is_reader,
         "store_lost": view.is_store_unavailable,
     }
