--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -50,12 +50,6 @@
 # Costs are raised at random by up to this share, so that none of several
 # servers with about the same cost is preferred.
 COST_JITTER = 0.02
-# Share of the cost that is taken off if a connection to the server is probably
-# open. It decides between servers that are otherwise alike: a new connection
-# takes time and counts towards the server's limit.
-OPEN_CONNECTION_DISCOUNT = 0.03
-# Most servers keep an idle connection at least this long.
-CONNECTION_OPEN_MS = 5_000.0
 # Share of the time to the deadline that the predicted response may use.
 REMAINING_TIME_SHARE = 0.9
 # Minimum Retry-After: a slot is unlikely to be free earlier. Callers retry
@@ -304,21 +298,6 @@
     return work.is_idempotent or has_queue_space(record, now_ms)
 
 
-def is_connection_reusable(
-    record: ServerRecord, work: RequestProfile, now_ms: float
-) -> bool:
-    """
-    Tell whether a request is likely to need no new connection to a server.
-
-    Requests that are not idempotent always take a new one.
-
-    :param record: the backend server.
-    :param work: the request.
-    :param now_ms: current time.
-    """
-    return work.is_idempotent and now_ms - record.last_success_ms < CONNECTION_OPEN_MS
-
-
 def _find_best(
     records: Sequence[ServerRecord], work: RequestProfile, now_ms: float, rng: Random
 ) -> tuple[ServerRecord, float]:
@@ -328,8 +307,6 @@
     for record in records:
         predicted_ms = predict_latency_ms(record, work, now_ms)
         cost = predicted_ms * (1.0 + COST_JITTER * rng.random())
-        if is_connection_reusable(record, work, now_ms):
-            cost -= predicted_ms * OPEN_CONNECTION_DISCOUNT
         if not record.is_near:
             cost += work.far_charge_ms
         cost += decayed_failure_rate(record, now_ms) * work.target_ms * FAILURE_PENALTY
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -53,7 +53,6 @@
         "in_flight",
         "is_near",
         "is_unhealthy",
-        "last_success_ms",
         "load",
         "sent_since_load",
         "server",
@@ -82,9 +81,6 @@
         self.failure_rate = 0.0
         self.failure_rate_at_ms = 0.0
         self.excluded_until_ms = 0.0
-        # Time of the last successful response, on a connection that may still
-        # be open.
-        self.last_success_ms = float("-inf")
 
 
 def record_load(record: ServerRecord, load: ServerLoad) -> None:
@@ -130,7 +126,6 @@
     record.failure_rate_at_ms = now_ms
     record.failures = 0
     record.excluded_until_ms = 0.0
-    record.last_success_ms = now_ms
 
 
 def record_failure(record: ServerRecord, now_ms: float) -> None:
