Deliver due timers only after the sockets have been read

Cause: in each tick, timers were sent to the mailbox before the sockets were polled. An instance that had been frozen, or kept off its processor, timed out requests whose responses were waiting in its sockets, and started hedges and searches for them.

Change: a timer that is due is sent after the sockets have been polled once more and the messages from them have been delivered.

--- a/src/cuminhatch/kernel/_timers.py
+++ b/src/cuminhatch/kernel/_timers.py
@@ -25,6 +25,11 @@
 
     One component holds the timers of the whole process, because ``circuits``
     visits each of its own timers on every tick.
+
+    A timer that is due waits until the sockets have been polled once more and
+    their messages have been delivered. After a pause of the process, for
+    example, a response that has arrived meanwhile is handled before the
+    timeout of its request.
     """
 
     channel = "deadlines"
@@ -42,6 +47,8 @@
         self._heap: list[Timer] = []
         self._active_tokens: set[int] = set()
         self._tokens = count(1)
+        # Time of the last tick; the sockets have been polled since.
+        self._polled_ms = float("-inf")
 
     def add(self, at_ms: float, service: str, message: Any) -> int:
         """
@@ -71,20 +78,31 @@
                 timer for timer in self._heap if timer.token in self._active_tokens
             )
 
+    # Runs after the mailbox has delivered the messages of the last poll, and
+    # before the next poll.
     @handler("generate_events")
     def _on_generate_events(self, event: Any) -> None:
-        heap = self._heap
-        while heap and heap[0].token not in self._active_tokens:
-            heappop(heap)
-        if not heap:
-            return
         now_ms = self._clock.now_ms
-        if heap[0].at_ms > now_ms:
-            event.reduce_time_left((heap[0].at_ms - now_ms) / MS_PER_SECOND)
-            return
-        while heap and heap[0].at_ms <= now_ms:
+        is_sent = self._send_due(self._polled_ms)
+        self._polled_ms = now_ms
+        next_ms = now_ms if is_sent else self._find_next_ms()
+        if next_ms is not None:
+            left_ms = max(0.0, next_ms - now_ms)
+            event.reduce_time_left(left_ms / MS_PER_SECOND)
+
+    def _send_due(self, until_ms: float) -> bool:
+        heap = self._heap
+        is_sent = False
+        while heap and heap[0].at_ms <= until_ms:
             timer = heappop(heap)
             if timer.token in self._active_tokens:
                 self._active_tokens.discard(timer.token)
                 self._send(timer.service, timer.message)
-        event.reduce_time_left(0)
+                is_sent = True
+        return is_sent
+
+    def _find_next_ms(self) -> float | None:
+        heap = self._heap
+        while heap and heap[0].token not in self._active_tokens:
+            heappop(heap)
+        return heap[0].at_ms if heap else None
--- a/tests/kernel/test_kernel.py
+++ b/tests/kernel/test_kernel.py
@@ -1,5 +1,6 @@
 """Tests of message delivery, timers and failed handlers."""
 
+from socket import socketpair
 from threading import Thread
 from typing import NamedTuple
 
@@ -80,6 +81,45 @@
     assert recorder.received == [Ping(1), Ping(2)]
 
 
+class SocketReader(Recorder):
+    """Sends itself a message when its socket is readable."""
+
+    def __init__(self, kernel, name, sock, on_readable):
+        super().__init__(kernel, name, Ping)
+        self.sock = sock
+        self.on_readable = on_readable
+
+    def open(self):
+        self.watch_read(self.sock, self._read)
+
+    def _read(self):
+        self.sock.recv(16)
+        self.send(self.name, Ping(1))
+        self.on_readable()
+
+
+@pytest.mark.parametrize("is_cancelled", [False, True])
+def test_data_that_arrived_during_a_pause_comes_before_timers(kernel, is_cancelled):
+    """Guards against a timeout while the response waits in the socket."""
+    near, far = socketpair()
+    with near, far:
+        token = kernel.call_at(10, "reader", Ping(2))
+
+        def on_readable():
+            if is_cancelled:
+                kernel.cancel(token)
+
+        reader = kernel.register(SocketReader(kernel, "reader", near, on_readable))
+        reader.open()
+        run_ticks(kernel, 3)
+        far.send(b"response")
+        kernel.clock.advance(5_000)
+        run_ticks(kernel, 5)
+        kernel.poller.unwatch(near.fileno())
+    expected = [Ping(1)] if is_cancelled else [Ping(1), Ping(2)]
+    assert reader.received == expected
+
+
 def test_duplicate_service_name_is_rejected(kernel, recorder):
     """Guards against two services registered under one name."""
     with pytest.raises(KernelError):
