Refuse repeated responses of the store, and date a paged read by its first page

Causes, found by reading: a second copy of an earlier response of the metadata store, on a connection in use again, was taken for the response to the next call, for example the configuration for an empty list of servers. A read of several pages (above 500 registrations, as on the large fleet) had the version of its last page, so a server removed meanwhile, and known to be by another reader, was in use again until the next read. Pages without end filled the memory.

Change: a response counts only if its rows are of the range that was read and its version is not below one known when the call was made; a read has the version of its first page, and at most 100,000 rows.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -155,8 +155,7 @@
     """
     Return whether a registration was replaced by the known one.
 
-    A read of several pages has the version of its last page. Another instance
-    may have read a change of a row in between.
+    Another instance may have sent a newer row than the one that was read.
     """
     return registration.row_version < known.row_version
 
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -35,6 +35,9 @@
 # Written by the daemons, unlike the other tables.
 INSTANCES_TABLE = "instances"
 ROWS_PER_READ = 500
+# More than the servers and instances of the size that the system is designed
+# for; a store in trouble may send pages without end.
+ROWS_PER_TABLE_MAX = 100_000
 # Sorts after all keys of the platform.
 LAST_KEY = "\U0010ffff"
 # Well above the store's response time: 4 ms, or about 250 ms when it is slow.
@@ -45,21 +48,62 @@
 class _Row(NamedTuple):
     """One row of a table."""
 
+    table: str
     key: str
     value: bytes
     version: int
 
 
+class _Page(NamedTuple):
+    """One response to a paged read."""
+
+    rows: list[_Row]
+    has_more: bool
+    version: int
+
+
 class _RangeRead:
-    """State of a paged read of a key range."""
+    """
+    State of a paged read of a key range.
+
+    ``version`` is that of its first page: rows of that page may have changed
+    by the time a later page is read.
+    """
 
     def __init__(self, request: Any, table: str, first_key: str, end_key: str) -> None:
         self.request = request
         self.table = table
         self.first_key = first_key
         self.end_key = end_key
+        self.version: int | None = None
         self.rows: list[_Row] = []
 
+    def add_page(self, page: _Page, known_version: int) -> None:
+        """
+        Add the rows of a page.
+
+        :param page: the page received.
+        :param known_version: version of the store known when the page was
+            requested. The store is linearizable, so a response of an older
+            version, or with rows of another range, belongs to another call.
+        :raises DocumentError: the page is not one of this read.
+        """
+        keys = [row.key for row in page.rows]
+        is_other_range = any(
+            row.table != self.table or row.key < self.first_key for row in page.rows
+        )
+        if page.version < known_version or is_other_range:
+            raise DocumentError("response of another call")
+        if page.has_more and not keys:
+            raise DocumentError("page without rows")
+        if len(self.rows) + len(keys) > ROWS_PER_TABLE_MAX:
+            raise DocumentError("too many rows")
+        self.rows += page.rows
+        if self.version is None:
+            self.version = page.version
+        if keys:
+            self.first_key = keys[-1] + "\0"
+
 
 class PlatformStore(Service):
     """Service that reads and writes the store on request."""
@@ -77,6 +121,8 @@
         self._address = address
         self._pending_calls: dict[int, Callable[[HttpReplied | HttpFailed], None]] = {}
         self._tokens = count(1)
+        # Highest version of the store in a response so far.
+        self._known_version = 0
 
     def message_handlers(self) -> MessageTable:
         """Return the handlers of the messages of other services."""
@@ -95,7 +141,7 @@
         range_read = _RangeRead(message, SERVERS_TABLE, "", LAST_KEY)
         self._read(range_read, self._finish_registrations)
 
-    def _finish_registrations(self, range_read: _RangeRead, version: int) -> None:
+    def _finish_registrations(self, range_read: _RangeRead) -> None:
         registrations = {}
         refused = []
         for row in range_read.rows:
@@ -108,7 +154,9 @@
         request = range_read.request
         self.send(
             request.reply_to,
-            RegistrationsRead(request.token, version, registrations, tuple(refused)),
+            RegistrationsRead(
+                request.token, range_read.version, registrations, tuple(refused)
+            ),
         )
 
     def _on_configuration_requested(self, message: ConfigurationRequested) -> None:
@@ -116,7 +164,7 @@
         range_read = _RangeRead(message, OPERATOR_TABLE, CONFIGURATION_KEY, end_key)
         self._read(range_read, self._finish_configuration)
 
-    def _finish_configuration(self, range_read: _RangeRead, version: int) -> None:
+    def _finish_configuration(self, range_read: _RangeRead) -> None:
         document = range_read.rows[0].value if range_read.rows else b""
         request = range_read.request
         self.send(request.reply_to, ConfigurationRead(request.token, document))
@@ -125,7 +173,7 @@
         range_read = _RangeRead(message, INSTANCES_TABLE, "", LAST_KEY)
         self._read(range_read, self._finish_instance_records)
 
-    def _finish_instance_records(self, range_read: _RangeRead, version: int) -> None:
+    def _finish_instance_records(self, range_read: _RangeRead) -> None:
         members = {}
         for row in range_read.rows:
             address = parse_address(row.value.decode("latin-1"))
@@ -135,8 +183,9 @@
         self.send(request.reply_to, InstanceRecordsRead(request.token, members))
 
     def _read(
-        self, range_read: _RangeRead, finish: Callable[[_RangeRead, int], None]
+        self, range_read: _RangeRead, finish: Callable[[_RangeRead], None]
     ) -> None:
+        known_version = self._known_version
         target = (
             f"/rows-get?table={range_read.table}&part="
             f"&from={quote(range_read.first_key)}&to={quote(range_read.end_key)}"
@@ -144,12 +193,13 @@
         )
 
         def handle_page(response: dict[str, Any]) -> None:
-            range_read.rows += [_decode_row(row) for row in response["rows"]]
-            if response["has-more"]:
-                range_read.first_key = range_read.rows[-1].key + "\0"
+            page = _decode_page(response)
+            range_read.add_page(page, known_version)
+            self._known_version = max(self._known_version, page.version)
+            if page.has_more:
                 self._read(range_read, finish)
             else:
-                finish(range_read, response["ver"])
+                finish(range_read)
 
         self._call(range_read.request, b"GET", target, b"", handle_page)
 
@@ -225,5 +275,10 @@
     return orjson.loads(reply.body)
 
 
+def _decode_page(response: dict[str, Any]) -> _Page:
+    rows = [_decode_row(row) for row in response["rows"]]
+    return _Page(rows, bool(response["has-more"]), int(response["ver"]))
+
+
 def _decode_row(row: dict[str, Any]) -> _Row:
-    return _Row(row["key"], b64decode(row["value"]), row["ver"])
+    return _Row(row["table"], row["key"], b64decode(row["value"]), row["ver"])
--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -114,8 +114,8 @@
     """
     Guards against a drained server that is in use again.
 
-    A read of several pages has the version of its last page, but its first
-    page may be older than a change that another reader has sent meanwhile.
+    The change that another reader has sent may be newer than a row that was
+    read.
     """
     rows = make_rows("a", "b", version=5)
     start, change = read(EMPTY_CATALOG, 5, rows)
--- a/tests/proofs/fakes.py
+++ b/tests/proofs/fakes.py
@@ -148,8 +148,12 @@
 
 
 def run_until_idle(kernel: Kernel) -> None:
-    """Tick until no message is left, with the timers that have expired."""
+    """
+    Tick until no message is left, with the timers that have expired.
+
+    The kernel polls before it sends what is due, and delivers it after that.
+    """
     idle = 0
-    while idle < 2:
+    while idle < 3:
         kernel.tick()
         idle = 0 if len(kernel.root) else idle + 1
--- a/tests/services/test_pause.py
+++ b/tests/services/test_pause.py
@@ -1,4 +1,4 @@
-"""An instance that was paused while its requests ran on, over real connections."""
+"""Instances that were paused while their requests ran on."""
 
 import pytest
 
@@ -18,7 +18,7 @@
 
 @pytest.mark.parametrize("kind", ["read", "write"])
 def test_response_that_arrived_during_a_pause_is_delivered(front_end, kind):
-    """Guards against work that is given up, or started again, after a pause."""
+    """Guards against work given up, or started again, after a pause."""
     front_end.request(kind)
     peer = front_end.accept()
     given_id = front_end.receive(peer)
