Accept the callers that wait at the connection limit when a drain begins

Cause: callers beyond the limit of connections wait in the listen queue. A planned stop closed the listening socket and reset them, with their requests sent.

Result: test_drain_serves_callers_that_waited_for_a_connection failed before.

--- a/src/cuminhatch/services/http_listener/service.py
+++ b/src/cuminhatch/services/http_listener/service.py
@@ -134,6 +134,10 @@
         """Return the number of requests in progress."""
         return len(self._state.connections_by_request)
 
+    @property
+    def _has_capacity(self) -> bool:
+        return self.connection_count < self._state.limits.max_connections
+
     def open(self) -> None:
         """
         Open the listening socket.
@@ -148,9 +152,9 @@
 
     def _accept(self) -> None:
         for _ in range(ACCEPTS_PER_EVENT):
-            if self.connection_count >= self._state.limits.max_connections:
+            if not self._state.is_draining and not self._has_capacity:
                 # Further callers wait in the listen queue until a connection
-                # closes.
+                # closes. A drain accepts them all.
                 self.unwatch_read(self._sock)
                 return
             try:
@@ -198,8 +202,7 @@
         self._report_drained()
 
     def _resume_accepting(self) -> None:
-        has_capacity = self.connection_count < self._state.limits.max_connections
-        if self._sock is not None and has_capacity:
+        if self._sock is not None and self._has_capacity:
             self.watch_read(self._sock, self._accept)
 
     def _on_drain_announced(self, message: DrainAnnounced) -> None:
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -467,6 +467,22 @@
     assert harness.listener.connection_count == harness.listener.exchange_count == 0
 
 
+def test_drain_serves_callers_that_waited_for_a_connection():
+    """Guards against callers at the limit that a planned stop cuts off."""
+    harness = Harness(max_connections=1)
+    busy = harness.begin(GET % 1)
+    waiting = harness.connect(GET % 2)
+    run_ticks(harness.kernel)
+    assert harness.listener.connection_count == 1
+    harness.send(DrainStarted())
+    run_until(harness.kernel, lambda: harness.listener.exchange_count == 2)
+    for request_id, peer in enumerate((busy, waiting), start=1):
+        harness.target.respond(request_id, b"last")
+        peer.run_until(lambda peer=peer: peer.is_closed)
+        assert peer.received.endswith(b"last")
+        assert not peer.is_reset
+
+
 def test_drain_closes_connections_that_never_send():
     """Guards against a drain that waits for callers without a request."""
     harness = Harness(drain_first_request_timeout_ms=1000)
