--- a/src/cuminhatch/codecs/claim_json.py
+++ b/src/cuminhatch/codecs/claim_json.py
@@ -7,7 +7,7 @@
 from base64 import b64decode, b64encode
 from typing import Any
 
-from cuminhatch.decisions.idempotency import (
+from cuminhatch.decisions.claims import (
     CLAIMED,
     RAN,
     UNREADABLE,
--- a/src/cuminhatch/messages/claims.py
+++ b/src/cuminhatch/messages/claims.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from cuminhatch.decisions.idempotency import StoredResponse
+from cuminhatch.decisions.claims import StoredResponse
 from cuminhatch.outcomes import Outcome
 
 
--- a/src/cuminhatch/services/backends.py
+++ b/src/cuminhatch/services/backends.py
@@ -4,14 +4,12 @@
 from math import inf
 from typing import NamedTuple
 
-from cuminhatch.codecs.http1 import (
-    LAST_CHUNK,
+from cuminhatch.codecs.http1 import LAST_CHUNK, encode_chunk, encode_request_head
+from cuminhatch.codecs.http1_parsers import (
     BodyParsed,
     HeadParsed,
     MessageParsed,
     ResponseParser,
-    encode_chunk,
-    encode_request_head,
 )
 from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION
 from cuminhatch.decisions.limits import connection_share
--- a/src/cuminhatch/services/claims.py
+++ b/src/cuminhatch/services/claims.py
@@ -9,13 +9,12 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.codecs.claim_json import decode_claim_row, encode_claim_row
-from cuminhatch.decisions.idempotency import (
+from cuminhatch.decisions.claims import (
     ENDED,
     HELD,
     STORING,
     Action,
     Claim,
-    ClaimDecisions,
     ClaimRowFound,
     ClaimRowWritten,
     EndRequest,
@@ -27,8 +26,8 @@
     StoredResponse,
     Transition,
     WriteRow,
-    claim_row_key,
 )
+from cuminhatch.decisions.idempotency import ClaimDecisions, claim_row_key
 from cuminhatch.decisions.platform import (
     Committed,
     Mismatched,
--- a/src/cuminhatch/services/dispatch/_request.py
+++ b/src/cuminhatch/services/dispatch/_request.py
@@ -5,8 +5,8 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
+from cuminhatch.decisions.claims import StoredResponse
 from cuminhatch.decisions.configuration import Rule
-from cuminhatch.decisions.idempotency import StoredResponse
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.decisions.servers import ServerView
 from cuminhatch.messages import RequestReceived
--- a/src/cuminhatch/services/dispatch/_responses.py
+++ b/src/cuminhatch/services/dispatch/_responses.py
@@ -1,7 +1,7 @@
 """Builds the responses that are sent to callers."""
 
 from cuminhatch.codecs.http1 import Header, ResponseHead
-from cuminhatch.decisions.idempotency import StoredResponse
+from cuminhatch.decisions.claims import StoredResponse
 from cuminhatch.messages import AttemptResponse, ResponseStarted
 from cuminhatch.outcomes import (
     OUTCOME_HEADER,
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -5,16 +5,18 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import (
-    BodyParsed,
     Header,
-    HeadParsed,
-    MessageParsed,
     RequestHead,
     ResponseHead,
-    ResponseParser,
     encode_request_head,
     find_header,
 )
+from cuminhatch.codecs.http1_parsers import (
+    BodyParsed,
+    HeadParsed,
+    MessageParsed,
+    ResponseParser,
+)
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.services._stream import Stream, open_connection
--- a/src/cuminhatch/services/http_listener/_requests.py
+++ b/src/cuminhatch/services/http_listener/_requests.py
@@ -1,13 +1,11 @@
 """Reads requests and forwards them to the target service."""
 
-from cuminhatch.codecs.http1 import (
+from cuminhatch.codecs.http1 import Header, ResponseHead, encode_response_head
+from cuminhatch.codecs.http1_parsers import (
     BodyParsed,
     FramingError,
-    Header,
     HeadParsed,
     MessageParsed,
-    ResponseHead,
-    encode_response_head,
 )
 from cuminhatch.messages import (
     CallerDisconnected,
--- a/src/cuminhatch/services/http_listener/_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.clock import Clock
-from cuminhatch.codecs.http1 import HeadParsed, ParserEvent, RequestParser
+from cuminhatch.codecs.http1_parsers import HeadParsed, ParserEvent, RequestParser
 from cuminhatch.messages import (
     RequestRefused,
     ResponseAborted,
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -5,18 +5,20 @@
 
 from cuminhatch.codecs.http1 import (
     LAST_CHUNK,
-    BodyParsed,
     Header,
-    HeadParsed,
-    MessageParsed,
     RequestHead,
-    RequestParser,
     ResponseHead,
-    ResponseParser,
     encode_chunk,
     encode_request_head,
     encode_response_head,
 )
+from cuminhatch.codecs.http1_parsers import (
+    BodyParsed,
+    HeadParsed,
+    MessageParsed,
+    RequestParser,
+    ResponseParser,
+)
 
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
--- a/tests/codecs/test_malformed_input.py
+++ b/tests/codecs/test_malformed_input.py
@@ -19,13 +19,8 @@
     peers_thrift,
     platform as platform_codec,
 )
-from cuminhatch.codecs.http1 import (
-    Header,
-    RequestHead,
-    RequestParser,
-    ResponseHead,
-    ResponseParser,
-)
+from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
+from cuminhatch.codecs.http1_parsers import RequestParser, ResponseParser
 from cuminhatch.codecs.signing import sign_payload
 from cuminhatch.errors import CodecError
 from cuminhatch.platform.documents import decode_configuration, decode_server
--- a/tests/decisions/test_idempotency.py
+++ b/tests/decisions/test_idempotency.py
@@ -3,13 +3,11 @@
 import pytest
 
 from cuminhatch.codecs.claim_json import decode_claim_row, encode_claim_row
-from cuminhatch.decisions.idempotency import (
+from cuminhatch.decisions.claims import (
     CLAIMED,
     CLAIMING,
     ENDED,
     HELD,
-    INLINE_BODY_BYTES,
-    KEPT_BODY_BYTES,
     RAN,
     SETTLING,
     UNREADABLE,
@@ -27,6 +25,10 @@
     ResponseReference,
     StoredResponse,
     WriteRow,
+)
+from cuminhatch.decisions.idempotency import (
+    INLINE_BODY_BYTES,
+    KEPT_BODY_BYTES,
     abandon_claim,
     begin_claim,
     on_deadline,
--- a/tests/proofs/test_at_most_once.py
+++ b/tests/proofs/test_at_most_once.py
@@ -17,15 +17,13 @@
 )
 
 from cuminhatch.codecs.claim_json import decode_claim_row
-from cuminhatch.decisions.idempotency import (
+from cuminhatch.decisions.claims import (
     CLAIMED,
     CLAIMING,
     ENDED,
-    KEPT_BODY_BYTES,
     SETTLING,
     VOIDING,
     WAITING,
-    ClaimDecisions,
     ClaimRowFound,
     ClaimRowWritten,
     EndRequest,
@@ -35,6 +33,10 @@
     StoredResponse,
     Transition,
     WriteRow,
+)
+from cuminhatch.decisions.idempotency import (
+    KEPT_BODY_BYTES,
+    ClaimDecisions,
     begin_claim,
     on_object_fetched,
     on_read_result,
--- a/tests/services/test_claims.py
+++ b/tests/services/test_claims.py
@@ -2,7 +2,8 @@
 
 import pytest
 
-from cuminhatch.decisions.idempotency import INLINE_BODY_BYTES, StoredResponse
+from cuminhatch.decisions.claims import StoredResponse
+from cuminhatch.decisions.idempotency import INLINE_BODY_BYTES
 from cuminhatch.messages import (
     ClaimAbandoned,
     ClaimCompleted,
--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -5,7 +5,7 @@
 import pytest
 
 from cuminhatch.codecs.http1 import Header, ResponseHead, find_header
-from cuminhatch.decisions.idempotency import StoredResponse
+from cuminhatch.decisions.claims import StoredResponse
 from cuminhatch.decisions.permits import Permit
 from cuminhatch.messages import (
     AttemptCancelled,
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -6,7 +6,7 @@
 import pytest
 
 from cuminhatch import ManualClock
-from cuminhatch.codecs.http1 import MAX_HEAD_BYTES
+from cuminhatch.codecs.http1_parsers import MAX_HEAD_BYTES
 from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.messages import (
     Address,
