Send load probes over the connections of requests

Cause: probes had connections of their own, so an instance of a large fleet opened two connections to each server: one to ask for its load and, a moment later, one for the request.

Change: loads sends its probes through backends, whose pool serves both; the request that follows finds the connection that the probe has just used. Because a faulty server may repeat a response on such a connection, a response with a request id is no answer to a probe, and its connection is closed; requests take responses without an id only on unused connections, as before.

Ruled out: a preference for servers with an open connection, which starves new servers.

--- a/src/cuminhatch/codecs/dialect.py
+++ b/src/cuminhatch/codecs/dialect.py
@@ -62,11 +62,17 @@
 
 
 class HealthCheckMetadata(NamedTuple):
-    """Metadata from a health check response; the server reports its own id."""
+    """
+    Metadata from a health check response; the server reports its own id.
+
+    ``has_request_id`` is set if the response claims to belong to a request: a
+    faulty server may repeat an earlier response in place of this one.
+    """
 
     server_id: str
     is_healthy: bool
     load: ReportedLoad | None
+    has_request_id: bool = False
 
 
 class ForwardingMetadata(NamedTuple):
--- a/src/cuminhatch/messages/loads.py
+++ b/src/cuminhatch/messages/loads.py
@@ -1,8 +1,9 @@
 """
 Messages between ``forwarding`` and ``loads``, which measures load.
 
-Both run in a gateway, which measures load by health checks. In a daemon,
-``probes`` does it by probes; see ``cuminhatch.messages.peers``.
+``loads`` sends its probes through ``backends``, whose replies are those of
+``http_client``. It runs in a gateway, which measures load by health checks. In
+a daemon, ``probes`` does it by probes; see ``cuminhatch.messages.peers``.
 """
 
 from typing import NamedTuple
@@ -39,6 +40,33 @@
     wait_ms: float
 
 
+class ProbeRequested(NamedTuple):
+    """
+    A load probe is to be sent to a backend server.
+
+    ``timeout_ms`` limits the time until the response is complete.
+    """
+
+    reply_to: str
+    token: int
+    server_id: str
+    address: Address
+    path: str
+    timeout_ms: float
+
+
+class ProbeResponseRejected(NamedTuple):
+    """
+    The response to a probe belongs to another request.
+
+    The own one may still follow, so the connection is to be closed as long as
+    no other attempt uses it.
+    """
+
+    requester: str
+    token: int
+
+
 class HealthCheckAnswered(NamedTuple):
     """
     A backend server has answered a health check.
--- a/src/cuminhatch/platform/headers.py
+++ b/src/cuminhatch/platform/headers.py
@@ -124,12 +124,15 @@
     """
     server_id = ""
     load = None
+    has_request_id = False
     for name, value in headers:
         if name == INSTANCE_ID:
             server_id = value.strip().decode("latin-1")
         elif name == BACKEND_LOAD:
             load = parse_load(value)
-    return HealthCheckMetadata(server_id, status == STATUS_OK, load)
+        elif name == ATTEMPT_ID:
+            has_request_id = True
+    return HealthCheckMetadata(server_id, status == STATUS_OK, load, has_request_id)
 
 
 # Every response has a load header, with few distinct values.
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -4,7 +4,6 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.dialect import Dialect
-from cuminhatch.codecs.http1 import Header
 from cuminhatch.decisions.probe_allowance import ProbeAllowance, share_probe_budget
 from cuminhatch.decisions.server_records import ServerLoad
 from cuminhatch.kernel import Kernel, MessageTable, Service
@@ -14,8 +13,8 @@
     HttpReplied,
     SettingsChanged,
 )
+from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.messages.catalog import InstanceCountChanged
-from cuminhatch.messages.http_client import PROBE_RESPONSE_MAX_BYTES, HttpRequested
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
@@ -23,6 +22,8 @@
     LoadsMeasured,
     LoadsRequested,
     LoadTarget,
+    ProbeRequested,
+    ProbeResponseRejected,
 )
 from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
 
@@ -165,26 +166,24 @@
         token = next(self._ids)
         self._probes[token] = _Probe(target.server_id, measurement_id)
         self.send("metrics", CounterIncremented("probes_total", {}))
-        host = f"{target.address.host}:{target.address.port}"
-        self.send(
-            "http_client",
-            HttpRequested(
-                self.name,
-                token,
-                target.address,
-                b"GET",
-                target.path.encode(),
-                (Header(b"host", host.encode()),),
-                b"",
-                PROBE_TIMEOUT_MS,
-                is_retryable=False,
-                response_max_bytes=PROBE_RESPONSE_MAX_BYTES,
-            ),
+        request = ProbeRequested(
+            self.name,
+            token,
+            target.server_id,
+            target.address,
+            target.path,
+            PROBE_TIMEOUT_MS,
         )
+        self.send("backends", request)
 
     def _on_http_replied(self, message: HttpReplied) -> None:
         probe = self._probes.pop(message.token)
         facts = self._dialect.read_health(message.status, message.headers)
+        if facts.has_request_id:
+            self.send("backends", ProbeResponseRejected(self.name, message.token))
+            reason = "response of another request"
+            self._report(probe, HealthCheckFailed(probe.server_id, False, reason))
+            return
         if facts.server_id and facts.server_id != probe.server_id:
             silent = HealthCheckFailed(probe.server_id, True, "another server answers")
             self._report(probe, silent)
@@ -200,6 +199,10 @@
         probe = self._probes.pop(message.token)
         self.send("metrics", CounterIncremented("probe_failures_total", {}))
         reason = message.reason
+        if reason == CONNECTION_LIMIT:
+            # This says nothing about the server.
+            self._end_probe(probe)
+            return
         if reason in (CONNECTION_FAILED, CONNECTION_CLOSED):
             self._report(probe, HealthCheckConnectionClosed(probe.server_id, reason))
             return
@@ -207,9 +210,12 @@
         self._report(probe, HealthCheckFailed(probe.server_id, is_unreachable, reason))
 
     def _report(self, probe: _Probe, observation: Observation) -> None:
-        measurement = self._measurements.get(probe.measurement_id)
         # Observations are also used after the end of their measurement.
         self.send("forwarding", observation)
+        self._end_probe(probe)
+
+    def _end_probe(self, probe: _Probe) -> None:
+        measurement = self._measurements.get(probe.measurement_id)
         if measurement is not None:
             measurement.pending_probes -= 1
             if measurement.pending_probes == 0:
--- a/tests/proofs/test_connection_share.py
+++ b/tests/proofs/test_connection_share.py
@@ -148,7 +148,7 @@
     def end(self, instance):
         harness = self.harnesses[instance]
         backends = harness.backends
-        idle = [c for connections in backends._idle.values() for c in connections]
+        idle = backends._pool.idle_connections
         for connection in [*backends._by_attempt.values(), *idle]:
             connection.stream.close()
         harness.close()
@@ -186,11 +186,10 @@
     """Leaves the connection of a cancelled attempt open and uncounted."""
 
     def _on_attempt_cancelled(self, message):
-        connection = self._by_attempt.pop(message.attempt_id, None)
+        connection = self._find(message.attempt_id)
         if connection is not None:
-            self.kernel.cancel(connection.attempt.timer)
-            connection.attempt = None
-            self._open_counts[connection.key.server_id] -= 1
+            self._detach(connection, connection.attempt)
+            self._pool._open_counts[connection.key.server_id] -= 1
 
 
 def test_connections_of_all_instances_stay_within_the_limit():
@@ -214,7 +213,7 @@
 def test_whole_limit_for_each_is_caught(monkeypatch):
     """Guards against a proof that passes any share of the limit."""
     # Both services enforce the share; either alone keeps the limit.
-    for module in ("dispatch._pool", "backends"):
+    for module in ("dispatch._pool", "backends._pool"):
         name = f"cuminhatch.services.{module}.connection_share"
         monkeypatch.setattr(name, lambda connections, _: connections)
     with pytest.raises(AssertionError, match="too many"):
--- a/tests/services/test_large_fleet.py
+++ b/tests/services/test_large_fleet.py
@@ -1,13 +1,14 @@
 """Tests of one instance of a large fleet, with its share of the budgets."""
 
+from functools import partial
 from random import Random
 
 import pytest
 
 from cuminhatch.codecs.http1 import Header
-from cuminhatch.kernel import Service
-from cuminhatch.messages import Address, HttpReplied, HttpRequested
+from cuminhatch.messages import HttpReplied
 from cuminhatch.messages.catalog import InstanceCountChanged
+from cuminhatch.messages.loads import ProbeRequested
 from cuminhatch.services.loads import Loads
 from tests.services.forwarding_world import DIALECT, ForwardingWorld, make_server
 
@@ -25,26 +26,26 @@
 SERVER_IDLE_TIMEOUT_MS = 10_000.0
 
 
-class HealthChecks(Service):
+class HealthChecks:
     """Answers health checks; a quarter of the servers is slow at any time."""
 
-    def __init__(self, kernel, servers):
-        super().__init__(kernel, "http_client")
-        self._servers = {Address(s.host, s.port): s for s in servers}
+    def __init__(self, kernel):
+        self._kernel = kernel
         self.probed = []
 
     def get_slowdown(self, server_id):
         """Return the slowdown of a server at this moment."""
-        period = int(self.kernel.clock.now_ms / 1_000.0 / SPEED_PERIOD_S)
+        period = int(self._kernel.clock.now_ms / 1_000.0 / SPEED_PERIOD_S)
         is_slow = Random(f"{server_id} {period}").random() < SLOW_SHARE
         return SLOWDOWN if is_slow else 1.0
 
-    def deliver(self, message: HttpRequested):
-        server_id = self._servers[message.address].server_id
-        self.probed.append((self.kernel.clock.now_ms, server_id))
+    def answer(self, message: ProbeRequested):
+        server_id = message.server_id
+        self.probed.append((self._kernel.clock.now_ms, server_id))
         load = f"0,0,{self.get_slowdown(server_id)}".encode()
         headers = (Header(b"server", server_id.encode()), Header(b"load", load))
-        self.send(message.reply_to, HttpReplied(message.token, 200, headers, b""))
+        reply = HttpReplied(message.token, 200, headers, b"")
+        self._kernel.send(message.reply_to, reply)
 
 
 class LargeFleet(ForwardingWorld):
@@ -60,16 +61,24 @@
             )
             for n in range(count)
         ]
-        self.checks = self.kernel.register(HealthChecks(self.kernel, servers))
+        self.checks = HealthChecks(self.kernel)
         self.loads = self.kernel.register(Loads(self.kernel, DIALECT, 60.0))
         for name in ("loads", "forwarding"):
             self.kernel.send(name, InstanceCountChanged(INSTANCES, NEAR_INSTANCES))
         self.configure(*servers)
 
     def _add_fake(self, name, handle):
-        if name != "loads":
+        if name == "backends":
+            super()._add_fake(name, partial(self._handle_backends, handle))
+        elif name != "loads":
             super()._add_fake(name, handle)
 
+    def _handle_backends(self, record, message):
+        if isinstance(message, ProbeRequested):
+            self.checks.answer(message)
+        else:
+            record(message)
+
     def serve(self, seconds):
         """Send requests at random times; return the servers and slowdowns."""
         rng = Random(5)
--- a/tests/services/test_loads.py
+++ b/tests/services/test_loads.py
@@ -5,7 +5,8 @@
 from cuminhatch.clock import ManualClock
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.kernel import Kernel
-from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
+from cuminhatch.messages import Address, HttpFailed, HttpReplied
+from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
@@ -14,6 +15,8 @@
     LoadsMeasured,
     LoadsRequested,
     LoadTarget,
+    ProbeRequested,
+    ProbeResponseRejected,
 )
 from cuminhatch.platform.headers import DIALECT
 from cuminhatch.services.loads import Loads
@@ -27,7 +30,7 @@
 
 
 class World:
-    """The service with fakes of the HTTP client and of forwarding."""
+    """The service with fakes of the connections and of forwarding."""
 
     def __init__(self, probes_per_s=100.0):
         self.clock = ManualClock(1_000.0)
@@ -42,7 +45,7 @@
             Recorder(self.kernel, "forwarding", *message_types)
         )
         self.client = self.kernel.register(
-            Recorder(self.kernel, "http_client", HttpRequested)
+            Recorder(self.kernel, "backends", ProbeRequested, ProbeResponseRejected)
         )
         self.kernel.register(Loads(self.kernel, DIALECT, probes_per_s))
 
@@ -55,10 +58,11 @@
         self.kernel.send("loads", request)
         self.run()
 
-    def reply(self, probe, server_id, status=200, load=b"1,0,3,100"):
+    def reply(self, probe, server_id, status=200, load=b"1,0,3,100", extra=()):
         headers = (
             Header(b"instance-id", server_id),
             Header(b"backend-load", load),
+            *extra,
         )
         self.kernel.send("loads", HttpReplied(probe.token, status, headers, b""))
         self.run()
@@ -149,3 +153,28 @@
     assert world.forwarding.received == [
         HealthCheckFailed("a", True, "connection refused")
     ]
+
+
+def test_repeated_response_of_a_request_is_no_observation(world):
+    """
+    Guards against a load, or a health, taken from an earlier response.
+
+    Requests and probes use the same connections, so a faulty server may write
+    the response of a request again where that of a probe is due.
+    """
+    world.measure()
+    first, _ = world.client.received
+    world.reply(first, b"a", extra=(Header(b"attempt-id", b"9"),))
+    failed = world.forwarding.received[0]
+    assert (failed.server_id, failed.is_unreachable) == ("a", False)
+    assert world.client.received[-1] == ProbeResponseRejected("loads", first.token)
+
+
+def test_probe_without_a_connection_says_nothing_about_the_server(world):
+    """Guards against servers left out while their connections are in use."""
+    world.measure()
+    for probe in list(world.client.received):
+        failed = HttpFailed(probe.token, CONNECTION_LIMIT, False)
+        world.kernel.send("loads", failed)
+    world.run()
+    assert world.forwarding.received == [LoadsMeasured(7)]
