Give the daemons, the demo, the benches and the soak help of their own

Change: program_help.py prints what a program does, its flags with defaults, an example, its environment and exit codes, and the version; the gateway imports it only if it has arguments.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -18,6 +18,7 @@
 from cuminhatch.arguments import EXIT_USAGE, refuse_arguments
 from cuminhatch.decisions.choice import BASELINES, POWER_OF_D
 from cuminhatch.messages import Address
+from cuminhatch.program_help import ProgramHelp, exit_with_help
 from cuminhatch_standins.ports import describe_ports_in_use
 
 BASE_PORTS = {"blue-mahoe": 21000, "macaulay": 22000}
@@ -144,6 +145,15 @@
     print(f"bench: {text}", file=sys.stderr, flush=True)
 
 
+HELP = ProgramHelp(
+    "python -m bench",
+    "Measures daemons before stand-ins and prints the results.",
+    (DEPLOYMENT, MEASURE, POLICY, SECONDS, SEED, PLOTS, JSON),
+    "python -m bench --measure=added --seed=1",
+    "0 measured, 2 usage error or a bench is running already",
+)
+
+
 def run_bench(arguments: list[str]) -> None:
     """Run the chosen benchmarks and print the table of results."""
     refuse_arguments("bench", arguments)
@@ -166,4 +176,5 @@
 
 
 if __name__ == "__main__":
+    exit_with_help(HELP)
     app.run(run_bench)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 from absl import app, flags
 
 from cuminhatch.arguments import refuse_arguments
+from cuminhatch.program_help import ProgramHelp, exit_with_help
 from soak.run import run_seed
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
@@ -13,6 +14,13 @@
 BASE_PORT = flags.DEFINE_integer("base_port", 24_000, "First of 100 free ports.")
 
 FAILED_STATUS = 1
+HELP = ProgramHelp(
+    "python -m soak",
+    "Injects faults into running gateways by seed and checks the guarantees.",
+    (SEED, COUNT, SECONDS, BASE_PORT),
+    "python -m soak --seed 1 --count 50",
+    "0 all guarantees kept, 1 some violated, 2 usage error",
+)
 
 
 def run_soak(arguments: list[str]) -> int:
@@ -42,4 +50,5 @@
 
 
 if __name__ == "__main__":
+    exit_with_help(HELP)
     app.run(run_soak)
--- a/src/cuminhatch/arguments.py
+++ b/src/cuminhatch/arguments.py
@@ -1,8 +1,9 @@
-"""Reject positional command-line arguments."""
+"""What all programs have in common on the command line."""
 
 import sys
 
 EXIT_USAGE = 2
+HELP_FLAGS = frozenset({"--help", "-help", "-h"})
 
 
 def refuse_arguments(program: str, arguments: list[str]) -> None:
--- a/src/cuminhatch/cli/help.py
+++ b/src/cuminhatch/cli/help.py
@@ -3,9 +3,9 @@
 from collections.abc import Mapping, Sequence
 from typing import NamedTuple
 
+from cuminhatch.arguments import HELP_FLAGS
 from cuminhatch.cli.commands import COMMANDS, Command, find_command
 
-HELP_FLAGS = frozenset({"--help", "-help", "-h"})
 COMMON_FLAGS = ("json",)
 EXIT_CODES = (
     "exit codes: 0 success, 1 refused or failed, 2 usage error, 3 outcome unknown"
--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -6,7 +6,6 @@
 
 import os
 import sys
-from importlib.metadata import version
 
 import orjson
 from absl import app, flags
@@ -25,6 +24,7 @@
 from cuminhatch.codecs.settings_toml import OPERATORS_KEY_VARIABLE, parse_address
 from cuminhatch.kernel import Kernel
 from cuminhatch.log import logger
+from cuminhatch.program_help import format_default, read_version
 from cuminhatch.services import HttpClient
 
 DEFAULT_DAEMON = "127.0.0.1:8081"
@@ -112,15 +112,6 @@
     }
 
 
-def format_default(value: object) -> str:
-    """Return the default value of a flag as help shows it."""
-    if isinstance(value, list):
-        return ", ".join(value)
-    if value is False:
-        return "off"
-    return str(value or "none")
-
-
 def run_help(arguments: list[str]) -> int | None:
     """
     Print help or the version if the command line asks for it.
@@ -129,7 +120,7 @@
     :returns: exit status, None if it asks for neither.
     """
     if arguments == ["--version"]:
-        print(f"cuminhatch {version('cuminhatch')}")
+        print(f"cuminhatch {read_version()}")
         return EXIT_SUCCESS
     try:
         text = find_help(arguments, describe_flags())
--- a/src/cuminhatch/daemon.py
+++ b/src/cuminhatch/daemon.py
@@ -11,11 +11,16 @@
 from absl import app, flags
 
 from cuminhatch.arguments import EXIT_USAGE, refuse_arguments
-from cuminhatch.codecs.settings_toml import Settings, parse_settings
+from cuminhatch.codecs.settings_toml import (
+    OPERATORS_KEY_VARIABLE,
+    Settings,
+    parse_settings,
+)
 from cuminhatch.decisions.choice import BASELINES
 from cuminhatch.errors import AddressError, SettingsError
 from cuminhatch.kernel import Kernel
 from cuminhatch.log import logger
+from cuminhatch.program_help import ProgramHelp, exit_with_help
 from cuminhatch.services import (
     BackendConnections,
     Claims,
@@ -42,6 +47,14 @@
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file, in TOML.")
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+HELP = ProgramHelp(
+    "cuminhatchd",
+    "Runs one instance of the load balancer, which operators drive by notes.",
+    (SETTINGS, CHECK),
+    "cuminhatchd --settings entry.toml --check",
+    "0 drained after SIGTERM, or the settings are valid; 2 usage or settings error",
+    f"{OPERATORS_KEY_VARIABLE} holds the operators' key.",
+)
 
 
 def build_kernel(settings: Settings) -> Kernel:
@@ -166,6 +179,7 @@
 
 def main() -> None:
     """Run the daemon as a program."""
+    exit_with_help(HELP)
     app.run(run_daemon)
 
 
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -201,6 +201,12 @@
 
 def main() -> None:
     """Run the daemon as a program."""
+    if len(sys.argv) > 1:
+        # Imported only then, see ``read_arguments``.
+        from cuminhatch.gateway_options import HELP
+        from cuminhatch.program_help import exit_with_help
+
+        exit_with_help(HELP)
     sys.exit(run_daemon(sys.argv))
 
 
--- a/src/cuminhatch/gateway_options.py
+++ b/src/cuminhatch/gateway_options.py
@@ -10,9 +10,19 @@
 from absl import flags
 
 from cuminhatch.errors import SettingsError
+from cuminhatch.platform.environment import SETTINGS_VARIABLE
+from cuminhatch.program_help import ProgramHelp
 
 SETTINGS = flags.DEFINE_string("settings", None, "Path of the settings file, in TOML.")
 CHECK = flags.DEFINE_bool("check", False, "Check the settings and exit.")
+HELP = ProgramHelp(
+    "cuminhatch-gateway",
+    "Runs one instance on the users' platform, which the metadata store drives.",
+    (SETTINGS, CHECK),
+    "cuminhatch-gateway --settings gateway.toml --check",
+    "0 drained after SIGTERM, or the settings are valid; 2 usage or settings error",
+    f"{SETTINGS_VARIABLE} names the settings file if --settings does not.",
+)
 
 
 class Options(NamedTuple):
--- a/src/cuminhatch_standins/demo.py
+++ b/src/cuminhatch_standins/demo.py
@@ -23,9 +23,17 @@
 from cuminhatch.arguments import refuse_arguments
 from cuminhatch.errors import CuminhatchError
 from cuminhatch.messages import Address
+from cuminhatch.program_help import ProgramHelp, exit_with_help
 from cuminhatch_standins.bound_child import build_child_command
 from cuminhatch_standins.ports import describe_ports_in_use
 
+HELP = ProgramHelp(
+    "python -m cuminhatch_standins.demo",
+    "Runs stand-ins for one deployment and two daemons until Ctrl-C.",
+    (),
+    "make demo",
+    "0 all programs have ended, 1 one has failed, 2 usage error, 130 Ctrl-C",
+)
 HOST = "127.0.0.1"
 TABLE_ADDRESS = Address(HOST, 9001)
 OBJECT_STORE_ADDRESS = Address(HOST, 9002)
@@ -436,6 +444,7 @@
 
     :returns: exit status.
     """
+    exit_with_help(HELP)
     refuse_arguments("demo", sys.argv)
     signal.signal(signal.SIGTERM, _interrupt)
     try:
