--- a/src/cuminhatch/services/dispatch/_attempts.py
+++ b/src/cuminhatch/services/dispatch/_attempts.py
@@ -4,15 +4,9 @@
 from cuminhatch.messages import (
     Address,
     AttemptCancelled,
-    AttemptReadPaused,
     AttemptReadResumed,
     AttemptRequested,
-    AttemptWriteResumed,
-    AttemptWriteStalled,
-    CallerResumed,
-    CallerStalled,
     PermitReturned,
-    RequestReadPaused,
     RequestReadResumed,
 )
 from cuminhatch.services.dispatch._dispatch_state import DispatchState
@@ -111,33 +105,15 @@
     state.send("backends", AttemptReadResumed(record.attempt_id))
 
 
-def on_attempt_write_stalled(
-    state: DispatchState, message: AttemptWriteStalled
-) -> None:
-    """Pause reading from the caller while the server reads slowly."""
-    record = state.by_attempt.get(message.attempt_id)
-    if record is not None:
-        state.send("callers", RequestReadPaused(record.request_id))
-
-
-def on_attempt_write_resumed(
-    state: DispatchState, message: AttemptWriteResumed
-) -> None:
-    """Resume reading from the caller."""
-    record = state.by_attempt.get(message.attempt_id)
-    if record is not None:
-        state.send("callers", RequestReadResumed(record.request_id))
-
-
-def on_caller_stalled(state: DispatchState, message: CallerStalled) -> None:
-    """Pause reading from the server while the caller reads slowly."""
-    record = state.requests.get(message.request_id)
-    if record is not None and record.attempt_id and not record.is_caller_gone:
-        state.send("backends", AttemptReadPaused(record.attempt_id))
+def find_request_id(state: DispatchState, attempt_id: int) -> int | None:
+    """Return the request that an attempt belongs to, None if it has ended."""
+    record = state.by_attempt.get(attempt_id)
+    return record.request_id if record is not None else None
 
 
-def on_caller_resumed(state: DispatchState, message: CallerResumed) -> None:
-    """Resume reading from the backend server."""
-    record = state.requests.get(message.request_id)
-    if record is not None and record.attempt_id and not record.is_caller_gone:
-        state.send("backends", AttemptReadResumed(record.attempt_id))
+def find_attempt_id(state: DispatchState, request_id: int) -> int | None:
+    """Return the attempt of a request whose caller waits, None for none."""
+    record = state.requests.get(request_id)
+    if record is None or record.is_caller_gone:
+        return None
+    return record.attempt_id or None
--- a/src/cuminhatch/services/dispatch/service.py
+++ b/src/cuminhatch/services/dispatch/service.py
@@ -9,11 +9,7 @@
     AttemptFailed,
     AttemptResponse,
     AttemptResponseBody,
-    AttemptWriteResumed,
-    AttemptWriteStalled,
     CallerDisconnected,
-    CallerResumed,
-    CallerStalled,
     ClaimGranted,
     ClaimRefused,
     ClaimVoided,
@@ -28,6 +24,7 @@
     RequestFailed,
     RequestReceived,
 )
+from cuminhatch.services._flow_control import make_flow_control_handlers
 from cuminhatch.services.dispatch._admission_queues import (
     ConnectionLimitPauseEnded,
     on_connection_limit_pause_ended,
@@ -40,10 +37,8 @@
     on_attempt_response_body,
 )
 from cuminhatch.services.dispatch._attempts import (
-    on_attempt_write_resumed,
-    on_attempt_write_stalled,
-    on_caller_resumed,
-    on_caller_stalled,
+    find_attempt_id,
+    find_request_id,
 )
 from cuminhatch.services.dispatch._dispatch_state import (
     NAME,
@@ -130,8 +125,6 @@
             RequestBody: on_request_body,
             RequestTimerExpired: on_request_timer_expired,
             CallerDisconnected: on_caller_disconnected,
-            CallerStalled: on_caller_stalled,
-            CallerResumed: on_caller_resumed,
             ClaimGranted: on_claim_granted,
             ClaimRefused: on_claim_refused,
             ClaimVoided: on_claim_voided,
@@ -140,10 +133,16 @@
             AttemptResponse: on_attempt_response,
             AttemptResponseBody: on_attempt_response_body,
             AttemptFailed: on_attempt_failed,
-            AttemptWriteStalled: on_attempt_write_stalled,
-            AttemptWriteResumed: on_attempt_write_resumed,
         }
-        return {kind: partial(handle, self._state) for kind, handle in handlers.items()}
+        table = {
+            kind: partial(handle, self._state) for kind, handle in handlers.items()
+        }
+        flow_control = make_flow_control_handlers(
+            self.send,
+            partial(find_request_id, self._state),
+            partial(find_attempt_id, self._state),
+        )
+        return table | flow_control
 
     @property
     def request_count(self) -> int:
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -9,14 +9,7 @@
 from cuminhatch.messages import (
     Address,
     AttemptCancelled,
-    AttemptReadPaused,
-    AttemptReadResumed,
     AttemptRequested,
-    AttemptWriteResumed,
-    AttemptWriteStalled,
-    CallerResumed,
-    CallerStalled,
-    RequestReadPaused,
     RequestReadResumed,
 )
 from cuminhatch.services.forwarding._exchange import (
@@ -150,35 +143,15 @@
             cancel_attempt(state, exchange, attempt)
 
 
-def on_attempt_write_stalled(
-    state: ForwardingState, message: AttemptWriteStalled
-) -> None:
-    """Pause reading from the caller while the backend server reads slowly."""
-    exchange = state.exchanges_by_attempt.get(message.attempt_id)
-    if exchange is not None:
-        state.send("callers", RequestReadPaused(exchange.request_id))
-
-
-def on_attempt_write_resumed(
-    state: ForwardingState, message: AttemptWriteResumed
-) -> None:
-    """Resume reading from the caller."""
-    exchange = state.exchanges_by_attempt.get(message.attempt_id)
-    if exchange is not None:
-        state.send("callers", RequestReadResumed(exchange.request_id))
-
-
-def on_caller_stalled(state: ForwardingState, message: CallerStalled) -> None:
-    """Pause reading from the backend server while the caller reads slowly."""
-    exchange = state.exchanges.get(message.request_id)
-    if exchange is not None and exchange.streaming_attempt is not None:
-        state.send("backends", AttemptReadPaused(exchange.streaming_attempt.attempt_id))
+def find_request_id(state: ForwardingState, attempt_id: int) -> int | None:
+    """Return the request that an attempt belongs to, None if it has ended."""
+    exchange = state.exchanges_by_attempt.get(attempt_id)
+    return exchange.request_id if exchange is not None else None
 
 
-def on_caller_resumed(state: ForwardingState, message: CallerResumed) -> None:
-    """Resume reading from the backend server."""
-    exchange = state.exchanges.get(message.request_id)
-    if exchange is not None and exchange.streaming_attempt is not None:
-        state.send(
-            "backends", AttemptReadResumed(exchange.streaming_attempt.attempt_id)
-        )
+def find_streaming_attempt_id(state: ForwardingState, request_id: int) -> int | None:
+    """Return the attempt whose response is streamed to the caller, if any."""
+    exchange = state.exchanges.get(request_id)
+    if exchange is None or exchange.streaming_attempt is None:
+        return None
+    return exchange.streaming_attempt.attempt_id
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -9,11 +9,7 @@
     AttemptFailed,
     AttemptResponse,
     AttemptResponseBody,
-    AttemptWriteResumed,
-    AttemptWriteStalled,
     CallerDisconnected,
-    CallerResumed,
-    CallerStalled,
     ConfigurationChanged,
     GaugesRequested,
     RequestBody,
@@ -27,11 +23,10 @@
     HealthCheckFailed,
     LoadsMeasured,
 )
+from cuminhatch.services._flow_control import make_flow_control_handlers
 from cuminhatch.services.forwarding._attempts import (
-    on_attempt_write_resumed,
-    on_attempt_write_stalled,
-    on_caller_resumed,
-    on_caller_stalled,
+    find_request_id,
+    find_streaming_attempt_id,
 )
 from cuminhatch.services.forwarding._completion import (
     on_exchange_timed_out,
@@ -115,15 +110,19 @@
             RequestReceived: on_request_received,
             RequestBody: on_request_body,
             CallerDisconnected: on_caller_disconnected,
-            CallerStalled: on_caller_stalled,
-            CallerResumed: on_caller_resumed,
             ExchangeTimedOut: on_exchange_timed_out,
             HedgeDue: on_hedge_due,
             PlacementRetryDue: on_placement_retry_due,
             AttemptResponse: on_attempt_response,
             AttemptResponseBody: on_attempt_response_body,
             AttemptFailed: on_attempt_failed,
-            AttemptWriteStalled: on_attempt_write_stalled,
-            AttemptWriteResumed: on_attempt_write_resumed,
         }
-        return {kind: partial(handle, self._state) for kind, handle in handlers.items()}
+        table = {
+            kind: partial(handle, self._state) for kind, handle in handlers.items()
+        }
+        flow_control = make_flow_control_handlers(
+            self.send,
+            partial(find_request_id, self._state),
+            partial(find_streaming_attempt_id, self._state),
+        )
+        return table | flow_control
