--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -103,9 +103,12 @@
 def read_health(status, headers):
     """Read the headers of a health check of the test dialect."""
     values = dict(headers)
-    running, waiting, slowdown = values[b"load"].split(b",")
-    load = (int(running), int(waiting), 3, float(slowdown))
-    return HealthCheckMetadata(values[b"server"].decode(), status == 200, load)
+    load = None
+    if b"load" in values:
+        running, waiting, slowdown = values[b"load"].split(b",")
+        load = (int(running), int(waiting), 3, float(slowdown))
+    server_id = values.get(b"server", b"").decode()
+    return HealthCheckMetadata(server_id, status == 200, load, b"id" in values)
 
 
 DIALECT = Dialect(read_request, forward_request, read_response, read_health)
--- a/tests/services/front_ends.py
+++ b/tests/services/front_ends.py
@@ -11,13 +11,14 @@
 from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
 from cuminhatch.services import BackendConnections
 from cuminhatch.services.dispatch import Dispatch
+from cuminhatch.services.loads import Loads
 from tests.proofs.dispatch_harness import (
     DispatchHarness,
     make_configuration,
     make_server as make_dispatch_server,
 )
 from tests.services._loopback import MAX_TICKS, Peer, run_until
-from tests.services.forwarding_world import ForwardingWorld, make_server
+from tests.services.forwarding_world import DIALECT, ForwardingWorld, make_server
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -122,6 +123,39 @@
         return world
 
 
+class ProbedWorld(ForwardingWorld):
+    """Forwarding with the real services for connections and load probes."""
+
+    def __init__(self):
+        super().__init__(has_connections=True)
+        self.kernel.register(Loads(self.kernel, DIALECT, 1_000.0)).open()
+
+    def _add_fake(self, name, handle):
+        if name != "loads":
+            super()._add_fake(name, handle)
+
+
+class ProbedGateway(Gateway):
+    """A gateway that probes its only server before each request."""
+
+    def make_world(self):
+        world = ProbedWorld()
+        server = make_server("a")._replace(host="127.0.0.1", port=self.port)
+        world.configure(server)
+        return world
+
+    def healthy(self):
+        """Return the bytes of a response to a probe."""
+        lines = (b"HTTP/1.1 200 X", b"content-length: 0", b"server: a", b"load: 0,0,1")
+        return b"\r\n".join([*lines, b"", b""])
+
+    def answer_probe(self, peer, data=None):
+        """Wait for a probe and answer it."""
+        peer.received = b""
+        peer.run_until(lambda: b"GET " in peer.received)
+        peer.send(data or self.healthy())
+
+
 class Daemon(FrontEnd):
     """The ``dispatch`` service."""
 
