Log responses that are rejected, and those that are streamed

The event log could not tell three explanations of a wrong body apart: a second head in the middle of a streamed response, a copy behind a response without a length, and the response of another request. It has a line when a response is rejected (which ids it names, whether the connection had been used, what followed it) and one when a response starts to stream; the line of an answered request has its bytes and the length that the server declared. explain describes both. No logic changes.

--- a/src/cuminhatch/decisions/explanation.py
+++ b/src/cuminhatch/decisions/explanation.py
@@ -175,6 +175,26 @@
     )
 
 
+def _describe_response_rejected(line: Line) -> str:
+    ids = ", ".join(line["response_ids"]) or "no request"
+    connection = "a reused" if line["is_reused"] else "a new"
+    text = (
+        f"response {line['status']} of {line['server']} rejected after "
+        f"{line['after_ms']} ms: {line['reason']}; it names {ids}, on {connection} "
+        "connection"
+    )
+    return text + (", with more bytes behind it" if line["has_trailing_data"] else "")
+
+
+def _describe_streaming_started(line: Line) -> str:
+    declared = line["declared_bytes"]
+    length = "no length" if declared is None else f"{declared} bytes"
+    return (
+        f"response {line['status']} of {line['server']} ({length}) is passed on as it "
+        f"arrives, from {line['after_ms']} ms after the request was sent"
+    )
+
+
 def _describe_answered(line: Line) -> str:
     text = (
         f"answered with {line['status']} from {line['server']} after "
@@ -200,6 +220,8 @@
     "not_placed": _describe_not_placed,
     "refused": _describe_refused,
     "failed": _describe_failed,
+    "response_rejected": _describe_response_rejected,
+    "streaming_started": _describe_streaming_started,
     "answered": _describe_answered,
     "broken_off": _describe_broken_off,
 }
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -62,6 +62,7 @@
     now_ms = state.clock.now_ms
     fault = check_response(exchange, message, facts)
     if fault:
+        record_rejection(state, exchange, attempt, fault, facts, message)
         record_failure(attempt.record, now_ms)
         cancel_attempt(state, exchange, attempt)
         exchange.may_have_run = True
@@ -98,6 +99,27 @@
     return ""
 
 
+def record_rejection(
+    state: ForwardingState,
+    exchange: Exchange,
+    attempt: Attempt,
+    fault: str,
+    facts: ResponseMetadata,
+    message: AttemptResponse,
+) -> None:
+    """Write a ``response_rejected`` event with what speaks against it."""
+    details = {
+        "server": attempt.record.server.server_id,
+        "reason": fault,
+        "status": message.head.status,
+        "response_ids": [value.decode("latin-1") for value in facts.request_ids],
+        "is_reused": message.is_reused,
+        "has_trailing_data": message.has_trailing_data,
+        "after_ms": round(state.clock.now_ms - attempt.sent_ms, 1),
+    }
+    state.record("response_rejected", exchange.trace_id, details)
+
+
 def handle_not_run(
     state: ForwardingState,
     exchange: Exchange,
@@ -212,6 +234,8 @@
         "sends": len(exchange.attempted_server_ids),
         "is_hedge": attempt.is_hedge,
         "is_caller_gone": exchange.is_caller_gone,
+        "response_bytes": attempt.response_bytes,
+        "declared_bytes": attempt.body_length,
     }
     state.record("answered", exchange.trace_id, details)
 
@@ -223,6 +247,7 @@
     cancel_attempts(state, exchange, kept=attempt)
     exchange.stage = Stage.ANSWERING
     exchange.streaming_attempt = attempt
+    record_streaming(state, exchange, attempt)
     data = b"".join(attempt.body_parts)
     attempt.body_parts.clear()
     head = ResponseHead(attempt.head.status, attempt.head.phrase, attempt.facts.headers)
@@ -235,6 +260,20 @@
         )
 
 
+def record_streaming(
+    state: ForwardingState, exchange: Exchange, attempt: Attempt
+) -> None:
+    """Write a ``streaming_started`` event to the event log."""
+    details = {
+        "server": attempt.record.server.server_id,
+        "status": attempt.head.status,
+        "received_bytes": attempt.response_bytes,
+        "declared_bytes": attempt.body_length,
+        "after_ms": round(state.clock.now_ms - attempt.sent_ms, 1),
+    }
+    state.record("streaming_started", exchange.trace_id, details)
+
+
 def forward_response_data(
     state: ForwardingState,
     exchange: Exchange,
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -109,6 +109,31 @@
         is_hedge=False,
         is_caller_gone=False,
     ),
+    make_line("front-1", 20.0, "received", "51d7", **RECEIVED),
+    make_line(
+        "front-1",
+        40.0,
+        "response_rejected",
+        "51d7",
+        server="i-1",
+        reason="answer-of-another-request",
+        status=200,
+        response_ids=["be09"],
+        is_reused=True,
+        has_trailing_data=False,
+        after_ms=18.0,
+    ),
+    make_line(
+        "front-1",
+        90.0,
+        "streaming_started",
+        "51d7",
+        server="i-2",
+        status=200,
+        received_bytes=900,
+        declared_bytes=400_000,
+        after_ms=45.0,
+    ),
 ]
 
 
@@ -120,7 +145,7 @@
     return str(path)
 
 
-@pytest.mark.parametrize("request_id", ["9c41", "77aa", "be09"])
+@pytest.mark.parametrize("request_id", ["9c41", "77aa", "be09", "51d7"])
 def test_request_is_explained(log_file, request_id, snapshot):
     """Guards against events that the explanation omits or misstates."""
     output = make_plan(OPTIONS, ["explain", request_id, log_file]).make_output(())
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -463,6 +463,25 @@
     assert placed["predicted_ms"] > 0
 
 
+def test_rejected_and_streamed_responses_are_logged(make_world):
+    """Guards against a wrong body whose origin the event log cannot tell."""
+    world = make_world("a", "b")
+    world.request("read")
+    world.respond(take_only_attempt(world), request_id=b"other", is_reused=True)
+    second = take_only_attempt(world)
+    length = RESPONSE_BUFFER_MAX_BYTES + 1
+    world.start_response(second, length, b"x")
+    world.continue_response(second, b"x" * (length - 1), True)
+    lines = {e.name: e.details for e in world.take("event_log", EventRecorded)}
+    rejected, streaming = lines["response_rejected"], lines["streaming_started"]
+    assert rejected["reason"] == "answer-of-another-request"
+    assert rejected["response_ids"] == ["other"]
+    assert rejected["is_reused"]
+    assert streaming["received_bytes"] == 1
+    assert streaming["declared_bytes"] == length
+    assert lines["answered"]["response_bytes"] == length
+
+
 def test_server_of_the_first_attempt_counts_after_an_unsent_hedge(make_world):
     """
     Guards against not counting a server that has received the request.
