Show a second head in the middle of a streamed response

Fails on this code: a hedge is decided on while the first response is awaited, the loads of other servers arrive after that response has started to stream, and the hedged attempt starts all the same.

--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -306,6 +306,33 @@
     assert not world.take("callers", ResponseStarted)
 
 
+def test_hedge_is_dropped_once_a_long_response_is_streamed(make_world):
+    """
+    Guards against a second head in the middle of a streamed response.
+
+    The hedge is decided on before the first response arrives, and the loads
+    that its placement waits for arrive after the start of the stream.
+    """
+    world = make_world("a", "b")
+    request_id = world.request("read")
+    first = take_only_attempt(world)
+    world.is_measuring = False
+    world.advance(300.0)
+    (measurement,) = world.unanswered_load_requests
+    length = RESPONSE_BUFFER_MAX_BYTES * 2
+    world.start_response(first, length, b"x" * 10)
+    assert take_only_response(world).data == b"x" * 10
+    world.tell(LoadsMeasured(measurement.token))
+    world.continue_response(first, b"y" * 10, False)
+    world.continue_response(first, b"z" * (length - 20), True)
+    assert not world.take_attempts()
+    assert not world.take("callers", ResponseStarted)
+    parts = world.take("callers", ResponseBody)
+    assert [part.request_id for part in parts] == [request_id] * 2
+    assert b"".join(part.data for part in parts) == b"y" * 10 + b"z" * (length - 20)
+    assert parts[-1].is_complete
+
+
 def test_non_idempotent_request_is_not_hedged(make_world):
     """Guards against executing a non-idempotent request twice to save time."""
     world = make_world("a", "b")
