Start no hedge once a response has begun to arrive

Callers saw the head of a response, part of its body, then a second head with the rest of the body behind it: a body that was not the server's (MIXED).

Cause: a hedge is decided on while no response has arrived, and is started after the loads of other servers were awaited, up to 12 ms later. If a response above 256 KB began to stream meanwhile, starting the attempt set the stage of the request back from ANSWERING to RUNNING. The rest of the stream was then buffered like a response that might still fail, and sent with a head of its own when it was complete.

--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -7,6 +7,7 @@
 from cuminhatch.decisions.configuration import Rule
 from cuminhatch.decisions.resending import SendHistory
 from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.errors import ServiceError
 from cuminhatch.messages import RequestReceived
 
 # Longer request bodies are streamed and cannot be resent.
@@ -32,6 +33,10 @@
     ANSWERING = auto()
 
 
+class StageError(ServiceError):
+    """The stage of a request would go back after its response has begun."""
+
+
 class Attempt:
     """State of one attempt at one backend server."""
 
@@ -83,6 +88,7 @@
     """State of one request of a caller."""
 
     __slots__ = (
+        "_stage",
         "attempted_server_ids",
         "attempts",
         "body",
@@ -107,7 +113,6 @@
         "request_id",
         "rule",
         "service_id",
-        "stage",
         "streaming_attempt",
     )
 
@@ -145,7 +150,7 @@
         self.is_body_complete = message.is_complete
         self.is_body_buffered = True
         self.is_read_paused = False
-        self.stage = Stage.MEASURING
+        self._stage = Stage.MEASURING
         self.measurement_id = 0
         # Retries after a failed attempt. Placements that are repeated because
         # no server had free capacity do not count.
@@ -168,6 +173,31 @@
         self.deadline_timer: int | None = None
         self.hedge_timer: int | None = None
 
+    @property
+    def stage(self) -> Stage:
+        """Return the stage of the request; ``ANSWERING`` is the last one."""
+        return self._stage
+
+    @stage.setter
+    def stage(self, stage: Stage) -> None:
+        """
+        Enter a stage.
+
+        :param stage: the new stage.
+        :raises StageError: a response is being streamed, so that another one
+            would end up in its body.
+        """
+        if self._stage is Stage.ANSWERING:
+            raise StageError(f"a request enters {stage.name} while it is answered")
+        self._stage = stage
+
+    @property
+    def is_awaiting_response(self) -> bool:
+        """Tell whether attempts are in progress, none with a response yet."""
+        return self._stage is Stage.RUNNING and all(
+            attempt.head is None for attempt in self.attempts.values()
+        )
+
     @property
     def is_idempotent(self) -> bool:
         """Tell whether the request may be executed more than once."""
--- a/src/cuminhatch/services/forwarding/_resending.py
+++ b/src/cuminhatch/services/forwarding/_resending.py
@@ -70,7 +70,7 @@
     if exchange is None or exchange.stage is not Stage.RUNNING:
         return
     exchange.hedge_timer = None
-    if any(attempt.head is not None for attempt in exchange.attempts.values()):
+    if not exchange.is_awaiting_response:
         # The response is arriving.
         return
     pool = state.pools.get(exchange.service_id)
