Log again when the store is lost for another reason

store_lost was written once, with the reason of the outage. A reading that was refused after the store had come back left no line, so the log could not tell a refused reading from a longer outage. No logic changes.

--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -98,17 +98,19 @@
         view.read_token = 0
         view.has_read_failed = True
     view.latest_reads = view.latest_reads._replace(last_refused_ms=now_ms)
-    if not view.is_store_unavailable:
-        view.is_store_unavailable = True
+    if view.store_lost_reason != message.reason:
+        # Logged again for another reason: a store that has come back may have
+        # its responses refused.
         logger.warning("catalog: Store is unavailable: {}.", message.reason)
         view.record("store_lost", {"reason": message.reason})
+    view.store_lost_reason = message.reason
     schedule_read(view)
 
 
 def mark_store_available(view: CatalogView) -> None:
     """Record the end of an outage, and request the configuration."""
     if view.is_store_unavailable:
-        view.is_store_unavailable = False
+        view.store_lost_reason = ""
         logger.info("catalog: Store is available again.")
         view.record("store_regained", {})
         # It may have changed during the outage.
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -117,7 +117,8 @@
         self.configuration_requested_ms = float("-inf")
         self.last_read_ms = float("-inf")
         self.outage_ended_ms = float("-inf")
-        self.is_store_unavailable = False
+        # Why the latest call to the store failed, empty if it did not.
+        self.store_lost_reason = ""
         self.has_read_failed = False
         self.refused_rows: dict[str, str] = {}
         self.change_history = ChangeHistory()
@@ -134,6 +135,11 @@
         """Return the version of the configuration in force, 0 for none."""
         return self.document.configuration.sequence if self.document else 0
 
+    @property
+    def is_store_unavailable(self) -> bool:
+        """Tell whether the store has not responded, or was not understood."""
+        return bool(self.store_lost_reason)
+
     @property
     def instance_count(self) -> int:
         """Return the number of known instances, this one included."""
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -34,6 +34,7 @@
 from cuminhatch.messages import (
     Address,
     ConfigurationChanged,
+    EventRecorded,
     HttpFailed,
     HttpReplied,
     HttpRequested,
@@ -142,6 +143,7 @@
                 ("http_client", (HttpRequested,)),
                 ("catalog_port", (ResponseStarted,)),
                 (SUPERVISOR, (ReadinessChanged,)),
+                ("event_log", (EventRecorded,)),
             )
         }
         self.kernel.register(Recorder(self.kernel, "store", replies=replies))
@@ -277,6 +279,16 @@
     assert list(harness.configuration.servers) == ["a"], "known servers stay"
 
 
+def test_store_that_is_lost_for_another_reason_is_logged_again(harness):
+    """Guards against refused readings that look like a longer outage."""
+    for reason in ("connection failed", "connection failed", "older response"):
+        harness.kernel.send("catalog", StoreUnavailable(0, reason))
+    harness.run()
+    events = harness.received("event_log")
+    reasons = [e.details["reason"] for e in events if e.name == "store_lost"]
+    assert reasons == ["connection failed", "older response"]
+
+
 def test_draining_is_learned_from_another_reader(harness):
     """Guards against requests to a draining server if the store is cut off."""
     (drained,) = make_rows("a", is_draining=True).values()
