Show changes that are ignored after the store was restored

The stand-in of the metadata store can be restored to its state of some time before, and names its era in the header Store-Era. With two gateways that have both read the store, a server that drains after the restore goes on getting requests; the client of the store refuses responses whose version is below the highest known.

--- a/src/cuminhatch_standins/metadata_store.py
+++ b/src/cuminhatch_standins/metadata_store.py
@@ -7,7 +7,11 @@
 
 Faults besides the common ones: ``slow`` (delay in ms), ``busy`` (503 for all
 reads and transactions), ``reply_lost`` (the next N transactions take effect,
-but get no response).
+but get no response), ``restored`` (once: the store goes back to its state of N
+ms before, with the version that it had then).
+
+All responses about rows carry the header ``Store-Era``, which rises by one
+each time the store is restored.
 """
 
 from base64 import b64encode
@@ -15,6 +19,7 @@
 
 import orjson
 
+from cuminhatch.codecs.http1 import Header
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import ResponseAborted
 from cuminhatch_standins._fault_injector import (
@@ -41,7 +46,9 @@
     "slow": FaultSpec(0, is_non_negative_number),
     "busy": FaultSpec(False, is_flag),
     "reply_lost": FaultSpec(0, is_count),
+    "restored": FaultSpec(0, is_non_negative_number),
 }
+FIRST_ERA = 1
 
 
 class RowId(NamedTuple):
@@ -59,6 +66,14 @@
     version: int
 
 
+class _Backup(NamedTuple):
+    """All rows and the version of the store since a point in time."""
+
+    at_ms: float
+    version: int
+    rows: dict[RowId, StoredRow]
+
+
 class MetadataStore(Service):
     """Serves rows of several tables over HTTP."""
 
@@ -73,6 +88,8 @@
         super().__init__(kernel)
         self._rows: dict[RowId, StoredRow] = {}
         self._version = 0
+        self._era = FIRST_ERA
+        self._backups = [_Backup(float("-inf"), 0, {})]
         self._reads = 0
         self._writes = 0
         self._is_busy = False
@@ -90,6 +107,15 @@
         self._is_busy = message.faults["busy"]
         if "reply_lost" in message.names:
             self._lost_responses_left = message.faults["reply_lost"]
+        if "restored" in message.names and message.faults["restored"]:
+            self._restore(self.kernel.clock.now_ms - message.faults["restored"])
+
+    def _restore(self, at_ms: float) -> None:
+        """Go back to the state at a point in time, and begin a new era."""
+        self._backups = [backup for backup in self._backups if backup.at_ms <= at_ms]
+        self._version = self._backups[-1].version
+        self._rows = dict(self._backups[-1].rows)
+        self._era += 1
 
     def _on_complete_request(self, request: CompleteRequest) -> None:
         if request.path == "/stats":
@@ -98,7 +124,7 @@
         elif request.path == OPERATOR_PATH:
             self._write_as_operator(request)
         elif self._is_busy:
-            self.send(LISTENER, make_json_response(request, 503, {}))
+            self._respond(request, 503, {})
         elif request.path == "/rows-get":
             self._read_rows(request)
         elif (request.method, request.path) == ("POST", "/rows-tx"):
@@ -139,7 +165,8 @@
         self, request: CompleteRequest, status: int, body: dict[str, Any]
     ) -> None:
         body |= {"ver": self._version, "now-ms": int(self.kernel.clock.now_ms)}
-        self.send(LISTENER, make_json_response(request, status, body))
+        headers = (Header(b"store-era", b"%d" % self._era),)
+        self.send(LISTENER, make_json_response(request, status, body, headers))
 
     def _transact(self, request: CompleteRequest) -> None:
         self._writes += 1
@@ -169,6 +196,8 @@
             self._rows[_get_row_id(row)] = StoredRow(row["value"], self._version)
         for row in remove:
             self._rows.pop(_get_row_id(row), None)
+        backup = _Backup(self.kernel.clock.now_ms, self._version, dict(self._rows))
+        self._backups.append(backup)
 
     def _write_as_operator(self, request: CompleteRequest) -> None:
         """
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -7,6 +7,7 @@
 
 from cuminhatch import ManualClock
 from cuminhatch.address import Address
+from cuminhatch.codecs.http1 import Header
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel
 from cuminhatch.messages import HttpReplied, HttpRequested
 from cuminhatch.messages.catalog import (
@@ -49,11 +50,12 @@
         self.kernel.send("store", ConfigurationRequested("catalog", 2))
         run_ticks(self.kernel, 3)
 
-    def reply(self, body):
+    def reply(self, body, era=None):
         """Answer the oldest call."""
         request = self.http_client.received.pop(0)
         data = json.dumps(body).encode()
-        self.kernel.send("store", HttpReplied(request.token, 200, (), data))
+        headers = () if era is None else (Header(b"store-era", b"%d" % era),)
+        self.kernel.send("store", HttpReplied(request.token, 200, headers, data))
         run_ticks(self.kernel, 3)
         assert not self.supervisor.received
 
@@ -118,6 +120,16 @@
     assert isinstance(world.take(), StoreUnavailable)
 
 
+def test_response_of_a_restored_store_is_read(world):
+    """Guards against readings refused until the versions have caught up."""
+    world.request_registrations()
+    world.reply(make_page(100, make_row("a", 90)), era=1)
+    world.take()
+    world.request_registrations()
+    world.reply(make_page(60, make_row("b", 55)), era=2)
+    assert list(world.take().registrations) == ["b"]
+
+
 def test_response_to_a_call_made_before_a_newer_one_counts(world):
     """Guards against a response refused because another call was faster."""
     world.request_registrations()
--- a/tests/support.py
+++ b/tests/support.py
@@ -128,14 +128,15 @@
         yield Address(*sock.getsockname())
 
 
-def wait_until(is_reached, what="the condition"):
+def wait_until(is_reached, what="the condition", timeout_s=WAIT_TIMEOUT_S):
     """
     Wait until a condition holds, and return its value.
 
     :param is_reached: called until it returns a true value.
     :param what: description of the condition, for the error message.
+    :param timeout_s: longest wait, in seconds.
     """
-    timeout_at = time.monotonic() + WAIT_TIMEOUT_S
+    timeout_at = time.monotonic() + timeout_s
     while True:
         value = is_reached()
         if value:
--- a/tests/system/test_gateway.py
+++ b/tests/system/test_gateway.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from concurrent.futures import ThreadPoolExecutor
 from http.client import HTTPException
-from signal import SIGKILL, SIGTERM
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from socket import SOCK_DGRAM, create_connection, socket
 from subprocess import PIPE
 
@@ -206,6 +206,45 @@
         assert gateway.send_request("status", "y").status == 404
 
 
+def is_reader(gateway):
+    """Tell whether an instance reads the store for all."""
+    text = http_request(gateway.metrics, "GET", "/metrics").body.decode()
+    return "cuminhatch_store_reader 1" in text
+
+
+def test_changes_apply_after_the_store_was_restored_from_a_copy(cluster):
+    """
+    Guards against changes that are ignored for the versions of their rows.
+
+    Both instances have read the versions that the store loses and gives out
+    again. The users allow 3 s after an outage of the store, and 2 s until a
+    change is in force.
+    """
+    for version in (2, 3, 4, 5):
+        cluster.configure(version, added=("safe", "board"))
+    first, second = cluster.gateways
+    reader, other = (first, second) if is_reader(first) else (second, first)
+    reader.program.process.send_signal(SIGSTOP)
+    wait_until(lambda: is_reader(other), "the other reader")
+    reader.program.process.send_signal(SIGCONT)
+    for gateway in cluster.gateways:
+        wait_until(lambda g=gateway: get_status(g, "added", "a1") == 200, "version 5")
+    cluster.store.set_faults(outage=True, restored=60_000)
+    cluster.store.set_faults(outage=False)
+    for server_id in cluster.servers:
+        state = "draining" if server_id == "b1" else "ready"
+        cluster.register(server_id, state=state, sequence=2)
+    cluster.configure(6, added=("safe", "board"), later=("safe", "board"))
+    for gateway in cluster.gateways:
+        wait_until(
+            lambda g=gateway: get_status(g, "later", "a2") == 200, "version 6", 5.0
+        )
+    before = len(cluster.servers["b1"].request("GET", "/runs").value)
+    for n in range(20):
+        assert get_status(cluster.gateways[n % 2], "status", f"d{n}") == 200
+    assert len(cluster.servers["b1"].request("GET", "/runs").value) == before
+
+
 def test_store_outage_stops_no_requests_or_starts(cluster):
     """Guards against a store outage that callers notice."""
     cluster.store.set_faults(outage=True)
