Keep servers out of use that only the copy of a restored store brings back

A store that was restored holds the registrations of some time before. A server that had left since, or had begun to drain, was taken into use again by each instance that read the copy: a drained server got new requests until it had written again, one that had left until the store had removed its row.

Cause: a row of a later era counted as newer than all that was known, although the copy is older than that.

Change: for four heartbeats after a restore, the row of a known server is only taken if the server has written it later: a higher sequence of the same start, or a later start. Rows of servers that were not in use before the restore wait until the server writes them again, or until the store has kept them for those four heartbeats (registration_unconfirmed in the log). Servers that the copy does not have yet get the grace period of an outage. The reader sends what it knows better than the copy with each read of that time, as an instance that has just started may have read the copy itself. The interval of heartbeats is a setting, store.heartbeat_ms.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -24,6 +24,17 @@
 from cuminhatch.log import LEVELS
 
 
+class StoreSettings(NamedTuple):
+    """
+    Settings of the metadata store.
+
+    ``heartbeat_ms`` is the interval at which backend servers register there.
+    """
+
+    address: Address
+    heartbeat_ms: float
+
+
 class ResendSettings(NamedTuple):
     """
     Resend budget of a service, shared by all instances.
@@ -75,7 +86,7 @@
     metrics_address: Address
     peers: PeersSettings
     is_first_start: bool
-    store_address: Address
+    store: StoreSettings
     resends: ResendSettings
     placement: PlacementSettings
     drain: StopSettings
@@ -97,7 +108,10 @@
     },
     # Whether this is the first start of the system, that is of all instances.
     "start": {"is_first": SettingsKey(read_boolean, False)},
-    "store": {"address": SettingsKey(parse_address)},
+    "store": {
+        "address": SettingsKey(parse_address),
+        "heartbeat_ms": SettingsKey(read_milliseconds, 1_500.0),
+    },
     "resends": {
         "ratio": SettingsKey(read_non_negative_number, 0.1),
         "extra": SettingsKey(read_non_negative_number, 10.0),
@@ -138,7 +152,7 @@
         values["metrics"][0],
         PeersSettings(*values["peers"]),
         values["start"][0],
-        values["store"][0],
+        StoreSettings(*values["store"]),
         ResendSettings(*values["resends"]),
         PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
         StopSettings(*values["drain"]),
--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -17,6 +17,9 @@
 # A live backend server that can reach the store registers again within about
 # two seconds of the store's return.
 EXPIRY_GRACE_MS = 2_500.0
+# The store removes a registration after three heartbeats without one; another
+# one allows for delays.
+HEARTBEATS_UNTIL_REMOVED = 4
 
 
 class ConfigurationDocument(NamedTuple):
@@ -38,7 +41,8 @@
     """
     A registered backend server and the version of its row.
 
-    ``sequence`` counts what the server has written since its start.
+    ``sequence`` counts what the server has written since its start, so it
+    orders the registrations of one start also across a restore of the store.
     """
 
     server: BackendServer
@@ -55,13 +59,17 @@
     not counting changes of the remaining warm-up time. ``missing_since_ms``
     maps the ids of servers whose registration expired during a store outage,
     and may still be renewed, to the monotonic time they were first found
-    missing.
+    missing. ``unconfirmed`` holds registrations that this instance found in a
+    restored store and that may be those of servers that have left since.
+    ``read_era`` is the era of the latest read by this instance itself.
     """
 
     version: StoreVersion
     changed_version: StoreVersion
     registrations: Mapping[str, Registration]
     missing_since_ms: Mapping[str, float]
+    unconfirmed: Mapping[str, Registration] = MappingProxyType({})
+    read_era: int = 0
 
     @property
     def is_known(self) -> bool:
@@ -98,6 +106,7 @@
     rows: Mapping[str, Registration],
     now_ms: float,
     is_after_outage: bool,
+    is_after_restore: bool = False,
 ) -> tuple[Catalog, CatalogChange]:
     """
     Update the catalog from a complete read of the store.
@@ -106,35 +115,99 @@
     renew them. Registrations missing from a read soon after an outage are kept
     for a grace period; otherwise a missing registration is removed at once.
 
+    A restored store holds registrations as they were some time before, until
+    the servers have written them again or the store has removed them. What is
+    known to be newer is kept meanwhile, and sent to other instances, since
+    they may have read the older rows themselves.
+
     :param catalog: catalog before the read.
     :param version: version of the store at the read.
     :param rows: registrations read, by server id.
     :param now_ms: monotonic time in milliseconds.
     :param is_after_outage: whether a store outage ended so recently that some
         servers may not have renewed their registration yet.
+    :param is_after_restore: whether the store was restored so recently that
+        some rows may still be those of the copy.
     :returns: the new catalog and the change to send to other instances.
     """
     previous = catalog.registrations
     if version < catalog.version:
         return catalog, CatalogChange(catalog.changed_version, version, (), ())
     kept: dict[str, Registration] = {}
+    unconfirmed: dict[str, Registration] = {}
     changed = []
     for server_id, registration in rows.items():
         known = previous.get(server_id)
-        if known is not None and (
-            _is_older_row(registration, known)
-            or not _is_relevant_change(known, registration)
-        ):
-            kept[server_id] = known
-        else:
-            kept[server_id] = registration
-            changed.append(registration)
+        if known is None and is_after_restore:
+            if _is_unconfirmed(catalog, version, registration):
+                unconfirmed[server_id] = registration
+                continue
+        merged = _merge_row(registration, known, is_after_restore)
+        kept[server_id] = merged.registration
+        if merged.is_sent:
+            changed.append(merged.registration)
     missing_since_ms = _find_missing_in_grace(catalog, rows, now_ms, is_after_outage)
-    kept.update({server_id: previous[server_id] for server_id in missing_since_ms})
-    removed = tuple(server_id for server_id in previous if server_id not in kept)
+    for server_id in missing_since_ms:
+        kept[server_id] = previous[server_id]
+        if is_after_restore and previous[server_id].server.is_draining:
+            # It is ready in the copy, which another instance may have read.
+            changed.append(previous[server_id])
+    # Other instances may have read the unconfirmed registrations themselves.
+    removed = tuple(
+        server_id
+        for server_id in {**previous, **catalog.unconfirmed, **unconfirmed}
+        if server_id not in kept
+    )
     change = CatalogChange(catalog.changed_version, version, tuple(changed), removed)
     changed_version = version if changed or removed else catalog.changed_version
-    return Catalog(version, changed_version, kept, missing_since_ms), change
+    after = Catalog(
+        version, changed_version, kept, missing_since_ms, unconfirmed, version.era
+    )
+    return after, change
+
+
+class _MergedRow(NamedTuple):
+    """The registration to keep, and whether other instances need it."""
+
+    registration: Registration
+    is_sent: bool
+
+
+def _merge_row(
+    registration: Registration, known: Registration | None, is_after_restore: bool
+) -> _MergedRow:
+    """Return the newer one of the registration read and the known one."""
+    if known is None:
+        return _MergedRow(registration, True)
+    if not _is_relevant_change(known, registration):
+        # An instance that has read the copy does not know a row that the
+        # server has written since.
+        is_sent = is_after_restore and (
+            registration.row_version.number != known.row_version.number
+        )
+        return _MergedRow(registration if is_sent else known, is_sent)
+    if not _is_older_row(registration, known, is_after_restore):
+        return _MergedRow(registration, True)
+    if not is_after_restore:
+        return _MergedRow(known, False)
+    # With the version of the row it replaces that row elsewhere, and gives way
+    # to it if the server never writes again.
+    row_version = max(known.row_version, registration.row_version)
+    return _MergedRow(known._replace(row_version=row_version), True)
+
+
+def _is_unconfirmed(
+    catalog: Catalog, version: StoreVersion, registration: Registration
+) -> bool:
+    """
+    Return whether an unknown server may have left since the copy was made.
+
+    Its row was there at the first read after the restore, and the server has
+    not written it since.
+    """
+    if version.era != catalog.read_era:
+        return True
+    return catalog.unconfirmed.get(registration.server.server_id) == registration
 
 
 def _find_missing_in_grace(
@@ -162,12 +235,24 @@
     return before.server != after.server._replace(warmup_left_ms=warmup_left_ms)
 
 
-def _is_older_row(registration: Registration, known: Registration) -> bool:
+def _is_older_row(
+    registration: Registration, known: Registration, is_after_restore: bool = False
+) -> bool:
     """
     Return whether a registration was replaced by the known one.
 
-    Another instance may have sent a newer row than the one that was read.
+    Another instance may have sent a newer row than the one that was read, and
+    a restored store holds older rows under versions of a later era.
     """
+    started_ms = registration.server.started_ms
+    known_started_ms = known.server.started_ms
+    is_same_start = started_ms == known_started_ms
+    if is_after_restore and not is_same_start:
+        return started_ms < known_started_ms
+    is_same_era = registration.row_version.era == known.row_version.era
+    # A server that does not tell when it started may have started again.
+    if is_after_restore or (is_same_start and started_ms and not is_same_era):
+        return registration.sequence <= known.sequence
     return registration.row_version < known.row_version
 
 
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -67,7 +67,7 @@
             kernel, file_name, settings, load_settings, consumers=("loads",)
         ),
         HttpClient(kernel),
-        PlatformStore(kernel, settings.store_address),
+        PlatformStore(kernel, settings.store.address),
         CatalogService(
             kernel,
             instance.instance_id,
@@ -77,6 +77,7 @@
             seeds,
             decode_configuration,
             settings.is_first_start,
+            heartbeat_ms=settings.store.heartbeat_ms,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel, gauge_parts=("forwarding", "catalog")),
--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -1,6 +1,6 @@
 """Reads of the store, for which the instances take turns."""
 
-from cuminhatch.decisions.catalog import EXPIRY_GRACE_MS, merge_store_read
+from cuminhatch.decisions.catalog import EXPIRY_GRACE_MS, Catalog, merge_store_read
 from cuminhatch.decisions.reader_selection import next_read_ms
 from cuminhatch.log import logger
 from cuminhatch.messages.catalog import (
@@ -22,6 +22,7 @@
 from cuminhatch.services.catalog._updates import (
     apply_document,
     detect_restore,
+    is_after_restore,
     replace_catalog,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView
@@ -82,8 +83,10 @@
         message.registrations,
         now_ms,
         is_after_outage and view.catalog.is_known,
+        is_after_restore(view),
     )
     record_refused_rows(view, message)
+    record_unconfirmed(view, catalog)
     view.change_history.add(change)
     replace_catalog(view, catalog, "store")
     broadcast_change(view, change)
@@ -123,6 +126,19 @@
         request_configuration(view)
 
 
+def record_unconfirmed(view: CatalogView, catalog: Catalog) -> None:
+    """Record each server whose registration may be that of a copy only."""
+    for server_id, registration in catalog.unconfirmed.items():
+        if server_id not in view.catalog.unconfirmed:
+            details = {
+                "server": server_id,
+                "service": registration.server.service_id,
+                "row_version": registration.row_version.number,
+                "era": registration.row_version.era,
+            }
+            view.record("registration_unconfirmed", details)
+
+
 def record_refused_rows(view: CatalogView, message: RegistrationsRead) -> None:
     """Record each row that names no usable server, once per reason."""
     refused = dict(message.refused)
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -11,6 +11,8 @@
 # A read that has not ended after this time no longer delays the next one.
 STALE_READ_MS = 1_200.0
 PULL_TIMEOUT_MS = 400.0
+# Usual interval at which backend servers register.
+HEARTBEAT_MS = 1_500.0
 INSTANCE_RECORD_RETRY_MS = 2_000.0
 # Delay before an instance stores a record of itself, which is not needed if
 # other instances have answered by then.
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -1,6 +1,7 @@
 """Applies newer configurations and registrations, and publishes them."""
 
 from cuminhatch.decisions.catalog import (
+    HEARTBEATS_UNTIL_REMOVED,
     Catalog,
     CatalogChange,
     VersionGap,
@@ -74,7 +75,7 @@
     if not view.catalog.is_known:
         return
     now_ms = view.clock.now_ms
-    view.outage_ended_ms = now_ms
+    view.restored_ms = view.outage_ended_ms = now_ms
     details = {
         "version": version.number,
         "era": version.era,
@@ -88,6 +89,12 @@
         view.call_at(now_ms, InstanceRecordDue())
 
 
+def is_after_restore(view: CatalogView) -> bool:
+    """Tell whether rows of the store may still be those of the copy."""
+    since_ms = view.clock.now_ms - view.restored_ms
+    return since_ms < HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
+
+
 def replace_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
     """
     Replace the catalog, and publish it if its servers differ.
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -79,6 +79,7 @@
         decode_configuration: DecodeConfiguration,
         send_bytes: SendBytes,
         rng: Random,
+        heartbeat_ms: float,
     ) -> None:
         """
         Start with an empty catalog.
@@ -90,6 +91,7 @@
         :param decode_configuration: decoder of the operator's document.
         :param send_bytes: sends a datagram.
         :param rng: source of randomness.
+        :param heartbeat_ms: interval at which backend servers register.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -100,6 +102,7 @@
         self.decode_configuration = decode_configuration
         self.send_bytes = send_bytes
         self.rng = rng
+        self.heartbeat_ms = heartbeat_ms
         self.request_tokens = count(1)
         self.members: dict[str, CatalogMember] = {}
         # Highest number of known instances that another one has reported.
@@ -126,8 +129,10 @@
         self.configuration_requested_ms = float("-inf")
         self.last_read_ms = float("-inf")
         self.outage_ended_ms = float("-inf")
-        # Highest era of the store that is known.
+        # Highest era of the store that is known, and when this instance found
+        # that the store had been restored.
         self.store_era = 0
+        self.restored_ms = float("-inf")
         # Why the latest call to the store failed, empty if it did not.
         self.store_lost_reason = ""
         self.has_read_failed = False
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -51,6 +51,7 @@
     FIRST_READ_JITTER_MS,
     GREETING_INTERVAL_MAX_MS,
     GREETING_INTERVAL_MS,
+    HEARTBEAT_MS,
     INSTANCE_RECORD_DELAY_MS,
     RESTART_READ_DELAY_MS,
     GreetingDue,
@@ -83,6 +84,7 @@
         decode_configuration: DecodeConfiguration,
         is_first_start: bool = False,
         rng: Random | None = None,
+        heartbeat_ms: float = HEARTBEAT_MS,
     ) -> None:
         """
         Start with an empty catalog.
@@ -98,6 +100,7 @@
         :param is_first_start: whether the whole system starts for the first
             time, so that no caller waits yet.
         :param rng: source of randomness.
+        :param heartbeat_ms: interval at which backend servers register.
         """
         super().__init__(kernel)
         self._address = address
@@ -112,6 +115,7 @@
             decode_configuration,
             self._send_bytes,
             rng or Random(),
+            heartbeat_ms,
         )
         self._view.is_seed = address in seeds or not seeds
 
--- a/tests/codecs/test_gateway_toml.py
+++ b/tests/codecs/test_gateway_toml.py
@@ -41,7 +41,8 @@
     """Guards against a value that is read into the wrong field."""
     settings = parse(TEXT)
     assert settings.instance.failure_domain == "kingston"
-    assert settings.store_address.port == 8384
+    assert settings.store.address.port == 8384
+    assert settings.store.heartbeat_ms == 1500.0
     assert settings.is_first_start
     assert settings.peers.seeds[0].host == "10.2.0.34"
     assert settings.resends == (0.2, 56.0, 10_000.0)
--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -1,5 +1,7 @@
 """Tests of the local catalog of registered backend servers."""
 
+import pytest
+
 from cuminhatch.decisions.catalog import (
     EMPTY_CATALOG,
     EXPIRY_GRACE_MS,
@@ -42,6 +44,11 @@
     return merge_store_read(catalog, at(version), rows, now_ms, is_after_outage)
 
 
+def read_restored(catalog, version, rows):
+    """Return the result of a read soon after the store was restored."""
+    return merge_store_read(catalog, at(version, 2), rows, 0.0, True, True)
+
+
 def list_names(catalog):
     return sorted(catalog.registrations)
 
@@ -167,3 +174,77 @@
     assert follower.registrations == restored.registrations
     late = CatalogChange(at(90), at(110), tuple(make_rows("z").values()), ())
     assert apply_change(follower, late) is follower
+
+
+@pytest.mark.parametrize("started_ms", [0, 5])
+def test_row_of_a_copy_does_not_undo_a_drain(started_ms):
+    """Guards against a drained server that is in use again after a restore."""
+    ready = make_rows("a", sequence=3, started_ms=started_ms)
+    catalog, change = read(EMPTY_CATALOG, 5, ready)
+    follower = apply_change(EMPTY_CATALOG, change)
+    draining = make_rows("a", version=6, sequence=4, started_ms=started_ms)
+    draining["a"] = drain(draining["a"])
+    catalog, change = read(catalog, 6, draining)
+    follower = apply_change(follower, change)
+    copy = make_rows("a", version=5, era=2, sequence=3, started_ms=started_ms)
+    restored, change = read_restored(catalog, 5, copy)
+    assert restored.registrations["a"].server.is_draining
+    assert apply_change(follower, change).registrations["a"].server.is_draining
+    # Another instance has read the copy.
+    _, change_of_copy = merge_store_read(EMPTY_CATALOG, at(5, 2), copy, 0.0, False)
+    other = apply_change(EMPTY_CATALOG, change_of_copy)
+    assert not other.registrations["a"].server.is_draining
+    assert apply_change(other, change).registrations["a"].server.is_draining
+    again = make_rows("a", version=7, era=2, sequence=5, started_ms=started_ms)
+    written, _ = read_restored(restored, 7, again)
+    assert not written.registrations["a"].server.is_draining
+
+
+def drain(registration):
+    return registration._replace(server=registration.server._replace(is_draining=True))
+
+
+def test_row_of_a_copy_does_not_bring_an_earlier_start_back():
+    """Guards against the address of a server from before its restart."""
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a", started_ms=900, port=81))
+    copy = make_rows("a", version=4, era=2, started_ms=100, sequence=70)
+    restored, _ = read_restored(catalog, 4, copy)
+    assert restored.registrations["a"].server.port == 81
+    later, _ = merge_store_read(catalog, at(4, 2), copy, 0.0, False)
+    assert later.registrations["a"].server.port == 80, "the server wrote nothing else"
+
+
+def test_server_that_left_before_a_restore_stays_away():
+    """Guards against requests to a server that is only in the copy."""
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a", "b"))
+    catalog, _ = read(catalog, 6, make_rows("a"))
+    copy = make_rows("a", "b", version=5, era=2)
+    restored, change = read_restored(catalog, 5, copy)
+    assert list_names(restored) == ["a"]
+    assert list(restored.unconfirmed) == ["b"]
+    assert "b" in change.removed_ids, "another instance may have read the copy"
+    same, _ = read_restored(restored, 6, copy)
+    assert list_names(same) == ["a"]
+    copy |= make_rows("b", version=7, era=2, sequence=1)
+    written, change = read_restored(same, 7, copy)
+    assert list_names(written) == ["a", "b"]
+    assert not written.unconfirmed
+    kept, _ = merge_store_read(same, at(7, 2), copy, 0.0, False)
+    assert list_names(kept) == ["a", "b"], "the store has not removed it"
+
+
+def test_server_that_registers_after_a_restore_is_used_at_once():
+    """Guards against new servers that wait as if they were in the copy."""
+    catalog, _ = read(EMPTY_CATALOG, 9, make_rows("a"))
+    restored, _ = read_restored(catalog, 5, make_rows("a", version=5, era=2))
+    rows = make_rows("a", "c", version=6, era=2)
+    later, _ = read_restored(restored, 6, rows)
+    assert list_names(later) == ["a", "c"]
+
+
+def test_server_that_registered_before_a_restore_has_a_grace_period():
+    """Guards against losing servers that are not in the copy."""
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a", "b"))
+    restored, change = read_restored(catalog, 4, make_rows("a", era=2))
+    assert list_names(restored) == ["a", "b"]
+    assert change.removed_ids == ()
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -19,6 +19,7 @@
 from cuminhatch.codecs.http1 import RequestHead
 from cuminhatch.decisions.catalog import (
     EXPIRY_GRACE_MS,
+    HEARTBEATS_UNTIL_REMOVED,
     CatalogChange,
     ConfigurationDocument,
     Registration,
@@ -62,10 +63,12 @@
 from cuminhatch.services.catalog import CatalogService
 from cuminhatch.services.catalog._members import add_members, on_greeting
 from cuminhatch.services.catalog._pulls import on_news
+from cuminhatch.services.catalog._timers import HEARTBEAT_MS
 from cuminhatch.services.catalog._updates import publish_configuration
 from tests.support import Recorder
 
 KEY = b"key"
+UNCONFIRMED = "registration_unconfirmed"
 PEER = CatalogMember("front-9", "127.0.0.1", 9)
 
 
@@ -784,3 +787,16 @@
     assert harness.store.records_stored == 2
     harness.advance(3_000.0)
     assert harness.store.records_stored == 2
+
+
+def test_row_of_a_copy_is_used_if_the_store_keeps_it(harness):
+    """Guards against a server that stays away although it is registered."""
+    harness.store.era, harness.store.version = 2, 5
+    harness.store.rows = make_rows("a", "left", era=2)
+    harness.advance(READ_INTERVAL_MS + 100.0)
+    assert list(harness.configuration.servers) == ["a"]
+    events = harness.received("event_log")
+    names = [e.details["server"] for e in events if e.name == UNCONFIRMED]
+    assert names == ["left"]
+    harness.advance(HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS)
+    assert list(harness.configuration.servers) == ["a", "left"]
