Start no hedge once the body of its request is not kept

It needs an idempotent request with a body above 64 KB that is still arriving when a hedge is due.

Cause: a hedge is decided on while the body is buffered, and is started after the loads of other servers were awaited, up to 12 ms later. Meanwhile the body may outgrow its buffer, which is then dropped, as the first attempt has sent it. The hedge was started all the same, with what was left of the buffer.

Change: whether the request can still be hedged is decided again when the loads have arrived, for the body as well as for the response; hedge_dropped tells the reason. test_hedge_is_dropped_once_a_long_body_is_not_kept failed before (the hedge was requested with no data and the full length) and passes now.

--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -198,6 +198,15 @@
             attempt.head is None for attempt in self.attempts.values()
         )
 
+    def find_hedge_obstacle(self) -> str:
+        """Return why no hedged attempt may start now, or an empty string."""
+        if not self.is_awaiting_response:
+            return "response-arriving"
+        if not self.is_body_buffered:
+            # Only the rest of the body could be sent.
+            return "body-not-kept"
+        return ""
+
     @property
     def is_idempotent(self) -> bool:
         """Tell whether the request may be executed more than once."""
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -103,10 +103,11 @@
     if exchange.is_hedging and not exchange.attempts:
         # The first attempt has failed since, so this one is a retry.
         exchange.is_hedging = False
-    elif exchange.is_hedging and not exchange.is_awaiting_response:
-        # The response has arrived, or begun to, since the hedge was due.
+    # The request may have changed since the hedge was due.
+    obstacle = exchange.find_hedge_obstacle() if exchange.is_hedging else ""
+    if obstacle:
         exchange.is_hedging = False
-        state.record("hedge_dropped", exchange.trace_id)
+        state.record("hedge_dropped", exchange.trace_id, {"reason": obstacle})
         return
     choose_and_send(state, exchange)
 
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -211,8 +211,16 @@
         )
         self.tell(ConfigurationChanged(configuration))
 
-    def request(self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None):
-        """Send a request of a caller and return its id."""
+    def request(
+        self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None, body_length=None
+    ):
+        """
+        Send a request of a caller and return its id.
+
+        With a longer ``body_length`` the rest of the body is still to come.
+        """
+        length = len(body) if body_length is None else body_length
+        is_complete = length == len(body)
         self.last_request_id += 1
         request_id = self.last_request_id
         head = RequestHead(
@@ -225,7 +233,9 @@
             ),
         )
         self.tell(
-            RequestReceived(request_id, head, len(body), body, True, self.clock.now_ms)
+            RequestReceived(
+                request_id, head, length, body, is_complete, self.clock.now_ms
+            )
         )
         return request_id
 
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -15,8 +15,10 @@
 )
 from cuminhatch.messages import (
     AttemptFailed,
+    AttemptRequestBody,
     CallerDisconnected,
     EventRecorded,
+    RequestBody,
     RequestRefused,
     ResponseAborted,
     ResponseBody,
@@ -28,7 +30,7 @@
     LoadsMeasured,
 )
 from cuminhatch.outcomes import Outcome
-from cuminhatch.services.forwarding._exchange import Attempt
+from cuminhatch.services.forwarding._exchange import REQUEST_BUFFER_MAX_BYTES, Attempt
 from cuminhatch.services.forwarding._resending import PLACEMENT_RETRIES_MAX
 from cuminhatch.services.forwarding._responses import (
     RESPONSE_BUFFER_MAX_BYTES,
@@ -333,6 +335,32 @@
     assert parts[-1].is_complete
 
 
+def test_hedge_is_dropped_once_a_long_body_is_not_kept(make_world):
+    """
+    Guards against a hedge that sends only the rest of a body (UNASKED).
+
+    The hedge is decided on while the body is buffered, and the loads that its
+    placement waits for arrive after the body has become too long for that.
+    """
+    world = make_world("a", "b")
+    half = REQUEST_BUFFER_MAX_BYTES // 2
+    request_id = world.request("read", body=b"x" * half, body_length=half * 4)
+    first = take_only_attempt(world)
+    assert first.data == b"x" * half
+    world.is_measuring = False
+    world.advance(300.0)
+    (measurement,) = world.unanswered_load_requests
+    world.tell(RequestBody(request_id, b"y" * (half + 1), False))
+    world.tell(LoadsMeasured(measurement.token))
+    world.tell(RequestBody(request_id, b"z" * (half * 2 - 1), True))
+    assert not world.take_attempts()
+    parts = world.take("backends", AttemptRequestBody)
+    assert {part.attempt_id for part in parts} == {first.attempt_id}
+    assert sum(len(part.data) for part in parts) == half * 3
+    world.respond(first, body=b"own")
+    assert take_only_response(world).data == b"own"
+
+
 def test_non_idempotent_request_is_not_hedged(make_world):
     """Guards against executing a non-idempotent request twice to save time."""
     world = make_world("a", "b")
