Reset a caller's connection instead of sending a malformed response

A fault in the service that answers requests reached callers as a response inside a response: the listener wrote a second head into a body that had begun, body bytes before any head, and a body of another length than its head declares, after which the caller takes the next head for the rest of it.

Cause: the listener checked the order of messages only for its own refusals.

Change: a second ResponseStarted, a ResponseBody without a head, and a body that is longer or shorter than declared reset the connection, so that the response can't look complete. Messages that were buffered for a pipelined request meet the same checks.

The three new tests (seven cases) failed before and pass now. No path of forwarding or dispatch is known that still sends such messages.

--- a/src/cuminhatch/services/http_listener/_responses.py
+++ b/src/cuminhatch/services/http_listener/_responses.py
@@ -40,6 +40,9 @@
     ResponseMessage,
 )
 
+# Responses with these statuses have no body, whatever length they declare.
+BODILESS_STATUSES = frozenset({204, 304})
+
 
 def buffer_if_pipelined(
     state: ListenerState, connection: Connection, message: ResponseMessage
@@ -73,7 +76,13 @@
     if connection is None or buffer_if_pipelined(state, connection, message):
         return
     exchange = connection.exchange
+    if exchange.is_response_started:
+        # A second head would end up in the body of the first response.
+        abort_connection(state, connection)
+        return
     exchange.is_response_started = True
+    if not exchange.is_head_request and message.head.status not in BODILESS_STATUSES:
+        exchange.body_bytes_left = message.body_length
     if not exchange.is_request_complete:
         # The rest of the request's body may never be read.
         exchange.is_keep_alive = False
@@ -96,10 +105,14 @@
 def on_response_body(state: ListenerState, message: ResponseBody) -> None:
     """Send a part of a response body."""
     connection = state.connections_by_request.get(message.request_id)
-    if connection is not None and not buffer_if_pipelined(state, connection, message):
-        write_body(
-            state, connection, connection.exchange, message.data, message.is_complete
-        )
+    if connection is None or buffer_if_pipelined(state, connection, message):
+        return
+    exchange = connection.exchange
+    if not exchange.is_response_started:
+        # The caller would take the body for a response head.
+        abort_connection(state, connection)
+        return
+    write_body(state, connection, exchange, message.data, message.is_complete)
 
 
 def write_body(
@@ -111,6 +124,11 @@
     head: bytes = b"",
 ) -> None:
     """Write a part of a response, in the framing that its head declares."""
+    if not exchange.take_body_bytes(len(data), is_complete):
+        # The caller would take what follows for a part of this body, or a part
+        # of this body for the next response.
+        abort_connection(state, connection)
+        return
     if exchange.is_head_request:
         connection.stream.write(head)
     elif exchange.is_chunked:
--- a/src/cuminhatch/services/http_listener/_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -71,6 +71,9 @@
         self.is_request_complete = False
         self.is_response_started = False
         self.is_chunked = False
+        # Bytes of the response body that are still to be sent; None if it has
+        # no length or no body.
+        self.body_bytes_left: int | None = None
         self.is_read_paused = False
         self.is_body_requested = False
         self.forwarded_bytes = 0
@@ -87,6 +90,19 @@
         last = self.buffered[-1]
         return isinstance(last, RequestRefused) or getattr(last, "is_complete", False)
 
+    def take_body_bytes(self, size: int, is_complete: bool) -> bool:
+        """
+        Count a part of the response body.
+
+        :param size: bytes of the part.
+        :param is_complete: whether it is the last part.
+        :returns: whether the body still agrees with its declared length.
+        """
+        if self.body_bytes_left is None:
+            return True
+        self.body_bytes_left -= size
+        return self.body_bytes_left == 0 if is_complete else self.body_bytes_left >= 0
+
     def buffer(self, message: ResponseMessage) -> None:
         """
         Buffer a message until the earlier responses are complete.
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -593,6 +593,54 @@
     assert pipelined.listener.exchange_count == 0
 
 
+@pytest.mark.parametrize("is_head_first", [True, False])
+def test_response_message_out_of_order_resets_the_connection(harness, is_head_first):
+    """Guards against a head in a body, and a body without a head (MIXED)."""
+    peer = harness.begin(GET % 1)
+    if is_head_first:
+        harness.target.respond(1, b"part", is_complete=False, length=20)
+        peer.run_until(lambda: b"part" in peer.received)
+        harness.target.respond(1, b"second")
+    else:
+        harness.send(ResponseBody(1, b"second", True))
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.is_reset
+    assert b"second" not in peer.received
+    assert harness.listener.exchange_count == 0
+
+
+@pytest.mark.parametrize("parts", [(b"lon", b"ger"), (b"longer",), (b"s",), (b"", b"")])
+def test_body_of_another_length_resets_the_connection(harness, parts):
+    """
+    Guards against a body that runs into the next response (MIXED).
+
+    A short one would let the caller take the next head for the rest of it.
+    """
+    peer = harness.begin(GET % 1)
+    first, *further = parts
+    harness.target.respond(1, first, is_complete=not further, length=5)
+    for part in further:
+        peer.run_until(lambda: b"\r\n\r\n" in peer.received)
+        harness.send(ResponseBody(1, part, True))
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.is_reset
+    assert harness.listener.exchange_count == 0
+
+
+def test_response_message_out_of_order_of_a_pipelined_request(pipelined):
+    """Guards against a second head that was buffered behind the first one."""
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
+    pipelined.target.respond(2, b"part", is_complete=False, length=20)
+    pipelined.target.respond(2, b"second")
+    run_ticks(pipelined.kernel, 10)
+    pipelined.target.respond(1, b"first")
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.is_reset
+    assert b"second" not in peer.received
+    assert pipelined.listener.exchange_count == 0
+
+
 def test_refusal_of_a_pipelined_request_is_sent_in_order(pipelined):
     """Guards against a refusal that is taken for an earlier response."""
     peer = pipelined.begin(GET % 1 + GET % 2)
