Reject a response whose body holds another response

Both front ends were affected.

Cause: a body without a length ends with its connection, so a copy before the close counts as body. A response that stops before its declared length is filled with the bytes of the copy that follows it.

Change: while the body arrives, a status line followed by a header that carries the id of this very request marks the body as not the server's. Without a length, the id of another request or a head that is cut off by the close counts as well. The attempt fails like one with the response of another request: it is sent again if that is allowed, ends with an unknown outcome otherwise, and is broken off if it is streamed. The log line is response_rejected with the reason another-response-in-body.

Not found: a copy behind a declared length whose id lies beyond that length, and one that is cut within its status line.

--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -81,6 +81,8 @@
     ``is_reused`` is True if the connection had served other requests, so that
     the response may be a repetition of an earlier one. ``has_trailing_data``
     is True if more bytes arrived behind the complete response.
+    ``is_close_delimited`` is True if the body has no length and ends with the
+    connection.
     """
 
     attempt_id: int
@@ -90,6 +92,7 @@
     is_complete: bool
     is_reused: bool
     has_trailing_data: bool
+    is_close_delimited: bool = False
 
 
 class AttemptResponseBody(NamedTuple):
--- a/src/cuminhatch/services/backends/_reports.py
+++ b/src/cuminhatch/services/backends/_reports.py
@@ -22,8 +22,9 @@
     """
     What one read has brought of a response.
 
-    ``parsed`` is the head if it has just arrived. ``is_reused`` and
-    ``has_trailing_data`` are those of :class:`AttemptResponse`.
+    ``parsed`` is the head if it has just arrived. ``is_reused``,
+    ``has_trailing_data`` and ``is_close_delimited`` are those of
+    :class:`AttemptResponse`.
     """
 
     parsed: HeadParsed | None
@@ -31,6 +32,7 @@
     is_complete: bool
     is_reused: bool
     has_trailing_data: bool
+    is_close_delimited: bool
 
 
 class Reports(NamedTuple):
@@ -65,6 +67,7 @@
                 part.is_complete,
                 part.is_reused,
                 part.has_trailing_data,
+                part.is_close_delimited,
             )
             send(target, response)
         elif part.data or part.is_complete:
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -267,6 +267,7 @@
             is_complete,
             connection.is_reused,
             attempt.parser.has_trailing_data,
+            attempt.parser.is_close_delimited,
         )
         fault = attempt.reports.on_part(part)
         if fault:
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -2,6 +2,7 @@
 
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.leaving import apply_observation
+from cuminhatch.decisions.response_copies import make_copy_finder
 from cuminhatch.decisions.response_origin import (
     ResponseEvidence,
     is_own_response,
@@ -40,6 +41,7 @@
 from cuminhatch.services.dispatch._response_headers import (
     ParsedResponseHeaders,
     parse_response_headers,
+    read_attempt_ids,
 )
 from cuminhatch.services.dispatch._responses import build_server_response
 from cuminhatch.services.dispatch._server_observations import count_server_failure
@@ -47,6 +49,8 @@
 # Responses from this status up count as failures of the server. A server that
 # returns errors at once would otherwise look idle.
 SERVER_ERROR_STATUS_MIN = 500
+# Reason for which a response is rejected or aborted.
+ANOTHER_RESPONSE_IN_BODY = "another-response-in-body"
 
 
 def on_attempt_response(state: DispatchState, message: AttemptResponse) -> None:
@@ -56,7 +60,12 @@
         return
     now_ms = state.clock.now_ms
     parsed = parse_response_headers(message.head)
+    record.find_copy = make_copy_finder(
+        record.attempt_tag, message.is_close_delimited, read_attempt_ids
+    )
     fault = check_response(record, message, parsed)
+    if not fault and record.find_copy(message.data, message.is_complete):
+        fault = ANOTHER_RESPONSE_IN_BODY
     if fault:
         reject_response(state, record, fault)
         return
@@ -193,6 +202,12 @@
         start_waiting_requests(state, record.pool)
         return
     data, is_complete = message.data, message.is_complete
+    if record.find_copy(data, is_complete):
+        count_server_failure(state, record.pool, record.view)
+        cancel_attempt(state, record)
+        abort_response(state, record, ANOTHER_RESPONSE_IN_BODY)
+        start_waiting_requests(state, record.pool)
+        return
     if not record.is_caller_gone and record.has_expected_length(data, is_complete):
         state.send("callers", ResponseBody(record.request_id, data, is_complete))
     process_body_part(state, record, data, is_complete)
--- a/src/cuminhatch/services/dispatch/_request.py
+++ b/src/cuminhatch/services/dispatch/_request.py
@@ -8,6 +8,7 @@
 from cuminhatch.decisions.claims import StoredResponse
 from cuminhatch.decisions.configuration import Rule
 from cuminhatch.decisions.permits import Permit
+from cuminhatch.decisions.response_copies import CopyFinder
 from cuminhatch.decisions.servers import ServerView
 from cuminhatch.messages import RequestReceived
 from cuminhatch.outcomes import ATTEMPT_HEADER, REQUEST_ID_HEADER
@@ -64,6 +65,7 @@
         "body_length",
         "claim_id",
         "deadline_ms",
+        "find_copy",
         "forwarded_headers",
         "head",
         "idempotency_key",
@@ -157,6 +159,7 @@
         # response has no body.
         self.response_bytes_left: int | None = None
         self.response_head: ResponseHead | None = None
+        self.find_copy: CopyFinder | None = None
         self.response_parts: list[bytes] = []
         self.response_bytes = 0
         # Status and reason to send once the claim is voided.
--- a/src/cuminhatch/services/dispatch/_response_headers.py
+++ b/src/cuminhatch/services/dispatch/_response_headers.py
@@ -64,6 +64,16 @@
     )
 
 
+def read_attempt_ids(name: bytes, value: bytes) -> tuple[bytes, ...]:
+    """
+    Return the ids of attempts in a header of a response.
+
+    :param name: name of the header in lower case.
+    :param value: its value.
+    """
+    return (value.strip(),) if name == ATTEMPT_HEADER else ()
+
+
 # Few distinct values occur, because the counts are small.
 @lru_cache(maxsize=4096)
 def parse_load_report(value: bytes) -> tuple[int, int, int] | None:
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -6,6 +6,8 @@
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.configuration import Rule
 from cuminhatch.decisions.resending import SendHistory
+from cuminhatch.decisions.response_copies import CopyFinder
+from cuminhatch.decisions.response_origin import ResponseEvidence
 from cuminhatch.decisions.server_records import ServerRecord
 from cuminhatch.errors import ServiceError
 from cuminhatch.messages import RequestReceived
@@ -44,7 +46,9 @@
         "attempt_id",
         "body_length",
         "body_parts",
+        "evidence",
         "facts",
+        "find_copy",
         "head",
         "is_hedge",
         "predicted_slowdown",
@@ -77,6 +81,8 @@
         self.predicted_slowdown = predicted_slowdown
         self.head: ResponseHead | None = None
         self.facts: ResponseMetadata | None = None
+        self.evidence: ResponseEvidence | None = None
+        self.find_copy: CopyFinder | None = None
         self.body_length: int | None = None
         # Buffered until the response is complete, so that a truncated response
         # can be replaced by one of another server.
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -1,8 +1,11 @@
 """Checks the responses of backend servers and forwards them to callers."""
 
+from functools import partial
+
 from cuminhatch.codecs.dialect import ResponseMetadata
-from cuminhatch.codecs.http1 import ResponseHead
+from cuminhatch.codecs.http1 import Header, ResponseHead
 from cuminhatch.decisions.placement import is_full
+from cuminhatch.decisions.response_copies import make_copy_finder
 from cuminhatch.decisions.response_origin import (
     ResponseEvidence,
     is_own_response,
@@ -38,6 +41,9 @@
 # Longer responses are streamed. For 500 requests in progress, buffers of this
 # size take 128 MB, less than half of the daemon's memory.
 RESPONSE_BUFFER_MAX_BYTES = 256 * 1024
+# Reason for which a response is rejected or aborted.
+ANOTHER_RESPONSE_IN_BODY = "another-response-in-body"
+STATUS_OK = 200
 SERVER_ERROR_MIN_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
 
@@ -59,62 +65,86 @@
         return
     exchange, attempt = found
     facts = state.dialect.read_response(message.head)
-    now_ms = state.clock.now_ms
-    fault = check_response(exchange, message, facts)
+    attempt.head = message.head
+    attempt.facts = facts
+    attempt.evidence = ResponseEvidence(
+        exchange.facts.request_id,
+        facts.request_ids,
+        message.is_reused,
+        message.has_trailing_data,
+    )
+    fault = check_response(attempt)
     if fault:
-        record_rejection(state, exchange, attempt, fault, facts, message)
-        record_failure(attempt.record, now_ms)
-        cancel_attempt(state, exchange, attempt)
-        exchange.may_have_run = True
-        exchange.last_failure = fault
-        resend_or_give_up(state, exchange, fault)
+        reject_response(state, exchange, attempt, fault)
         return
     if facts.load is not None:
-        record_load(attempt.record, ServerLoad(*facts.load, now_ms))
+        record_load(attempt.record, ServerLoad(*facts.load, state.clock.now_ms))
+    attempt.body_length = message.body_length
+    attempt.find_copy = make_copy_finder(
+        exchange.facts.request_id,
+        message.is_close_delimited,
+        partial(read_request_ids, state),
+    )
     if facts.is_not_executed:
         handle_not_run(state, exchange, attempt, facts, message)
         return
-    attempt.head = message.head
-    attempt.facts = facts
-    attempt.body_length = message.body_length
     add_response_data(state, exchange, attempt, message.data, message.is_complete)
 
 
-def check_response(
-    exchange: Exchange, message: AttemptResponse, facts: ResponseMetadata
-) -> str:
+def check_response(attempt: Attempt) -> str:
     """Return why a response is not valid for a request, or an empty string."""
-    evidence = ResponseEvidence(
-        exchange.facts.request_id,
-        facts.request_ids,
-        message.is_reused,
-        message.has_trailing_data,
-    )
-    if not is_own_response(evidence):
+    facts = attempt.facts
+    if not is_own_response(attempt.evidence):
         return "answer-of-another-request"
-    if facts.is_not_executed and not is_refusal_proven(evidence):
+    if facts.is_not_executed and not is_refusal_proven(attempt.evidence):
         return "refusal-not-proven"
-    if message.head.status in SUCCESS_STATUSES and not facts.is_authenticated:
+    if attempt.head.status in SUCCESS_STATUSES and not facts.is_authenticated:
         return "answer-not-vouched"
     return ""
 
 
+def read_request_ids(
+    state: ForwardingState, name: bytes, value: bytes
+) -> tuple[bytes, ...]:
+    """Return the ids of requests in a header of a response."""
+    head = ResponseHead(STATUS_OK, b"", (Header(name, value),))
+    return state.dialect.read_response(head).request_ids
+
+
+def reject_response(
+    state: ForwardingState, exchange: Exchange, attempt: Attempt, fault: str
+) -> None:
+    """
+    Drop a response that is not valid for its request, and its connection.
+
+    The request may have run; it is retried if that is allowed.
+    """
+    record_rejection(state, exchange, attempt, fault)
+    record_failure(attempt.record, state.clock.now_ms)
+    cancel_attempt(state, exchange, attempt)
+    exchange.may_have_run = True
+    exchange.last_failure = fault
+    if exchange.stage is Stage.ANSWERING:
+        abort_response(state, exchange, fault)
+    else:
+        resend_or_give_up(state, exchange, fault)
+
+
 def record_rejection(
     state: ForwardingState,
     exchange: Exchange,
     attempt: Attempt,
     fault: str,
-    facts: ResponseMetadata,
-    message: AttemptResponse,
 ) -> None:
     """Write a ``response_rejected`` event with what speaks against it."""
+    evidence = attempt.evidence
     details = {
         "server": attempt.record.server.server_id,
         "reason": fault,
-        "status": message.head.status,
-        "response_ids": [value.decode("latin-1") for value in facts.request_ids],
-        "is_reused": message.is_reused,
-        "has_trailing_data": message.has_trailing_data,
+        "status": attempt.head.status,
+        "response_ids": [value.decode("latin-1") for value in evidence.response_ids],
+        "is_reused": evidence.is_reused,
+        "has_trailing_data": evidence.has_trailing_data,
         "after_ms": round(state.clock.now_ms - attempt.sent_ms, 1),
     }
     state.record("response_rejected", exchange.trace_id, details)
@@ -161,6 +191,9 @@
 ) -> None:
     """Buffer or forward a part of a response body; finish a complete one."""
     attempt.response_bytes += len(data)
+    if attempt.find_copy(data, is_complete):
+        reject_response(state, exchange, attempt, ANOTHER_RESPONSE_IN_BODY)
+        return
     if exchange.stage is Stage.ANSWERING:
         forward_response_data(state, exchange, attempt, data, is_complete)
         return
--- a/tests/services/test_stale_responses.py
+++ b/tests/services/test_stale_responses.py
@@ -7,7 +7,10 @@
 
 import pytest
 
+from cuminhatch.messages import ResponseAborted, ResponseStarted
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._responses import RESPONSE_BUFFER_MAX_BYTES
+from tests.services._loopback import run_until
 from tests.services.front_ends import Daemon, Gateway, is_not_run
 
 
@@ -132,3 +135,104 @@
     peer, _ = daemon.serve_first(lambda given_id: daemon.success(None))
     daemon.request("read")
     assert finish_on_new_connection(daemon, b"second").data == b"second"
+
+
+def without_length(data):
+    """Return a response whose body ends with the connection."""
+    head, _, body = data.partition(b"\r\n\r\n")
+    lines = [x for x in head.split(b"\r\n") if not x.startswith(b"content-length")]
+    return b"\r\n".join([*lines, b"", body])
+
+
+def begin_read(front_end):
+    """Send a read and return its connection and the id that it carries."""
+    front_end.request("read")
+    peer = front_end.accept()
+    return peer, front_end.receive(peer)
+
+
+@pytest.mark.parametrize("copied_id", [None, b"999"])
+def test_copy_behind_a_response_without_length_is_no_body(front_end, copied_id):
+    """Guards against a body with a second response in it (MIXED)."""
+    peer, own_id = begin_read(front_end)
+    first = without_length(front_end.success(own_id, b"first"))
+    peer.send(first + front_end.success(copied_id or own_id))
+    peer.sock.close()
+    assert finish_on_new_connection(front_end, b"sent again").data == b"sent again"
+
+
+@pytest.mark.parametrize("left_out", [1, 10, 20])
+def test_cut_copy_behind_a_response_without_length_is_no_body(gateway, left_out):
+    """Guards against the begin of a second response in a body (MIXED)."""
+    peer, own_id = begin_read(gateway)
+    first = without_length(gateway.success(own_id, b"first"))
+    peer.send(first + gateway.success(own_id, b"")[:-left_out])
+    peer.sock.close()
+    assert finish_on_new_connection(gateway, b"sent again").data == b"sent again"
+
+
+def test_cut_copy_behind_a_forwarded_response_aborts_it(daemon):
+    """Guards against the begin of a second response in a body (MIXED)."""
+    peer, own_id = begin_read(daemon)
+    first = without_length(daemon.success(own_id, b"first"))
+    peer.send(first + daemon.success(None, b"")[:-1])
+    peer.sock.close()
+    received = daemon.world.received["callers"]
+    run_until(daemon.kernel, lambda: ResponseAborted in map(type, received))
+    assert not any(getattr(message, "is_complete", False) for message in received)
+
+
+def test_copy_does_not_fill_the_rest_of_a_response(front_end):
+    """Guards against a body that stops and goes on with a copy (MIXED)."""
+    peer, own_id = begin_read(front_end)
+    whole = front_end.success(own_id, b"x" * 300)
+    peer.send(whole[:-200] + whole)
+    assert finish_on_new_connection(front_end, b"sent again").data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("step", [1, 7])
+@pytest.mark.parametrize("has_length", [True, False])
+def test_copy_in_pieces_is_no_body(gateway, has_length, step):
+    """Guards against a copy that is missed at the ends of the parts read."""
+    peer, own_id = begin_read(gateway)
+    whole = gateway.success(own_id, b"x" * 300)
+    first = whole[:-200] if has_length else without_length(whole)
+    peer.send(first + whole, step=step)
+    assert finish_on_new_connection(gateway, b"sent again").data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("has_length", [True, False])
+def test_streamed_response_with_a_copy_in_it_is_aborted(front_end, has_length):
+    """Guards against a long response that looks complete with a copy in it."""
+    peer, own_id = begin_read(front_end)
+    whole = front_end.success(own_id, b"x" * (RESPONSE_BUFFER_MAX_BYTES + 1000))
+    first = whole[:-900] if has_length else without_length(whole)
+    received = front_end.world.received["callers"]
+    peer.send(first)
+    run_until(front_end.kernel, lambda: ResponseStarted in map(type, received))
+    peer.send(front_end.success(own_id, b"y" * 2000), step=50)
+    run_until(front_end.kernel, lambda: ResponseAborted in map(type, received))
+    assert not any(getattr(message, "is_complete", False) for message in received)
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_body_about_responses_is_returned(front_end):
+    """Guards against whole responses that are rejected."""
+    peer, own_id = begin_read(front_end)
+    body = front_end.success(b"999") + b"id " + own_id + b" HTTP/1.1 200 OK"
+    peer.send(front_end.success(own_id, body))
+    assert front_end.take_final().data == body
+
+
+def test_write_with_a_copy_in_its_body_is_not_sent_again(gateway):
+    """Guards against a second run (TWICE) and a body with a copy (MIXED)."""
+    gateway.request("write")
+    peer = gateway.accept()
+    copy = gateway.success(gateway.receive(peer))
+    peer.send(without_length(copy) + copy)
+    peer.sock.close()
+    final = gateway.take_final()
+    assert final.outcome is Outcome.UNKNOWN
+    assert not gateway.has_new_connection()
