Doubt a refusal whose body holds another response

Seen in a test over real sockets: a request that may run once at most was refused as not run, although a success of the same request followed the refusal (REFUSED).

Cause: more bytes behind a refusal disprove it, but behind a refusal without a length they count as its body, which was not looked at.

Change: the part of the body that has arrived with the refusal is searched for another response; if it holds one, the outcome is unknown. What arrives later is still not awaited.

test_refusal_without_length_before_a_success_proves_nothing failed before.

--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -158,6 +158,10 @@
     message: AttemptResponse,
 ) -> None:
     """Retry a request that the backend server has not executed."""
+    if attempt.find_copy(message.data, message.is_complete):
+        # The other response may be that of a run.
+        reject_response(state, exchange, attempt, ANOTHER_RESPONSE_IN_BODY)
+        return
     now_ms = state.clock.now_ms
     if facts.is_misdirected:
         record_unreachable(attempt.record, now_ms)
--- a/tests/services/test_stale_responses.py
+++ b/tests/services/test_stale_responses.py
@@ -236,3 +236,13 @@
     final = gateway.take_final()
     assert final.outcome is Outcome.UNKNOWN
     assert not gateway.has_new_connection()
+
+
+def test_refusal_without_length_before_a_success_proves_nothing(gateway):
+    """Guards against a not-run of a request that the same server answers."""
+    gateway.request("write")
+    peer = gateway.accept()
+    own_id = gateway.receive(peer)
+    peer.send(without_length(gateway.refusal(own_id)) + gateway.success(own_id))
+    assert not is_not_run(gateway.take_final())
+    assert not gateway.has_new_connection()
