--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -148,7 +148,7 @@
             self.kernel.register(backends).open()
         else:
             self._add_fake("backends", self.received["backends"].append)
-        self._add_fake("loads", self._answer_load_request)
+        self._add_fake("loads", self._on_load_request)
         self.kernel.register(Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed)))
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
@@ -163,10 +163,14 @@
     def _add_fake(self, name, handle):
         self.kernel.register(_FakeService(self.kernel, name, handle))
 
-    def _answer_load_request(self, message: LoadsRequested):
+    def _on_load_request(self, message: LoadsRequested):
         if not self.is_measuring:
             self.unanswered_load_requests.append(message)
-            return
+        else:
+            self.answer_load_request(message)
+
+    def answer_load_request(self, message):
+        """Report the loads of some servers, and that these are all."""
         for target in message.targets:
             load = self.loads.get(target.server_id, IDLE_LOAD)
             if load is not None:
