Test copies in pieces, and connections used again before a rejection

A copy of an earlier response may be cut by the placement of the next request, or arrive in pieces where its response is due. A connection whose response is rejected is idle for a moment, and another request may get it.

--- a/tests/services/test_stale_responses.py
+++ b/tests/services/test_stale_responses.py
@@ -246,3 +246,57 @@
     peer.send(without_length(gateway.refusal(own_id)) + gateway.success(own_id))
     assert not is_not_run(gateway.take_final())
     assert not gateway.has_new_connection()
+
+
+@pytest.mark.parametrize("size", [1, 20, 50])
+def test_copy_that_begins_on_an_idle_connection_closes_it(front_end, size):
+    """Guards against the rest of a copy taken for the next response."""
+    peer, first_id = front_end.serve_first(front_end.success)
+    copy = front_end.success(first_id)
+    # Not read before the next request is placed.
+    peer.sock.send(copy[:size])
+    front_end.request("read")
+    peer.send(copy[size:])
+    assert finish_on_new_connection(front_end, b"second").data == b"second"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("step", [1, 30])
+def test_copy_in_pieces_is_not_taken_for_the_next_response(front_end, step):
+    """Guards against a late copy whose head arrives in parts (MIXED)."""
+    peer, first_id = front_end.serve_first(front_end.success)
+    front_end.request("read")
+    front_end.receive(peer)
+    peer.send(front_end.success(first_id), step=step)
+    assert finish_on_new_connection(front_end, b"second").data == b"second"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("is_first_in_time", [True, False])
+def test_connection_used_again_before_a_rejection(gateway, is_first_in_time):
+    """
+    Guards against a response that meets the next request of its connection.
+
+    A copy completes the second request, whose connection is idle until the
+    copy is rejected; the third request may get it meanwhile.
+    """
+    peer, first_id = gateway.serve_first(gateway.success)
+    gateway.request("read")
+    second_id = gateway.receive(peer)
+    peer.sock.send(gateway.success(first_id, b"copy"))
+    if is_first_in_time:
+        gateway.kernel.tick(0)
+    gateway.request("read")
+    peer.send(gateway.success(second_id, second_id))
+    received = gateway.world.received["callers"]
+    for _ in range(2):
+        if sum(type(m) is ResponseStarted for m in received) < 2:
+            other = gateway.accept()
+            own_id = gateway.receive(other)
+            other.send(gateway.success(own_id, own_id))
+    run_until(
+        gateway.kernel,
+        lambda: sum(type(m) is ResponseStarted for m in received) == 2,
+    )
+    for message in received:
+        assert message.data == b"%d" % message.request_id
