Test that an early response ends the use of its connection

A server may answer before it has read a long body and read on later; what follows on the connection would be taken for the rest of that body. The test passes without a change.

--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -324,6 +324,18 @@
     assert harness.connections == 0
 
 
+def test_connection_is_not_used_again_after_an_early_response(harness, peer):
+    """Guards against a request where the rest of a body is due (UNASKED)."""
+    attempt_id = harness.request(
+        b"POST", body_length=1000, data=b"x" * 10, is_complete=False
+    )
+    peer.run_until(lambda: peer.received.endswith(b"x" * 10))
+    peer.sock.send(OK)
+    harness.wait_for_ok(attempt_id)
+    peer.run_until(lambda: peer.is_closed)
+    assert harness.connections == 0
+
+
 def test_cancelled_attempt_closes_its_connection(harness, peer):
     """Guards against servers that work on cancelled requests."""
     attempt_id = harness.request()
