Read a body on after the failure of an attempt that reads slowly

Seen in a test: a caller is no longer read because the server of a hedge reads slowly; that attempt fails, and the other one never gets the rest of the body. The request ends with a 504 at its deadline.

Cause: flow control forgets which attempt has paused the caller. The message that the server reads again never comes from an attempt that has ended.

Change: the end of an attempt resumes the caller if others remain. test_body_goes_on_after_the_failure_of_an_attempt_that_reads_slowly failed before.

--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -124,6 +124,9 @@
     state.exchanges_by_attempt.pop(attempt.attempt_id, None)
     exchange.attempts.pop(attempt.attempt_id, None)
     record_ended(attempt.record)
+    if exchange.attempts and not exchange.is_body_complete:
+        # The caller may not have been read because this server read slowly.
+        state.send("callers", RequestReadResumed(exchange.request_id))
 
 
 def cancel_attempt(
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -16,9 +16,12 @@
 from cuminhatch.messages import (
     AttemptFailed,
     AttemptRequestBody,
+    AttemptWriteStalled,
     CallerDisconnected,
     EventRecorded,
     RequestBody,
+    RequestReadPaused,
+    RequestReadResumed,
     RequestRefused,
     ResponseAborted,
     ResponseBody,
@@ -361,6 +364,22 @@
     assert take_only_response(world).data == b"own"
 
 
+def test_body_goes_on_after_the_failure_of_an_attempt_that_reads_slowly(make_world):
+    """Guards against a body that its remaining server never gets whole."""
+    world = make_world("a", "b")
+    world.request("read", body=b"x", body_length=REQUEST_BUFFER_MAX_BYTES * 8)
+    first = take_only_attempt(world)
+    world.advance(300.0)
+    second = take_only_attempt(world)
+    world.take("callers", RequestReadResumed)
+    world.tell(AttemptWriteStalled(second.attempt_id))
+    assert world.take("callers", RequestReadPaused)
+    world.fail(second)
+    assert world.take("callers", RequestReadResumed)
+    world.respond(first)
+    assert take_only_response(world).is_complete
+
+
 def test_non_idempotent_request_is_not_hedged(make_world):
     """Guards against executing a non-idempotent request twice to save time."""
     world = make_world("a", "b")
