Test that a response with another one in its body is not stored

The stored response of a keyed request answers all later requests with its key. The test fails without the search for copies in bodies, with and without a caller.

--- a/tests/services/test_dispatch.py
+++ b/tests/services/test_dispatch.py
@@ -42,7 +42,7 @@
     ResponseStarted,
 )
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
-from cuminhatch.outcomes import OUTCOME_HEADER, Outcome
+from cuminhatch.outcomes import ATTEMPT_HEADER, OUTCOME_HEADER, Outcome
 from cuminhatch.services.dispatch import Dispatch
 from cuminhatch.services.dispatch._request_deadlines import fail_request
 from tests.proofs.dispatch_harness import DispatchHarness, make_server
@@ -581,6 +581,24 @@
     assert world.take("callers") == []
 
 
+@pytest.mark.parametrize("is_caller_gone", [True, False])
+def test_response_with_another_one_in_its_body_is_not_stored(
+    make_world, is_caller_gone
+):
+    """Guards against a wrong body for each later request with the key."""
+    world = make_world("claims")
+    world.request("write", headers=(KEY_HEADER,))
+    grant_claim(world, 1)
+    (attempt,) = world.take_attempts()
+    if is_caller_gone:
+        world.deliver(CallerDisconnected(1))
+    own_id = dict(attempt.head.headers)[ATTEMPT_HEADER]
+    copy = b"HTTP/1.1 200 OK\r\n%s: %s\r\n\r\ndone" % (ATTEMPT_HEADER, own_id)
+    world.respond(attempt, 200, b"done" + copy, ((ATTEMPT_HEADER, own_id),))
+    assert not world.take("claims", ClaimCompleted)
+    assert not world.take("callers", ResponseStarted)
+
+
 def test_response_without_end_is_given_up_after_the_caller_has_left(make_world):
     """Guards against an attempt that a server holds by sending on."""
     world = make_world("claims", servers=1)
