Find the begin of a second response in front of trailing bytes

Seen in tests over real sockets: a response that stops shortly before its declared length and goes on with a copy has only the first lines of the copy in its body, without an id, and was returned as whole (MIXED).

Cause: the body was searched for the id of the request, which arrives behind the declared end.

Change: bytes behind the end of a response make its end as doubtful as that of a body without a length; a head that is cut off by it then counts as another response. That they follow is known only if they arrive in the same read.

test_begin_of_a_copy_does_not_fill_the_rest_of_a_response failed before, for both front ends.

--- a/src/cuminhatch/decisions/response_copies.py
+++ b/src/cuminhatch/decisions/response_copies.py
@@ -27,7 +27,7 @@
 
 def make_copy_finder(
     expected_id: bytes,
-    is_close_delimited: bool,
+    is_end_uncertain: bool,
     read_ids: Callable[[bytes, bytes], tuple[bytes, ...]],
 ) -> CopyFinder:
     """
@@ -35,12 +35,12 @@
 
     A status line counts only together with a header, of the lines directly
     behind it, that carries the id of the request itself: bodies may be about
-    responses. The end of a body without a length proves nothing, so there the
-    id of any request counts, and a head that is cut off by the end.
+    responses. If the end of the body proves nothing, the id of any request
+    counts, and a head that is cut off by the end.
 
     :param expected_id: id that was sent with the request, may be empty.
-    :param is_close_delimited: whether the body has no length and ends with
-        the connection.
+    :param is_end_uncertain: whether the body has no length and ends with the
+        connection, or more bytes have arrived behind its end.
     :param read_ids: returns the ids of requests in a header, which is given
         as its name in lower case and its value.
     """
@@ -54,7 +54,7 @@
         if header is None:
             return None
         ids = read_ids(header[1].lower(), header[2].strip())
-        if is_close_delimited:
+        if is_end_uncertain:
             return any(ids)
         return bool(expected_id) and expected_id in ids
 
@@ -89,7 +89,7 @@
                 start = end + len(LINE_END) if is_in_head else start
         if not is_complete or not is_in_head:
             return False
-        return is_close_delimited or bool(names_request(rest))
+        return is_end_uncertain or bool(names_request(rest))
 
     return find_copy
 
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -61,7 +61,9 @@
     now_ms = state.clock.now_ms
     parsed = parse_response_headers(message.head)
     record.find_copy = make_copy_finder(
-        record.attempt_tag, message.is_close_delimited, read_attempt_ids
+        record.attempt_tag,
+        message.is_close_delimited or message.has_trailing_data,
+        read_attempt_ids,
     )
     fault = check_response(record, message, parsed)
     if not fault and record.find_copy(message.data, message.is_complete):
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -82,7 +82,7 @@
     attempt.body_length = message.body_length
     attempt.find_copy = make_copy_finder(
         exchange.facts.request_id,
-        message.is_close_delimited,
+        message.is_close_delimited or message.has_trailing_data,
         partial(read_request_ids, state),
     )
     if facts.is_not_executed:
--- a/tests/decisions/test_response_copies.py
+++ b/tests/decisions/test_response_copies.py
@@ -16,8 +16,8 @@
     return (value,) if name == b"id" else ()
 
 
-def has_copy(body, expected_id=b"7", is_close_delimited=False, step=0):
-    find_copy = make_copy_finder(expected_id, is_close_delimited, read_ids)
+def has_copy(body, expected_id=b"7", is_end_uncertain=False, step=0):
+    find_copy = make_copy_finder(expected_id, is_end_uncertain, read_ids)
     step = step or len(body) or 1
     parts = [body[at : at + step] for at in range(0, len(body), step)]
     found = [find_copy(part, False) for part in parts]
@@ -43,7 +43,7 @@
 def test_copy_that_names_the_request_is_found(body, step):
     """Guards against a body that holds a second response (MIXED)."""
     assert has_copy(body, step=step if len(body) < 10_000 else step * 1000)
-    assert has_copy(body, is_close_delimited=True)
+    assert has_copy(body, is_end_uncertain=True)
 
 
 @pytest.mark.parametrize("step", [0, 1, 7])
@@ -71,22 +71,22 @@
 def test_ordinary_bodies_are_no_copies(body, step):
     """Guards against whole responses that are rejected."""
     assert not has_copy(body, step=step)
-    assert not has_copy(body, is_close_delimited=True, step=step)
+    assert not has_copy(body, is_end_uncertain=True, step=step)
 
 
 @pytest.mark.parametrize("body", [OTHER_HEAD, b"x" + OTHER_HEAD + b"y"])
-def test_response_of_another_request_counts_only_without_a_length(body):
+def test_response_of_another_request_counts_only_behind_an_uncertain_end(body):
     """Guards against rejected bodies about responses, and missed copies."""
     assert not has_copy(body)
-    assert has_copy(body, is_close_delimited=True)
+    assert has_copy(body, is_end_uncertain=True)
 
 
-def test_copy_that_is_cut_off_counts_only_without_a_length():
-    """Guards against a cut head at the end of a body without a length."""
+def test_copy_that_is_cut_off_counts_only_behind_an_uncertain_end():
+    """Guards against a cut head at the end of a body."""
     first_line_end = OTHER_HEAD.index(b"\r\n") + 2
     for size in range(first_line_end, len(OTHER_HEAD) - 2):
         assert not has_copy(b"x" + OTHER_HEAD[:size])
-        assert has_copy(b"x" + OTHER_HEAD[:size], is_close_delimited=True)
+        assert has_copy(b"x" + OTHER_HEAD[:size], is_end_uncertain=True)
 
 
 def test_empty_id_names_no_request():
--- a/tests/services/test_stale_responses.py
+++ b/tests/services/test_stale_responses.py
@@ -191,6 +191,15 @@
     peer.run_until(lambda: peer.is_closed)
 
 
+def test_begin_of_a_copy_does_not_fill_the_rest_of_a_response(front_end):
+    """Guards against a copy whose id lies behind the end of a body (MIXED)."""
+    peer, own_id = begin_read(front_end)
+    whole = front_end.success(own_id, b"x" * 300)
+    peer.send(whole[:-25] + whole)
+    assert finish_on_new_connection(front_end, b"sent again").data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
 @pytest.mark.parametrize("step", [1, 7])
 @pytest.mark.parametrize("has_length", [True, False])
 def test_copy_in_pieces_is_no_body(gateway, has_length, step):
