--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -148,7 +148,7 @@
             self.kernel.register(backends).open()
         else:
             self._add_fake("backends", self.received["backends"].append)
-        self._add_fake("loads", self._answer_load_request)
+        self._add_fake("loads", self._on_load_request)
         self.kernel.register(Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed)))
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
@@ -163,10 +163,14 @@
     def _add_fake(self, name, handle):
         self.kernel.register(_FakeService(self.kernel, name, handle))
 
-    def _answer_load_request(self, message: LoadsRequested):
+    def _on_load_request(self, message: LoadsRequested):
         if not self.is_measuring:
             self.unanswered_load_requests.append(message)
-            return
+        else:
+            self.answer_load_request(message)
+
+    def answer_load_request(self, message):
+        """Report the loads of some servers, and that these are all."""
         for target in message.targets:
             load = self.loads.get(target.server_id, IDLE_LOAD)
             if load is not None:
@@ -211,8 +215,16 @@
         )
         self.tell(ConfigurationChanged(configuration))
 
-    def request(self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None):
-        """Send a request of a caller and return its id."""
+    def request(
+        self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None, body_length=None
+    ):
+        """
+        Send a request of a caller and return its id.
+
+        With a longer ``body_length`` the rest of the body is still to come.
+        """
+        length = len(body) if body_length is None else body_length
+        is_complete = length == len(body)
         self.last_request_id += 1
         request_id = self.last_request_id
         head = RequestHead(
@@ -225,7 +237,9 @@
             ),
         )
         self.tell(
-            RequestReceived(request_id, head, len(body), body, True, self.clock.now_ms)
+            RequestReceived(
+                request_id, head, length, body, is_complete, self.clock.now_ms
+            )
         )
         return request_id
 
