Refuse odd rows and configurations one by one, where they are decoded

Operators of a similar system saw machines end again and again, or stop following the list of backends, after another writer had left one odd row.

Cause: decoding accepted values that do not fit the types they cross into later. slots, warmup-left-ms and born beyond 32 or 64 bits raised OverflowError when a change was sent on to other instances and when they pulled it. An id with a line break became part of a request header. A value that is not base64, a row without a field or a key with a lone surrogate failed the whole reading, and a page with the version 1e300 made every later page look old. In the configuration, a version of 5,000 digits or in superscripts, 1e300 as a limit and a target latency of 0 were accepted or failed with other errors.

Now documents.py has a named limit for each of these fields, those of the messages between instances among them; a test encodes a registration with the highest accepted values. store.py refuses a row alone, as registration_refused with a printable id and a short reason, and a page whose version is out of range. A configuration is refused as a whole with a DocumentError, which the catalog logs, and the one in force stays.

Deep nesting, NaN and ports out of range were refused before; tests now show it.

--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -1,6 +1,8 @@
 """Decode the operators' configuration and the server registrations."""
 
+from collections.abc import Callable
 from ipaddress import AddressValueError, IPv4Address
+from math import isfinite
 from types import MappingProxyType
 from typing import Any
 
@@ -24,6 +26,18 @@
 SERVER_STATES = frozenset({"ready", "draining"})
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
+# Other instances are sent registrations in fields of these types.
+INT32_MAX = 2**31 - 1
+INT64_MAX = 2**63 - 1
+# More than nine fit into 64 bits for sure, and int() accepts only 4,300.
+VERSION_DIGITS_MAX = 18
+# The longest key of the platform's store.
+NAME_MAX_BYTES = 200
+# About 24 days. A timer far beyond that is a mistake, and a message of another
+# instance carries a duration in 32 bits.
+DURATION_MAX_MS = float(INT32_MAX)
+# Part of a malformed value that an error message repeats.
+QUOTED_CHARACTERS_MAX = 40
 
 
 class DocumentError(CodecError):
@@ -41,12 +55,13 @@
     :param text: version of the configuration, as written by the operator.
     :raises DocumentError: the text is not a version.
     """
-    if not isinstance(text, str) or not text.startswith(VERSION_PREFIX):
-        raise DocumentError(f"version: expected a version such as r12, got {text!r}")
-    digits = text[len(VERSION_PREFIX) :]
-    if not digits.isdigit():
-        raise DocumentError(f"version: expected a version such as r12, got {text!r}")
-    return int(digits)
+    if isinstance(text, str) and text.startswith(VERSION_PREFIX):
+        digits = text[len(VERSION_PREFIX) :]
+        # isdigit() also accepts superscripts, which int() doesn't.
+        is_number = digits.isascii() and digits.isdigit()
+        if is_number and len(digits) <= VERSION_DIGITS_MAX:
+            return int(digits)
+    raise DocumentError(f"version: expected a version such as r12, got {_quote(text)}")
 
 
 def decode_configuration(data: bytes) -> ConfigurationDocument:
@@ -63,12 +78,15 @@
             item["name"]: _decode_service(item) for item in document["services"]
         }
         connections = {
-            item["name"]: int(item["max-conns"]) for item in document["services"]
+            item["name"]: _get_integer(item, "max-conns", INT32_MAX)
+            for item in document["services"]
         }
         rules = {item["name"]: _decode_rule(item) for item in document["routes"]}
         limits = _decode_limits(document["limits"])
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise DocumentError(f"configuration: {error!r}") from error
+    except DocumentError:
+        raise
+    except (ArithmeticError, LookupError, TypeError, ValueError, AttributeError) as e:
+        raise DocumentError(f"configuration: {_quote(e)}") from e
     configuration = Configuration(
         version,
         MappingProxyType(services),
@@ -80,44 +98,43 @@
 
 
 def _decode_service(item: dict[str, Any]) -> ServiceSpec:
-    return ServiceSpec(item["name"], health_path=item["health-path"])
+    return ServiceSpec(_get_text(item, "name"), health_path=_get_path(item))
 
 
 def _decode_rule(item: dict[str, Any]) -> Rule:
     kind = item["kind"]
     if kind not in ROUTE_KINDS:
-        raise DocumentError(f"routes: unknown kind {kind!r}")
+        raise DocumentError(f"routes: unknown kind {_quote(kind)}")
     parts = tuple(
-        TrafficPart(part["service"], float(part["weight"]))
+        TrafficPart(_get_text(part, "service"), _get_number(part, "weight", INT32_MAX))
         for part in item.get("traffic-split") or ()
     )
-    service_id = parts[0].service_id if parts else item["service"]
+    service_id = parts[0].service_id if parts else _get_text(item, "service")
     return Rule(
-        item["name"],
+        _get_text(item, "name"),
         service_id,
         "*",
-        item["prefix"],
+        _get_text(item, "prefix"),
         is_idempotent=kind in SAFE_ROUTE_KINDS,
-        host=item["host"].lower(),
+        host=_get_text(item, "host").lower(),
         parts=parts,
-        timeout_ms=_decode_optional_number(item.get("timeout-ms")),
-        target_latency_ms=float(item["target-latency-ms"]),
-        priority=int(item.get("priority") or 0),
+        timeout_ms=_get_optional(item, "timeout-ms", _get_number, DURATION_MAX_MS),
+        # Estimates are shares of the target, and divisors.
+        target_latency_ms=_get_number(item, "target-latency-ms", DURATION_MAX_MS, 1.0),
+        priority=_get_optional(item, "priority", _get_integer, INT32_MAX) or 0,
         # max-attempts and servers_max both count the first backend server.
-        servers_max=max(1, int(item.get("max-attempts") or 1)),
+        servers_max=max(
+            1, _get_optional(item, "max-attempts", _get_integer, INT32_MAX) or 1
+        ),
     )
 
 
-def _decode_optional_number(value: Any) -> float | None:
-    return None if value is None else float(value)
-
-
 def _decode_limits(item: dict[str, Any]) -> CallerLimits:
     return CallerLimits(
-        int(item["max-header-bytes"]),
-        int(item["max-body-bytes"]),
-        float(item["header-timeout-ms"]),
-        float(item["idle-timeout-ms"]),
+        _get_integer(item, "max-header-bytes", INT64_MAX),
+        _get_integer(item, "max-body-bytes", INT64_MAX),
+        _get_number(item, "header-timeout-ms", DURATION_MAX_MS),
+        _get_number(item, "idle-timeout-ms", DURATION_MAX_MS),
     )
 
 
@@ -131,6 +148,8 @@
         connection limit is part of the configuration.
     :raises DocumentError: the registration is malformed.
     """
+    if not is_server_id(server_id):
+        raise DocumentError("id: expected up to 200 visible ASCII characters")
     document = _load_json(data)
     service_id = _get_string(document, "service")
     address = parse_address(_get_string(document, "address"))
@@ -138,12 +157,12 @@
         raise DocumentError("address: expected an IPv4 address and a port")
     state = _get_string(document, "state")
     if state not in SERVER_STATES:
-        raise DocumentError(f"state: unknown state {state!r}")
-    slots = _get_integer(document, "slots")
+        raise DocumentError(f"state: unknown state {_quote(state)}")
+    slots = _get_integer(document, "slots", INT32_MAX)
     if slots < 1:
         raise DocumentError("slots: expected 1 or more")
     # The daemon doesn't use these two fields, but they are required.
-    _get_integer(document, "sequence")
+    _get_integer(document, "sequence", INT64_MAX)
     _get_string(document, "version")
     return BackendServer(
         server_id,
@@ -154,11 +173,23 @@
         slots,
         0,
         state == "draining",
-        float(_get_integer(document, "warmup-left-ms")),
-        _get_integer(document, "born") if "born" in document else 0,
+        float(_get_integer(document, "warmup-left-ms", INT32_MAX)),
+        _get_integer(document, "born", INT64_MAX) if "born" in document else 0,
     )
 
 
+def is_server_id(text: str) -> bool:
+    """
+    Tell whether a text can be the id of a backend server or an instance.
+
+    An id is sent in an HTTP header, where a line break would start another
+    header, and in messages of limited length.
+
+    :param text: key of a row.
+    """
+    return text.isascii() and _is_visible(text) and 0 < len(text) <= NAME_MAX_BYTES
+
+
 def parse_address(text: str) -> Address | None:
     """
     Parse an address such as ``10.1.64.31:8384``.
@@ -188,18 +219,67 @@
     return document
 
 
+def _is_visible(text: str) -> bool:
+    return text.isprintable() and " " not in text
+
+
+def _quote(value: Any) -> str:
+    return f"{value!r:.{QUOTED_CHARACTERS_MAX}}"
+
+
+def _get_text(document: dict[str, Any], name: str) -> str:
+    value = document[name]
+    if not isinstance(value, str) or not value:
+        raise DocumentError(f"{name}: expected a non-empty string")
+    return value
+
+
+def _get_path(item: dict[str, Any]) -> str:
+    path = _get_text(item, "health-path")
+    # It becomes a part of the request line.
+    if not path.isascii() or not _is_visible(path):
+        raise DocumentError("health-path: expected visible ASCII characters")
+    return path
+
+
 def _get_string(document: dict[str, Any], name: str) -> str:
     value = document.get(name)
     if not isinstance(value, str) or not value:
         raise DocumentError(f"{name}: expected a non-empty string")
+    if len(value.encode()) > NAME_MAX_BYTES:
+        raise DocumentError(f"{name}: expected up to {NAME_MAX_BYTES} bytes")
     return value
 
 
-def _get_integer(document: dict[str, Any], name: str) -> int:
+def _get_integer(document: dict[str, Any], name: str, highest: int) -> int:
     value = document.get(name)
     # JSON doesn't distinguish integers from floats: 3 may be encoded as 3.0.
     if isinstance(value, float) and value.is_integer():
         value = int(value)
     if isinstance(value, bool) or not isinstance(value, int) or value < 0:
         raise DocumentError(f"{name}: expected an integer, 0 or more")
+    if value > highest:
+        raise DocumentError(f"{name}: expected {highest} or less")
     return value
+
+
+def _get_number(
+    document: dict[str, Any], name: str, highest: float, lowest: float = 0.0
+) -> float:
+    value = document.get(name)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise DocumentError(f"{name}: expected a number")
+    if not isfinite(value) or not lowest <= value <= highest:
+        raise DocumentError(
+            f"{name}: expected a number from {lowest:.0f} to {highest:.0f}"
+        )
+    return float(value)
+
+
+def _get_optional(
+    document: dict[str, Any],
+    name: str,
+    get: Callable[[dict[str, Any], str, float], float],
+    highest: float,
+) -> Any:
+    return None if document.get(name) is None else get(document, name, highest)
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's metadata store."""
 
+import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from itertools import count
@@ -27,7 +28,14 @@
 )
 from cuminhatch.messages.http_client import HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.messages.telemetry import CounterIncremented
-from cuminhatch.platform.documents import DocumentError, decode_server, parse_address
+from cuminhatch.platform.documents import (
+    INT64_MAX,
+    NAME_MAX_BYTES,
+    DocumentError,
+    decode_server,
+    is_server_id,
+    parse_address,
+)
 
 SERVERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
@@ -46,12 +54,17 @@
 
 
 class _Row(NamedTuple):
-    """One row of a table."""
+    """
+    One row of a table.
+
+    ``fault`` says why the row can't be used, and is empty if it can.
+    """
 
     table: str
     key: str
     value: bytes
     version: int
+    fault: str = ""
 
 
 class _Page(NamedTuple):
@@ -88,9 +101,10 @@
             version, or with rows of another range, belongs to another call.
         :raises DocumentError: the page is not one of this read.
         """
-        keys = [row.key for row in page.rows]
+        named = [row for row in page.rows if row.table]
+        keys = [row.key for row in named]
         is_other_range = any(
-            row.table != self.table or row.key < self.first_key for row in page.rows
+            row.table != self.table or row.key < self.first_key for row in named
         )
         if page.version < known_version or is_other_range:
             raise DocumentError("response of another call")
@@ -146,9 +160,12 @@
         refused = []
         for row in range_read.rows:
             try:
+                _check_row(row)
                 server = decode_server(row.key, row.value)
             except DocumentError as error:
-                refused.append(RegistrationRefused(row.key, str(error)))
+                # The id is written to the event log.
+                server_id = ascii(row.key)[1:-1][:NAME_MAX_BYTES]
+                refused.append(RegistrationRefused(server_id, str(error)))
                 continue
             registrations[row.key] = Registration(server, row.version)
         request = range_read.request
@@ -165,7 +182,10 @@
         self._read(range_read, self._finish_configuration)
 
     def _finish_configuration(self, range_read: _RangeRead) -> None:
-        document = range_read.rows[0].value if range_read.rows else b""
+        document = b""
+        if range_read.rows:
+            _check_row(range_read.rows[0])
+            document = range_read.rows[0].value
         request = range_read.request
         self.send(request.reply_to, ConfigurationRead(request.token, document))
 
@@ -177,7 +197,7 @@
         members = {}
         for row in range_read.rows:
             address = parse_address(row.value.decode("latin-1"))
-            if address is not None:
+            if address is not None and not row.fault and is_server_id(row.key):
                 members[row.key] = address
         request = range_read.request
         self.send(request.reply_to, InstanceRecordsRead(request.token, members))
@@ -188,7 +208,7 @@
         known_version = self._known_version
         target = (
             f"/rows-get?table={range_read.table}&part="
-            f"&from={quote(range_read.first_key)}&to={quote(range_read.end_key)}"
+            f"&from={quote(range_read.first_key, errors='surrogatepass')}&to={quote(range_read.end_key)}"
             f"&limit={ROWS_PER_READ}"
         )
 
@@ -272,13 +292,52 @@
         raise DocumentError(reply.reason)
     if reply.status != STATUS_OK:
         raise DocumentError(f"unexpected status {reply.status}")
-    return orjson.loads(reply.body)
+    try:
+        return orjson.loads(reply.body)
+    except orjson.JSONDecodeError:
+        pass
+    # orjson refuses a whole page for one key with a lone surrogate or one
+    # number out of range; the other rows can be used.
+    try:
+        return json.loads(reply.body)
+    except RecursionError as error:
+        raise DocumentError("nested too deeply") from error
 
 
 def _decode_page(response: dict[str, Any]) -> _Page:
-    rows = [_decode_row(row) for row in response["rows"]]
-    return _Page(rows, bool(response["has-more"]), int(response["ver"]))
+    version = response["ver"]
+    if not _is_version(version):
+        raise DocumentError("ver: not a version of the store")
+    rows = [_decode_row(row) for row in response["rows"] if isinstance(row, dict)]
+    return _Page(rows, bool(response["has-more"]), version)
 
 
 def _decode_row(row: dict[str, Any]) -> _Row:
-    return _Row(row["table"], row["key"], b64decode(row["value"]), row["ver"])
+    """Decode a row; another writer may have left one that can't be used."""
+    table, key = row.get("table"), row.get("key")
+    if not isinstance(table, str) or not isinstance(key, str):
+        return _Row("", "", b"", 0, "row without a table or a key")
+    version = row.get("ver")
+    if not _is_version(version):
+        return _Row(table, key, b"", 0, "ver: not a version of the store")
+    try:
+        value = b64decode(row.get("value"))
+    except (TypeError, ValueError):
+        return _Row(table, key, b"", version, "value: not base64")
+    return _Row(table, key, value, version)
+
+
+def _is_version(value: Any) -> bool:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return is_integer and 0 <= value <= INT64_MAX
+
+
+def _check_row(row: _Row) -> None:
+    """
+    Check that a row can be used.
+
+    :param row: row as decoded.
+    :raises DocumentError: its value or its version can't be read.
+    """
+    if row.fault:
+        raise DocumentError(row.fault)
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -4,6 +4,13 @@
 
 import pytest
 
+from cuminhatch.codecs.catalog_thrift import (
+    CatalogMember,
+    CatalogState,
+    decode_message,
+    encode_message,
+)
+from cuminhatch.decisions.catalog import CatalogChange, Registration
 from cuminhatch.decisions.configuration import TrafficPart
 from cuminhatch.platform.documents import (
     DocumentError,
@@ -158,3 +165,158 @@
     """Guards against one invalid row that fails the read of all rows."""
     with pytest.raises(DocumentError):
         decode_server("i-7", data)
+
+
+DEEPLY_NESTED = b'{"service":' + b"[" * 100_000
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"slots": 2**31},
+        {"slots": 1e300},
+        {"slots": -1},
+        {"warmup-left-ms": 2**31},
+        {"warmup-left-ms": 1e300},
+        {"born": 1e30},
+        {"born": 2**63},
+        {"sequence": 10**30},
+        {"address": "10.128.0.9:0"},
+        {"address": "10.128.0.9:65536"},
+        {"address": "10.128.0.9:-1"},
+        {"address": "10.128.0.9:\u00b2"},
+        {"service": "s" * 2**20},
+        {"zone": "z" * 2**20},
+        {"zone": "\u00fc" * 101},
+    ],
+)
+def test_registration_that_no_message_can_carry_is_rejected(change):
+    """
+    Guards against one row that keeps all instances from following the list.
+
+    A value out of the range of its field in messages between instances raised
+    an error when the change was sent on, and when others pulled it.
+    """
+    with pytest.raises(DocumentError) as raised:
+        decode_server("i-7", json.dumps(SERVER | change).encode())
+    assert len(str(raised.value)) < 200
+
+
+def test_registration_with_the_highest_values_can_be_sent_on():
+    """Guards against limits above those of messages between instances."""
+    fields = {
+        "service": "s" * 200,
+        "zone": "z" * 200,
+        "slots": 2**31 - 1,
+        "warmup-left-ms": 2**31 - 1,
+        "born": 2**63 - 1,
+        "sequence": 2**63 - 1,
+    }
+    server = decode_server("i" * 200, json.dumps(SERVER | fields).encode())
+    change = CatalogChange(0, 1, (Registration(server, 1),), ())
+    state = CatalogState(change, True, 7, b"", (CatalogMember("i", "10.0.0.1", 9),))
+    received = decode_message(encode_message(state, b"key"), b"key")
+    assert received.change.changed[0].server == server
+
+
+@pytest.mark.parametrize("change", [{"state": "x" * 2**20}, {"version": ["x" * 999]}])
+def test_reason_of_a_rejected_registration_is_short(change):
+    """Guards against an event of 1 MB for each reading of an odd row."""
+    with pytest.raises(DocumentError) as raised:
+        decode_server("i-7", json.dumps(SERVER | change).encode())
+    assert len(str(raised.value)) < 200
+
+
+@pytest.mark.parametrize(
+    "server_id",
+    ["", "i 7", "i\r\nx: y", "i\x007", "i-\u0142", "i-\u00fc", "i\ud800", "i" * 201],
+)
+def test_id_that_no_header_can_carry_is_rejected(server_id):
+    """Guards against a header that a row's key adds to requests."""
+    with pytest.raises(DocumentError):
+        decode_server(server_id, json.dumps(SERVER).encode())
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        DEEPLY_NESTED,
+        b'{"slots": NaN}',
+        b'{"slots": 1e400}',
+        b'{"slots": ' + b"9" * 5_000 + b"}",
+        b'{"service": "\\ud800"}',
+    ],
+)
+def test_unusual_json_is_rejected(data):
+    """Guards against an error of another kind that ends the whole reading."""
+    with pytest.raises(DocumentError):
+        decode_server("i-7", data)
+    with pytest.raises(DocumentError):
+        decode_configuration(data)
+
+
+def change_service(**fields):
+    return {"services": [CONFIGURATION["services"][0] | fields]}
+
+
+def change_limits(**fields):
+    return {"limits": CONFIGURATION["limits"] | fields}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"version": "r" + "9" * 5_000},
+        {"version": "r" + "9" * 19},
+        {"version": "r\u00b2"},
+        {"version": "r\u0663"},
+        {"version": "r-3"},
+        change_service(**{"max-conns": 2**31}),
+        change_service(**{"max-conns": 1e300}),
+        change_service(**{"max-conns": -1}),
+        change_service(**{"max-conns": "220"}),
+        change_service(**{"health-path": "/a\r\nx: y"}),
+        change_service(**{"health-path": 5}),
+        change_limits(**{"max-header-bytes": 1e300}),
+        change_limits(**{"max-body-bytes": -1}),
+        change_limits(**{"header-timeout-ms": 1e300}),
+        change_limits(**{"idle-timeout-ms": -1}),
+    ],
+)
+def test_configuration_out_of_range_is_rejected(fields):
+    """Guards against a configuration that fails where it is used."""
+    with pytest.raises(DocumentError) as raised:
+        decode(**fields)
+    assert len(str(raised.value)) < 200
+
+
+@pytest.mark.parametrize(
+    "route",
+    [
+        {"timeout-ms": 1e300},
+        {"timeout-ms": -1},
+        {"timeout-ms": "nan"},
+        {"timeout-ms": True},
+        {"target-latency-ms": "inf"},
+        {"target-latency-ms": 0},
+        {"target-latency-ms": 1e300},
+        {"max-attempts": 1e300},
+        {"max-attempts": -1},
+        {"max-attempts": 1.5},
+        {"priority": 2**31},
+        {"prefix": 5},
+        {"host": 5},
+        {"service": 5},
+        {"kind": "k" * 2**20},
+        {"traffic-split": [{"service": "huvo", "weight": 1e300}]},
+        {"traffic-split": [{"service": "huvo", "weight": -1}]},
+        {"traffic-split": [{"service": "huvo", "weight": "nan"}]},
+        {"traffic-split": [{"weight": 1}]},
+        {"traffic-split": 5},
+    ],
+)
+def test_route_out_of_range_is_rejected(route):
+    """Guards against timers of no length and requests that fail inside."""
+    with pytest.raises(DocumentError) as raised:
+        decode(route)
+    assert len(str(raised.value)) < 200
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -12,6 +12,8 @@
 from cuminhatch.messages.catalog import (
     ConfigurationRead,
     ConfigurationRequested,
+    InstanceRecordsRead,
+    InstanceRecordsRequested,
     RegistrationsRead,
     RegistrationsRequested,
     StoreUnavailable,
@@ -21,7 +23,7 @@
 from tests.platform.test_documents import SERVER
 from tests.support import Recorder, run_ticks
 
-REPLIES = (RegistrationsRead, ConfigurationRead, StoreUnavailable)
+REPLIES = (RegistrationsRead, ConfigurationRead, InstanceRecordsRead, StoreUnavailable)
 
 
 class StoreWorld:
@@ -149,3 +151,124 @@
     for number in range(4):
         world.reply(make_page(100, make_row(f"a{number}", 90), has_more=True))
     assert isinstance(world.take(), StoreUnavailable)
+
+
+def encode_value(data):
+    return b64encode(data).decode()
+
+
+def make_odd_row(**fields):
+    """Return a row with other fields than a sound one; None drops one."""
+    row = make_row("odd", 95) | fields
+    return {name: value for name, value in row.items() if value is not None}
+
+
+def make_odd_value(**fields):
+    return make_odd_row(value=encode_value(json.dumps(SERVER | fields).encode()))
+
+
+ODD_ROWS = [
+    make_odd_value(slots=2**31),
+    make_odd_value(slots=1e300),
+    make_odd_value(born=1e30),
+    make_odd_value(address="10.128.0.9:99999"),
+    make_odd_value(zone="z" * 2**20),
+    make_odd_row(value=encode_value(b"[" * 100_000)),
+    make_odd_row(value=encode_value(b'{"slots": NaN}')),
+    make_odd_row(value="not base64"),
+    make_odd_row(value="\u00fc"),
+    make_odd_row(value=7),
+    make_odd_row(value=None),
+    make_odd_row(ver=-1),
+    make_odd_row(ver=2**63),
+    make_odd_row(ver=1e300),
+    make_odd_row(ver=float("inf")),
+    make_odd_row(ver="95"),
+    make_odd_row(ver=None),
+    make_odd_row(key="o" * 201),
+    make_odd_row(key="odd\r\nx: y"),
+    make_odd_row(key="odd\0"),
+    make_odd_row(key="odd\u0142"),
+    make_odd_row(key="odd\ud800"),
+    make_odd_row(key=None),
+    make_odd_row(key=7),
+    make_odd_row(table=None),
+]
+
+
+@pytest.mark.parametrize("odd", ODD_ROWS, ids=range(len(ODD_ROWS)))
+def test_one_odd_row_leaves_the_others_in_force(world, odd):
+    """
+    Guards against one row of another writer that stops the reading of all.
+
+    The refused row is reported, with an id and a reason that can be logged.
+    """
+    world.request_registrations()
+    world.reply(make_page(100, make_row("a", 90), odd, make_row("p", 90)))
+    read = world.take()
+    assert isinstance(read, RegistrationsRead)
+    assert list(read.registrations) == ["a", "p"]
+    (refused,) = read.refused
+    assert refused.server_id.isascii()
+    assert refused.server_id.isprintable()
+    assert len(refused.server_id) <= 200
+    assert 0 < len(refused.reason) < 200
+
+
+@pytest.mark.parametrize("odd", ODD_ROWS, ids=range(len(ODD_ROWS)))
+def test_odd_row_at_the_end_of_a_page_does_not_end_the_reading(world, odd):
+    """Guards against a next page that can't be asked for."""
+    world.request_registrations()
+    world.reply(make_page(100, make_row("a", 90), odd, has_more=True))
+    world.reply(make_page(100, make_row("p", 90)))
+    read = world.take()
+    assert isinstance(read, RegistrationsRead)
+    assert list(read.registrations) == ["a", "p"]
+
+
+@pytest.mark.parametrize("version", [-1, 2**63, 1e300, float("inf"), "100", None, True])
+def test_page_with_an_odd_version_is_refused(world, version):
+    """
+    Guards against a version so high that every later page looks old.
+
+    An infinite one also raised an error that left the call unanswered.
+    """
+    world.request_registrations()
+    world.reply(make_page(version, make_row("a", 90)))
+    assert isinstance(world.take(), StoreUnavailable)
+    world.request_registrations()
+    world.reply(make_page(100, make_row("a", 90)))
+    assert isinstance(world.take(), RegistrationsRead)
+
+
+@pytest.mark.parametrize("row", [{"value": 7}, {"value": None}, {"ver": "x"}])
+def test_unreadable_configuration_is_refused(world, row):
+    """Guards against a process that fails on an odd row, or applies none."""
+    world.request_configuration()
+    world.reply(make_page(100, make_odd_row(table="op", key="config", **row)))
+    assert isinstance(world.take(), StoreUnavailable)
+
+
+@pytest.mark.parametrize(
+    ("key", "address"),
+    [
+        ("i" * 201, "10.0.0.1:80"),
+        ("i\ud800", "10.0.0.1:80"),
+        ("i-1", "10.0.0.1:65536"),
+        ("i-1", "example:80"),
+    ],
+)
+def test_odd_instance_record_names_no_instance(world, key, address):
+    """Guards against an address that no datagram can be sent to."""
+    world.kernel.send("store", InstanceRecordsRequested("catalog", 3))
+    run_ticks(world.kernel, 3)
+    value = encode_value(address.encode())
+    sound = encode_value(b"10.0.0.2:80")
+    world.reply(
+        make_page(
+            100,
+            make_odd_row(table="instances", key="a", value=sound),
+            make_odd_row(table="instances", key=key, value=value),
+        )
+    )
+    assert dict(world.take().members) == {"a": ("10.0.0.2", 80)}
