Take a load header with a duration of 0 for malformed

A backend whose load header says 0 as its fourth figure made the response that came next fail inside: the predicted duration was 0, and recording the response divided by it. The caller got the error of a failed handler for a request that the backend had run. Seen with forwarding alone: a ZeroDivisionError in note_response.

The figure is checked where it is read, as the others of that header are. The new case 3,0,8,0 of test_load_is_parsed failed before.

--- a/src/cuminhatch/platform/headers.py
+++ b/src/cuminhatch/platform/headers.py
@@ -30,6 +30,9 @@
 STATUS_OK = 200
 STATUS_ERROR_MIN = 400
 NORMAL_DURATION_PERCENT = 100.0
+# No machine is a hundred times as fast as usual; predicted durations are
+# multiples of the figure, and divisors.
+DURATION_PERCENT_MIN = 1.0
 # Longer numbers are treated as malformed.
 MAX_DIGITS = 9
 
@@ -144,13 +147,16 @@
     :param value: running requests, waiting requests, slots and the current
         request duration in percent of the normal one, such as ``3,0,8,100``.
         The duration is optional and defaults to 100.
-    :returns: the load, None if the value is malformed.
+    :returns: the load, None if the value is malformed. A duration
+        below ``DURATION_PERCENT_MIN`` is malformed.
     """
     numbers = [_parse_number(part) for part in value.split(b",")]
     if len(numbers) < 3 or None in numbers:
         return None
     running, waiting, slots = (int(number) for number in numbers[:3])
     percent = numbers[3] if len(numbers) > 3 else NORMAL_DURATION_PERCENT
+    if percent < DURATION_PERCENT_MIN:
+        return None
     return ReportedLoad(running, waiting, slots, percent / NORMAL_DURATION_PERCENT)
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -93,6 +93,10 @@
     [
         (b"3,0,8", ReportedLoad(3, 0, 8, 1.0)),
         (b"3,0,8,400", ReportedLoad(3, 0, 8, 4.0)),
+        (b"3,0,8,0", None),
+        (b"3,0,8,1e-323", None),
+        (b"3,0,8,nan", None),
+        (b"3,0,8,1e300", None),
         (b"3,0", None),
         (b"a,b,c", None),
         (b"", None),
