Refuse ports out of range and oversized documents of other instances

A pulled configuration was decompressed without a limit, so a short response could take more memory than a daemon may use.

Both are now refused where the message is decoded, as a PeerMessageError that the receivers log. The limit of a document is that of a response of the store, 16 MB. The tests failed before; a document of exactly that size still passes.

--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -15,10 +15,14 @@
     Greeting as ThriftGreeting,
     ServerRegistration as ThriftRegistration,
 )
-from cuminhatch.codecs.signing import decode_struct, encode_struct
+from cuminhatch.codecs.signing import PeerMessageError, decode_struct, encode_struct
 from cuminhatch.decisions.catalog import CatalogChange, Registration
 from cuminhatch.decisions.configuration import BackendServer
 
+MAX_PORT = 65535
+# The same as the longest response of the store, which the document comes from.
+CONFIGURATION_MAX_BYTES = 16 * 1024 * 1024
+
 
 class CatalogMember(NamedTuple):
     """
@@ -119,6 +123,9 @@
 
 
 def _member_from_thrift(data: ThriftMember) -> CatalogMember:
+    # sendto() raises OverflowError for other ports.
+    if not 0 <= data.port <= MAX_PORT:
+        raise PeerMessageError(f"port {data.port} of an instance is out of range")
     return CatalogMember(
         data.instance_id, data.host, data.port, data.failure_domain or ""
     )
@@ -202,11 +209,19 @@
         change,
         bool(data.is_whole),
         data.configuration_version,
-        zlib.decompress(data.configuration),
+        _decompress_configuration(data.configuration),
         tuple(_member_from_thrift(member) for member in data.members or ()),
     )
 
 
+def _decompress_configuration(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    document = decompressor.decompress(data, CONFIGURATION_MAX_BYTES)
+    if not decompressor.eof:
+        raise PeerMessageError("configuration is truncated or too large")
+    return document
+
+
 def _referral_to_thrift(message: CatalogReferral) -> ThriftReferral:
     return ThriftReferral(ThriftMember(*message.holder))
 
--- a/src/cuminhatch/codecs/peers_thrift.py
+++ b/src/cuminhatch/codecs/peers_thrift.py
@@ -16,11 +16,12 @@
     NotesReply as ThriftNotesReply,
     PermitWish as ThriftPermitWish,
 )
-from cuminhatch.codecs.signing import decode_struct, encode_struct
+from cuminhatch.codecs.signing import PeerMessageError, decode_struct, encode_struct
 from cuminhatch.decisions.hybrid_clock import Stamp
 from cuminhatch.decisions.membership import HeartbeatEntry
 
 US_PER_MS = 1000.0
+MAX_PORT = 65535
 
 
 class LoadSample(NamedTuple):
@@ -94,6 +95,9 @@
 
 
 def _entry_from_thrift(entry: ThriftMemberEntry) -> HeartbeatEntry:
+    # sendto() raises OverflowError for other ports.
+    if not 0 <= entry.port <= MAX_PORT:
+        raise PeerMessageError(f"port {entry.port} of an instance is out of range")
     return HeartbeatEntry(
         entry.instance_id,
         entry.host,
--- a/tests/codecs/test_catalog_thrift.py
+++ b/tests/codecs/test_catalog_thrift.py
@@ -3,6 +3,7 @@
 import pytest
 
 from cuminhatch.codecs.catalog_thrift import (
+    CONFIGURATION_MAX_BYTES,
     CatalogMember,
     CatalogNews,
     CatalogReferral,
@@ -46,3 +47,36 @@
             decode_message(broken, KEY)
     with pytest.raises(PeerMessageError):
         decode_message(data, b"other key")
+
+
+@pytest.mark.parametrize("port", [-1, 65_536, 2**31 - 1])
+def test_port_out_of_range_is_rejected(port):
+    """
+    Guards against an instance that ends the sending to all others.
+
+    sendto() raises an error of another kind for such a port.
+    """
+    member = MEMBER._replace(port=port)
+    for message in (
+        Greeting(member, (), True),
+        Greeting(MEMBER, (member,), False),
+        CatalogState(None, False, 5, b"", (member,)),
+        CatalogReferral(member),
+    ):
+        with pytest.raises(PeerMessageError):
+            decode_message(encode_message(message, KEY), KEY)
+
+
+@pytest.mark.parametrize("extra_bytes", [1, 100 * 1024 * 1024])
+def test_configuration_that_grows_without_bound_is_rejected(extra_bytes):
+    """Guards against a short response that fills the memory."""
+    document = b"0" * (CONFIGURATION_MAX_BYTES + extra_bytes)
+    data = encode_message(CatalogState(None, False, 5, document), KEY)
+    with pytest.raises(PeerMessageError):
+        decode_message(data, KEY)
+
+
+def test_configuration_of_the_greatest_size_is_decoded():
+    """Guards against a limit that refuses a proper configuration."""
+    state = CatalogState(None, False, 5, b"0" * CONFIGURATION_MAX_BYTES)
+    assert decode_message(encode_message(state, KEY), KEY) == state
--- a/tests/codecs/test_peers_thrift.py
+++ b/tests/codecs/test_peers_thrift.py
@@ -60,3 +60,16 @@
     flipped[-1] ^= 1
     with pytest.raises(PeerMessageError):
         decode_message(bytes(flipped), KEY)
+
+
+@pytest.mark.parametrize("port", [-1, 65_536, 2**31 - 1])
+def test_port_out_of_range_is_rejected(port):
+    """Guards against an instance whose address sendto() fails on."""
+    heartbeat = make_heartbeat()
+    odd = heartbeat.sender._replace(port=port)
+    for message in (
+        heartbeat._replace(sender=odd),
+        heartbeat._replace(members=(odd,)),
+    ):
+        with pytest.raises(PeerMessageError):
+            decode_message(encode_message(message, KEY), KEY)
