Answer every request in a planned stop, and take none that cannot end

Operators of a similar system saw requests that came late in the grace of a planned stop cut off at its end without an answer, among them some that may not be repeated (LOST).

It can happen here. At the limit of the drain the listener answered only requests that had a complete response behind them; all others ended with a bare close, sent or not. And nothing compared the time left with what a request needs: one that came on a connection accepted just before the port closed, or behind a response whose head had promised to keep the connection, or that waited for a server, was sent on with half a second left.

Now the supervisor tells the services that own requests when the process ends. forwarding sends a request whose deadline lies beyond that only if its predicted response fits, with four times the time for those that arrive after the announcement, when others can take them at once; dispatch does the same with the average latency of the service when it takes a request. What does not fit is refused at once with a true not-run 503 and the reason "stopping". 100 ms before the end, within the old limit, every request without a response gets its final one: 503 if it was never sent, else 504 with an unknown outcome. Streamed responses go on until the end.

Ruled out: two requests ahead of their turn (stopped by DrainAnnounced), and connections in the listen queue (accepted before the port closes).

--- a/src/cuminhatch/messages/lifecycle.py
+++ b/src/cuminhatch/messages/lifecycle.py
@@ -27,8 +27,25 @@
     """
 
 
+class StopScheduled(NamedTuple):
+    """
+    The process will end; times are monotonic.
+
+    A request received from ``late_from_ms`` on is not to be sent to a backend
+    server unless its response is expected well before ``ends_ms``.
+    """
+
+    late_from_ms: float
+    ends_ms: float
+
+
 class DrainLimitReached(NamedTuple):
-    """The process ends now; responses that are complete are to be sent."""
+    """
+    The process ends now; every request is to get its final response.
+
+    Responses that are complete are sent, requests without one are refused or
+    end with an unknown outcome.
+    """
 
 
 class ReadinessChanged(NamedTuple):
--- a/src/cuminhatch/services/dispatch/_dispatch_state.py
+++ b/src/cuminhatch/services/dispatch/_dispatch_state.py
@@ -4,6 +4,7 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.decisions.choice import Choose
+from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.kernel import Kernel
 from cuminhatch.services.dispatch._request import RequestRecord
 from cuminhatch.services.dispatch._server_table import ServerTable
@@ -43,6 +44,7 @@
         self.choose = choose
         self.table = ServerTable(failure_domain)
         self.requests: dict[int, RequestRecord] = {}
+        self.stop = NO_STOP
         self.by_attempt: dict[int, RequestRecord] = {}
         # Ids of requests that ended before ``claims`` replied. A claim that
         # is granted to one of them is voided.
--- a/src/cuminhatch/services/dispatch/_request_deadlines.py
+++ b/src/cuminhatch/services/dispatch/_request_deadlines.py
@@ -1,7 +1,13 @@
 """Ends requests whose deadline has passed or whose handler failed."""
 
 from cuminhatch.decisions.servers import record_latency
-from cuminhatch.messages import RequestFailed, RequestRefused
+from cuminhatch.decisions.stopping import StopSchedule
+from cuminhatch.messages import (
+    DrainLimitReached,
+    RequestFailed,
+    RequestRefused,
+    StopScheduled,
+)
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.dispatch._admission_queues import start_waiting_requests
 from cuminhatch.services.dispatch._attempts import cancel_attempt, detach_caller
@@ -92,6 +98,27 @@
     state.send("callers", refusal)
 
 
+def on_stop_scheduled(state: DispatchState, message: StopScheduled) -> None:
+    """Accept only requests that can end before the process does."""
+    state.stop = StopSchedule(message.late_from_ms, message.ends_ms)
+
+
+def on_drain_limit_reached(state: DispatchState, message: DrainLimitReached) -> None:
+    """
+    Give every request without a response its final one.
+
+    Those that wait come first: the end of a request in flight lets one of
+    them start. A streamed response goes on until the process ends.
+    """
+    unanswered = [
+        record
+        for record in state.requests.values()
+        if record.phase is not Phase.FORWARDING_RESPONSE
+    ]
+    for record in sorted(unanswered, key=lambda record: record.attempt_id != 0):
+        fail_request(state, record.request_id, "stopping")
+
+
 def fail_request(state: DispatchState, request_id: int, reason: str) -> None:
     """
     End a request after one of its message handlers failed.
--- a/src/cuminhatch/services/dispatch/_request_intake.py
+++ b/src/cuminhatch/services/dispatch/_request_intake.py
@@ -1,6 +1,7 @@
 """Receives requests and their bodies from callers."""
 
 from cuminhatch.decisions.routing import NoRoute
+from cuminhatch.decisions.stopping import can_end_before_stop
 from cuminhatch.messages import (
     AttemptRequestBody,
     CallerDisconnected,
@@ -61,6 +62,15 @@
     if record.start_deadline_ms <= state.clock.now_ms:
         refuse_request(state, record, 503, "deadline-passed")
         return
+    if not can_end_before_stop(
+        state.stop,
+        message.received_ms,
+        record.deadline_ms,
+        state.clock.now_ms,
+        pool.latency_ms,
+    ):
+        refuse_request(state, record, 503, "stopping")
+        return
     record.timer = state.call_at(
         record.start_deadline_ms, RequestTimerExpired(request_id)
     )
--- a/src/cuminhatch/services/dispatch/service.py
+++ b/src/cuminhatch/services/dispatch/service.py
@@ -14,6 +14,7 @@
     ClaimRefused,
     ClaimVoided,
     ConfigurationChanged,
+    DrainLimitReached,
     LeavingServersChanged,
     LoadObserved,
     MembershipChanged,
@@ -23,6 +24,7 @@
     RequestBody,
     RequestFailed,
     RequestReceived,
+    StopScheduled,
 )
 from cuminhatch.services._flow_control import make_flow_control_handlers
 from cuminhatch.services.dispatch._admission_queues import (
@@ -51,8 +53,10 @@
     on_claim_voided,
 )
 from cuminhatch.services.dispatch._request_deadlines import (
+    on_drain_limit_reached,
     on_request_failed,
     on_request_timer_expired,
+    on_stop_scheduled,
 )
 from cuminhatch.services.dispatch._request_intake import (
     on_caller_disconnected,
@@ -121,6 +125,8 @@
             RefusedConnectionExpired: on_refused_connection_expired,
             ConnectionLimitPauseEnded: on_connection_limit_pause_ended,
             RequestFailed: on_request_failed,
+            StopScheduled: on_stop_scheduled,
+            DrainLimitReached: on_drain_limit_reached,
             RequestReceived: on_request_received,
             RequestBody: on_request_body,
             RequestTimerExpired: on_request_timer_expired,
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -1,7 +1,14 @@
 """Ends requests and reports their outcomes to callers."""
 
 from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS, NotPlaced
-from cuminhatch.messages import RequestFailed, RequestRefused, ResponseAborted
+from cuminhatch.decisions.stopping import StopSchedule
+from cuminhatch.messages import (
+    DrainLimitReached,
+    RequestFailed,
+    RequestRefused,
+    ResponseAborted,
+    StopScheduled,
+)
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.forwarding._attempts import cancel_attempts
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
@@ -10,6 +17,8 @@
 
 # Keeps callers that were refused together from retrying together.
 RETRY_AFTER_JITTER_RATIO = 0.3
+# Reason of requests that end because the process does.
+STOPPING = "stopping"
 
 
 def refuse_unplaced(
@@ -128,6 +137,29 @@
     end_with_unknown_outcome(state, exchange, 504, "timeout")
 
 
+def on_stop_scheduled(state: ForwardingState, message: StopScheduled) -> None:
+    """Send on only requests that can end before the process does."""
+    state.stop = StopSchedule(message.late_from_ms, message.ends_ms)
+
+
+def on_drain_limit_reached(state: ForwardingState, message: DrainLimitReached) -> None:
+    """
+    Give every request without a response its final one.
+
+    A streamed response goes on until the process ends.
+    """
+    state.is_stop_limit_reached = True
+    for exchange in list(state.exchanges.values()):
+        if exchange.stage is Stage.ANSWERING:
+            continue
+        exchange.may_have_run |= bool(exchange.attempts)
+        cancel_attempts(state, exchange)
+        if exchange.may_have_run:
+            end_with_unknown_outcome(state, exchange, 504, STOPPING)
+        else:
+            give_up(state, exchange, STOPPING)
+
+
 def on_request_failed(state: ForwardingState, message: RequestFailed) -> None:
     """End a request after one of its handlers has failed."""
     exchange = state.exchanges.get(message.request_id)
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -16,10 +16,11 @@
     choose_server,
 )
 from cuminhatch.decisions.server_records import ServerRecord, is_excluded
+from cuminhatch.decisions.stopping import can_end_before_stop
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
 from cuminhatch.services.forwarding._attempts import estimate_request, start_attempt
-from cuminhatch.services.forwarding._completion import refuse_unplaced
+from cuminhatch.services.forwarding._completion import STOPPING, refuse_unplaced
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
 from cuminhatch.services.forwarding._timers import PlacementRetryDue
@@ -119,7 +120,17 @@
     records = select_candidates(pool, exchange, now_ms) if pool is not None else []
     chosen = choose_server(records, work, now_ms, state.rng)
     if isinstance(chosen, Placed):
-        start_attempt(state, exchange, chosen)
+        if can_end_before_stop(
+            state.stop,
+            exchange.received_ms,
+            exchange.deadline_ms,
+            now_ms,
+            chosen.predicted_ms,
+        ):
+            start_attempt(state, exchange, chosen)
+        else:
+            refusal = NotPlaced(STOPPING, RETRY_AFTER_MIN_MS)
+            fail_placement(state, exchange, refusal)
     elif exchange.is_hedging:
         exchange.is_hedging = False
     elif not exchange.is_search_widened:
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -11,7 +11,7 @@
 )
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.forwarding._attempts import cancel_attempts
-from cuminhatch.services.forwarding._completion import finish_exchange
+from cuminhatch.services.forwarding._completion import STOPPING, finish_exchange
 from cuminhatch.services.forwarding._exchange import (
     REQUEST_BUFFER_MAX_BYTES,
     Exchange,
@@ -30,6 +30,9 @@
     """Route a request and place it, or refuse it."""
     facts = state.dialect.read_request(message.head)
     trace_id = facts.request_id.decode("latin-1")
+    if state.is_stop_limit_reached:
+        refuse_unrouted(state, message, trace_id, 503, STOPPING)
+        return
     if not state.has_configuration:
         refuse_unrouted(state, message, trace_id, 503, "no-configuration")
         return
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -11,6 +11,7 @@
 from cuminhatch.decisions.resending import ResendBudget, ResendLimits
 from cuminhatch.decisions.routing import make_router
 from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.decisions.traffic_split import weighted_round_robin
 from cuminhatch.kernel import Kernel
 from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
@@ -91,6 +92,8 @@
         self.settings = settings
         self.rng = rng
         self.instance_count = 1
+        self.stop = NO_STOP
+        self.is_stop_limit_reached = False
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.match_rule = make_router(EMPTY_CONFIGURATION)
         self.pick_service = weighted_round_robin(rng)
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -11,10 +11,12 @@
     AttemptResponseBody,
     CallerDisconnected,
     ConfigurationChanged,
+    DrainLimitReached,
     GaugesRequested,
     RequestBody,
     RequestFailed,
     RequestReceived,
+    StopScheduled,
 )
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
@@ -29,8 +31,10 @@
     find_streaming_attempt_id,
 )
 from cuminhatch.services.forwarding._completion import (
+    on_drain_limit_reached,
     on_exchange_timed_out,
     on_request_failed,
+    on_stop_scheduled,
 )
 from cuminhatch.services.forwarding._gauges import on_gauges_requested
 from cuminhatch.services.forwarding._placement import (
@@ -106,6 +110,8 @@
             HealthCheckConnectionClosed: on_health_check_connection_closed,
             LoadsMeasured: on_loads_measured,
             RequestFailed: on_request_failed,
+            StopScheduled: on_stop_scheduled,
+            DrainLimitReached: on_drain_limit_reached,
             GaugesRequested: on_gauges_requested,
             RequestReceived: on_request_received,
             RequestBody: on_request_body,
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -18,6 +18,7 @@
     ReadinessChanged,
     RequestFailed,
     StatusReported,
+    StopScheduled,
 )
 
 # Listeners other than the callers' port, and the services that answer their
@@ -29,6 +30,14 @@
 )
 
 
+# Services that have state of callers' requests. A daemon runs dispatch, a
+# gateway forwarding.
+REQUEST_SERVICES = ("dispatch", "forwarding")
+# Before the end of the process, for the final responses of the requests that
+# are left to be written and read.
+FINAL_RESPONSES_MS = 100.0
+
+
 class AnnouncementEnded(NamedTuple):
     """The platform has had time to list this instance as leaving."""
 
@@ -37,8 +46,12 @@
     """The drain has taken too long; the remaining requests are cut off."""
 
 
+class RequestsEnded(NamedTuple):
+    """The services have sent final responses; the listener sends the rest."""
+
+
 class StopDue(NamedTuple):
-    """The listener has handled the end of the drain; the process stops."""
+    """The time for final responses is over; the process stops."""
 
 
 class Supervisor(Service):
@@ -83,6 +96,7 @@
             AnnouncementEnded: self._on_announcement_ended,
             DrainFinished: self._on_drain_finished,
             DrainTimedOut: self._on_drain_timed_out,
+            RequestsEnded: self._on_requests_ended,
             StopDue: self._on_stop_due,
         }
 
@@ -101,8 +115,7 @@
             request_id is not None
             and message.service not in SERVICES_WITH_OWN_REQUEST_IDS
         ):
-            # A daemon runs dispatch, a gateway forwarding.
-            for name in ("dispatch", "forwarding"):
+            for name in REQUEST_SERVICES:
                 self.send(name, RequestFailed(request_id, "internal-error"))
 
     def _on_readiness_changed(self, message: ReadinessChanged) -> None:
@@ -127,7 +140,16 @@
         for name in ("peers", "callers"):
             self.send(name, DrainAnnounced())
         self.call_after(self._announce_ms, AnnouncementEnded())
-        self.call_after(self._announce_ms + self._limit_ms, DrainTimedOut())
+        limit_ms = self._announce_ms + self._limit_ms
+        requests_limit_ms = max(0.0, limit_ms - FINAL_RESPONSES_MS)
+        now_ms = self.kernel.clock.now_ms
+        scheduled = StopScheduled(
+            now_ms + self._announce_ms, now_ms + requests_limit_ms
+        )
+        for name in REQUEST_SERVICES:
+            self.send(name, scheduled)
+        self.call_after(requests_limit_ms, DrainTimedOut())
+        self.call_after(limit_ms, StopDue())
 
     def _on_announcement_ended(self, message: AnnouncementEnded) -> None:
         logger.info("supervisor: Drain started.")
@@ -151,8 +173,13 @@
             "supervisor: Drain timed out; not finished: {}.",
             ", ".join(self._undrained_parts),
         )
+        for name in REQUEST_SERVICES:
+            self.send(name, DrainLimitReached())
+        # The listener gets it behind the final responses of the services.
+        self.send(self.name, RequestsEnded())
+
+    def _on_requests_ended(self, message: RequestsEnded) -> None:
         self.send("callers", DrainLimitReached())
-        self.send(self.name, StopDue())
 
     def _on_stop_due(self, message: StopDue) -> None:
         self.kernel.stop()
