Reset streams to HTTP/1.0 callers at the end of a planned stop

An HTTP/1.0 caller gets a streamed response of unknown length up to the end of its connection. At the end of a planned stop the process closed that connection as any other, so half a body looked whole (MIXED).

The listener now aborts these responses when the limit of the drain is reached, which resets the connection. The new test failed before: the connection was left to the end of the process.

--- a/src/cuminhatch/services/http_listener/_responses.py
+++ b/src/cuminhatch/services/http_listener/_responses.py
@@ -187,7 +187,9 @@
     Send the complete responses that wait for an earlier one.
 
     Requests before them whose response has not begun end with an unknown
-    outcome.
+    outcome. A streamed response to HTTP/1.0, which may have no length, is
+    aborted: the end of the process would close its connection, and it would
+    look complete.
     """
     for connection in list(state.connections):
         while any(e.is_response_buffered for e in connection.pipelined_exchanges):
@@ -197,6 +199,9 @@
             request_id = connection.exchange.request_id
             refusal = RequestRefused(request_id, 504, Outcome.UNKNOWN, "stopping")
             on_request_refused(state, refusal)
+        exchange = connection.exchange
+        if exchange and exchange.is_response_started and exchange.is_http_1_0:
+            on_response_aborted(state, ResponseAborted(exchange.request_id))
 
 
 def on_write_buffer_drained(state: ListenerState, connection: Connection) -> None:
--- a/tests/services/test_planned_stop.py
+++ b/tests/services/test_planned_stop.py
@@ -187,6 +187,30 @@
     assert read_statuses(caller) == [b"200"]
 
 
+def test_stream_whose_end_is_the_close_is_reset_at_the_end_of_a_stop(stopping):
+    """
+    Guards against half a body that looks whole to an HTTP/1.0 caller (MIXED).
+
+    It gets a response without a length if the server sent it in chunks.
+    """
+    caller = stopping.connect()
+    request = REQUEST % (b"write", 1, LONG_WAIT_MS)
+    caller.send(request.replace(b"HTTP/1.1", b"HTTP/1.0"))
+    peer = stopping.accept()
+    given_id = stopping.receive(peer)
+    size = 300 * 1024
+    peer.send(
+        b"HTTP/1.1 200 X\r\nid: %s\r\nseal: 1\r\n"
+        b"transfer-encoding: chunked\r\n\r\n%x\r\n" % (given_id, size) + bytes(size)
+    )
+    caller.run_until(lambda: len(caller.received) > size)
+    assert b"content-length" not in caller.received
+    stopping.announce_stop()
+    stopping.reach_limit()
+    caller.run_until(lambda: caller.is_closed)
+    assert caller.is_reset
+
+
 @pytest.fixture(params=[Gateway, Daemon])
 def front_end(request):
     front_end = request.param()
