--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -1,5 +1,6 @@
 """HTTP client of the platform's metadata store."""
 
+import json
 from base64 import b64decode, b64encode
 from collections.abc import Callable
 from itertools import count
@@ -28,8 +29,11 @@
 from cuminhatch.messages.http_client import HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.messages.telemetry import CounterIncremented
 from cuminhatch.platform.documents import (
+    INT64_MAX,
+    NAME_MAX_BYTES,
     DocumentError,
     decode_registration,
+    is_server_id,
     parse_address,
 )
 
@@ -61,12 +65,17 @@
 
 
 class _Row(NamedTuple):
-    """One row of a table."""
+    """
+    One row of a table.
+
+    ``fault`` says why the row can't be used, and is empty if it can.
+    """
 
     table: str
     key: str
     value: bytes
     version: StoreVersion
+    fault: str = ""
 
 
 class _Page(NamedTuple):
@@ -104,9 +113,10 @@
             another call.
         :raises DocumentError: the page is not one of this read.
         """
-        keys = [row.key for row in page.rows]
+        named = [row for row in page.rows if row.table]
+        keys = [row.key for row in named]
         is_other_range = any(
-            row.table != self.table or row.key < self.first_key for row in page.rows
+            row.table != self.table or row.key < self.first_key for row in named
         )
         if page.version < known_version or is_other_range:
             raise DocumentError("response of another call")
@@ -164,11 +174,14 @@
         refused = []
         for row in range_read.rows:
             try:
-                registrations[row.key] = decode_registration(
-                    row.key, row.value, row.version
-                )
+                _check_row(row)
+                registration = decode_registration(row.key, row.value, row.version)
             except DocumentError as error:
-                refused.append(RegistrationRefused(row.key, str(error)))
+                # The id is written to the event log.
+                server_id = ascii(row.key)[1:-1][:NAME_MAX_BYTES]
+                refused.append(RegistrationRefused(server_id, str(error)))
+                continue
+            registrations[row.key] = registration
         request = range_read.request
         self.send(
             request.reply_to,
@@ -183,7 +196,10 @@
         self._read(range_read, self._finish_configuration)
 
     def _finish_configuration(self, range_read: _RangeRead) -> None:
-        document = range_read.rows[0].value if range_read.rows else b""
+        document = b""
+        if range_read.rows:
+            _check_row(range_read.rows[0])
+            document = range_read.rows[0].value
         request = range_read.request
         era = range_read.version.era
         self.send(request.reply_to, ConfigurationRead(request.token, document, era))
@@ -196,7 +212,7 @@
         members = {}
         for row in range_read.rows:
             address = parse_address(row.value.decode("latin-1"))
-            if address is not None:
+            if address is not None and not row.fault and is_server_id(row.key):
                 members[row.key] = address
         request = range_read.request
         self.send(request.reply_to, InstanceRecordsRead(request.token, members))
@@ -207,7 +223,7 @@
         known_version = self._known_version
         target = (
             f"/rows-get?table={range_read.table}&part="
-            f"&from={quote(range_read.first_key)}&to={quote(range_read.end_key)}"
+            f"&from={quote(range_read.first_key, errors='surrogatepass')}&to={quote(range_read.end_key)}"
             f"&limit={ROWS_PER_READ}"
         )
 
@@ -291,7 +307,20 @@
         raise DocumentError(reply.reason)
     if reply.status != STATUS_OK:
         raise DocumentError(f"unexpected status {reply.status}")
-    return _Response(orjson.loads(reply.body), _decode_era(reply.headers))
+    return _Response(_load_json(reply.body), _decode_era(reply.headers))
+
+
+def _load_json(body: bytes) -> Any:
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        pass
+    # orjson refuses a whole page for one key with a lone surrogate or one
+    # number out of range; the other rows can be used.
+    try:
+        return json.loads(body)
+    except RecursionError as error:
+        raise DocumentError("nested too deeply") from error
 
 
 def _decode_era(headers: tuple[Header, ...]) -> int:
@@ -306,11 +335,39 @@
 
 def _decode_page(response: _Response) -> _Page:
     document, era = response
-    rows = [_decode_row(row, era) for row in document["rows"]]
-    version = StoreVersion(era, int(document["ver"]))
+    version = _decode_version(document["ver"], era)
+    if version is None:
+        raise DocumentError("ver: not a version of the store")
+    rows = [_decode_row(row, era) for row in document["rows"] if isinstance(row, dict)]
     return _Page(rows, bool(document["has-more"]), version)
 
 
 def _decode_row(row: dict[str, Any], era: int) -> _Row:
-    value = b64decode(row["value"])
-    return _Row(row["table"], row["key"], value, StoreVersion(era, row["ver"]))
+    """Decode a row; another writer may have left one that can't be used."""
+    table, key = row.get("table"), row.get("key")
+    if not isinstance(table, str) or not isinstance(key, str):
+        return _Row("", "", b"", NO_VERSION, "row without a table or a key")
+    version = _decode_version(row.get("ver"), era)
+    if version is None:
+        return _Row(table, key, b"", NO_VERSION, "ver: not a version of the store")
+    try:
+        value = b64decode(row.get("value"))
+    except (TypeError, ValueError):
+        return _Row(table, key, b"", version, "value: not base64")
+    return _Row(table, key, value, version)
+
+
+def _decode_version(value: Any, era: int) -> StoreVersion | None:
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    return StoreVersion(era, value) if is_integer and 0 <= value <= INT64_MAX else None
+
+
+def _check_row(row: _Row) -> None:
+    """
+    Check that a row can be used.
+
+    :param row: row as decoded.
+    :raises DocumentError: its value or its version can't be read.
+    """
+    if row.fault:
+        raise DocumentError(row.fault)
