Restore the store from a copy in the soak

A new fault, store:restored, takes the store away and brings it back without the writes of the last three seconds; operators and servers write them again 1.5 s later. A new maintenance operation, restore-store, drains a server and writes a configuration, loses both one second later, and checks that the server gets no new request and that every ready gateway has the configuration again two seconds after it was written. Registrations carry a rising sequence.

There are now four maintenance operations, so a run takes 34 s by default, and the short one of the tests 28 s, to keep the time of the random faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -10,7 +10,7 @@
 
 SEED = flags.DEFINE_integer("seed", 1, "First seed.")
 COUNT = flags.DEFINE_integer("count", 1, "Number of seeds.", lower_bound=1)
-SECONDS = flags.DEFINE_float("seconds", 30.0, "Length of a run.", lower_bound=20.0)
+SECONDS = flags.DEFINE_float("seconds", 34.0, "Length of a run.", lower_bound=20.0)
 BASE_PORT = flags.DEFINE_integer("base_port", 24_000, "First of 100 free ports.")
 
 FAILED_STATUS = 1
--- a/soak/deployment.py
+++ b/soak/deployment.py
@@ -2,11 +2,13 @@
 
 import os
 import signal
+from collections import Counter
 from contextlib import ExitStack
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from subprocess import PIPE, Popen, TimeoutExpired
 from typing import Any, NamedTuple
+from urllib.request import urlopen
 
 import orjson
 
@@ -97,6 +99,10 @@
         self.links: dict[str, Standin] = {}
         self._link_ports: dict[str, int] = {}
         self._server_ports: dict[str, int] = {}
+        # What operators and servers wrote last, to be written again.
+        self._states: dict[str, str] = {}
+        self._sequences: Counter[str] = Counter()
+        self._configuration_version = 0
         for server_id in SERVERS:
             self._server_ports[server_id] = self._take_port()
             self.start_server(server_id)
@@ -215,8 +221,11 @@
         :param server_id: id of the server.
         :param state: ``ready`` or ``draining``.
         """
-        port = self._link_ports[server_id]
-        self.write_row("servers", server_id, make_registration(server_id, port, state))
+        self._states[server_id] = state
+        self._sequences[server_id] += 1
+        port, sequence = self._link_ports[server_id], self._sequences[server_id]
+        row = make_registration(server_id, port, state, sequence)
+        self.write_row("servers", server_id, row)
 
     def write_configuration(self, version: int) -> None:
         """
@@ -224,9 +233,40 @@
 
         :param version: version number.
         """
+        self._configuration_version = version
         routes = ROUTES | {f"v{version}": ("safe", "board")}
         self.write_row("op", "config", make_configuration(version, routes))
 
+    def write_all_again(self) -> None:
+        """Write what a restored store has lost: the state of all rows."""
+        self.write_configuration(self._configuration_version)
+        for server_id, state in self._states.items():
+            self.write_registration(server_id, state)
+
+    def list_outdated(self, version: int) -> list[str]:
+        """
+        Return a line for each ready gateway with an older configuration.
+
+        :param version: version that must be in force.
+        """
+        return [
+            f"{name} has configuration {known}, {version} was written"
+            for name in self.gateways
+            if self.is_ready(name)
+            and (known := self._read_configuration_version(name)) < version
+        ]
+
+    def _read_configuration_version(self, name: str) -> float:
+        port = self.gateways[name].ports["metrics"]
+        with urlopen(f"http://{HOST}:{port}/metrics", None, CONTROL_TIMEOUT_S) as reply:
+            lines = reply.read().decode().splitlines()
+        (value,) = (
+            line.split()[-1]
+            for line in lines
+            if line.startswith("cuminhatch_configuration_version")
+        )
+        return float(value)
+
     def list_unexpected_exits(self) -> list[str]:
         """Return a line for each gateway that exited unexpectedly."""
         return [
--- a/soak/documents.py
+++ b/soak/documents.py
@@ -52,13 +52,16 @@
     return "\n".join(lines) + "\n"
 
 
-def make_registration(server_id: str, port: int, state: str) -> dict[str, Any]:
+def make_registration(
+    server_id: str, port: int, state: str, sequence: int
+) -> dict[str, Any]:
     """
     Return the registration of a backend server.
 
     :param server_id: id of the server.
     :param port: port of its link, which forwards to the server.
     :param state: ``ready`` or ``draining``.
+    :param sequence: how often the server has registered.
     """
     return {
         "service": SERVERS[server_id],
@@ -68,7 +71,7 @@
         "slots": 3,
         "state": state,
         "warmup-left-ms": 0,
-        "sequence": 1,
+        "sequence": sequence,
     }
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -6,8 +6,8 @@
 
 # No fault is active at the end of a run, so that recovery can be checked.
 FAULT_FREE_END_S = 8.0
-# Maintenance (graceful stop, server drain, new configuration) is checked
-# without other faults at the same time.
+# Maintenance (graceful stop, server drain, new configuration, and a store that
+# loses both) is checked without other faults at the same time.
 MAINTENANCE_INTERVAL_S = 4.0
 
 
@@ -35,8 +35,8 @@
     "endless-answers",
 )
 LINK_FAULTS = ("delay", "cut-to", "cut-from", "cut-both", "reset", "flood")
-STORE_FAULTS = ("busy", "slow", "reply-lost")
-MAINTENANCE_KINDS = ("drain-server", "stop-gateway", "configure")
+STORE_FAULTS = ("busy", "slow", "reply-lost", "restored")
+MAINTENANCE_KINDS = ("drain-server", "stop-gateway", "configure", "restore-store")
 
 
 class Targets(NamedTuple):
@@ -87,7 +87,11 @@
     :param targets: possible targets of faults.
     :param rng: random source of the plan.
     """
-    names = {"drain-server": targets.servers, "stop-gateway": targets.gateways}
+    names = {
+        "drain-server": targets.servers,
+        "restore-store": targets.servers,
+        "stop-gateway": targets.gateways,
+    }
     return rng.choice(names.get(kind, ("store",)))
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -37,6 +37,15 @@
 RECOVERY_TIME_S = 5.0
 MS_PER_S = 1_000.0
 RESTART_DELAY_S = 0.5
+# Writes that a restored store loses, and the time after its return in which
+# operators and servers write them again.
+LOST_MS = 3_000
+WRITTEN_AGAIN_S = 1.5
+# A drain and a configuration are known to the gateways when the store is lost.
+LOST_AFTER_S = 1.0
+OUTAGE_S = 0.3
+# A configuration is in force this long after it was written.
+CONFIGURATION_BOUND_S = 2.0
 LINK_FAULT_SETTINGS = {
     "cut-to": {"cut_to": True},
     "cut-from": {"cut_from": True},
@@ -112,6 +121,7 @@
             "drain-server": self._drain_server,
             "stop-gateway": self._stop_gateway,
             "configure": self._write_configuration,
+            "restore-store": self._restore_store,
         }
         injectors[group](kind, fault)
 
@@ -221,12 +231,18 @@
             "busy": ({"busy": True}, {"busy": False}),
             "slow": ({"slow": 700}, {"slow": 0}),
             "reply-lost": ({"reply_lost": 3}, {"reply_lost": 0}),
+            "restored": ({"outage": True, "restored": LOST_MS}, {"outage": False}),
         }
         begin, end = faults[kind]
         self._set_faults(address, begin)
         self.schedule(
             self.now_s + fault.duration_s, lambda: self._set_faults(address, end)
         )
+        if kind == "restored":
+            self.schedule(
+                self.now_s + fault.duration_s + WRITTEN_AGAIN_S,
+                self._deployment.write_all_again,
+            )
 
     def _set_faults(self, address: tuple[str, int], faults: dict[str, object]) -> None:
         try:
@@ -264,6 +280,21 @@
         self._configuration_version += 1
         self._deployment.write_configuration(self._configuration_version)
 
+    def _restore_store(self, kind: str, fault: Fault) -> None:
+        """Drain a server and write a configuration; the store loses both."""
+        self._drain_server(kind, fault)
+        self._write_configuration(kind, fault)
+        version = self._configuration_version
+        outdated: list[str] = []
+        restored = fault._replace(kind="store:restored", duration_s=OUTAGE_S)
+        self.schedule(self.now_s + LOST_AFTER_S, lambda: self.inject(restored))
+        written_s = self.now_s + LOST_AFTER_S + OUTAGE_S + WRITTEN_AGAIN_S
+        self.schedule(
+            written_s + CONFIGURATION_BOUND_S,
+            lambda: outdated.extend(self._deployment.list_outdated(version)),
+        )
+        self._maintenance_checks.append(lambda records: outdated)
+
 
 def run_seed(seed: int, seconds: float, base_port: int) -> Result:
     """
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 
 # Parallel test runs need different ports, below the ephemeral port range.
 BASE_PORT = 27_000 + os.getpid() % 50 * 100
-SECONDS = 24.0
+SECONDS = 28.0
 
 
 def test_short_run_keeps_all_guarantees():
