Pull the whole catalog if a restore hides changes from its sender

An instance could keep a server for good that had ended, or miss one, after the store was restored: requests to the first fail, the second gets none.

Cause: a change across a restore counted as everything since the last change that its sender knew. A receiver that had heard of later changes of the earlier era kept them, although the store had lost them; the sender did not know them and so did not undo them. The sender's response to a pull had the same gap, or was empty, as its last change was older than the version that was asked for.

Change: such a change is a gap, and an instance of an earlier era that pulls gets the whole catalog. Cached responses are dropped at a restore, since the last change in their key may be of the earlier era still. An instance without such changes applies the change as before, so a restore alone causes no pulls.

The two new tests of the catalog service failed before. The deliberately broken apply_old_changes of test_catalog_spread.py forgets the last change as well now: forgetting the version alone has become a gap, not a step back. The proof still has to catch it.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -269,6 +269,11 @@
         return VersionGap("missed-changes")
     if change.version < catalog.version:
         return catalog
+    is_after_restore = change.version.era > catalog.version.era
+    if is_after_restore and catalog.changed_version > change.previous_version:
+        # The sender has not heard of the last changes of the earlier era, so
+        # it does not say which of them the store has lost.
+        return VersionGap("changes-before-restore")
     if not change.changed and not change.removed_ids:
         changed_version = max(catalog.changed_version, change.previous_version)
         return catalog._replace(version=change.version, changed_version=changed_version)
--- a/src/cuminhatch/services/catalog/_pull_responses.py
+++ b/src/cuminhatch/services/catalog/_pull_responses.py
@@ -110,9 +110,14 @@
     if query.configuration_version < view.configuration_version:
         configuration_version = view.configuration_version
     instances = view.instance_count if query.is_members_wanted else 0
-    if query.version >= catalog.changed_version:
-        return MissingParts(configuration_version, NO_VERSION, NO_VERSION, instances)
-    missed = view.change_history.merge_since(query.version)
+    missed = None
+    # What an instance knows of an earlier era may be unknown here, and lost.
+    if query.version.era >= catalog.version.era:
+        if query.version >= catalog.changed_version:
+            return MissingParts(
+                configuration_version, NO_VERSION, NO_VERSION, instances
+            )
+        missed = view.change_history.merge_since(query.version)
     previous_version = missed.previous_version if missed is not None else NO_VERSION
     return MissingParts(
         configuration_version, previous_version, catalog.changed_version, instances
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -72,6 +72,9 @@
     if version.era <= view.store_era:
         return
     view.store_era = version.era
+    # Their keys have the version of the last change, which may be of the
+    # earlier era still.
+    view.cached_responses.clear()
     if not view.catalog.is_known:
         return
     now_ms = view.clock.now_ms
--- a/tests/proofs/test_catalog_spread.py
+++ b/tests/proofs/test_catalog_spread.py
@@ -122,7 +122,7 @@
 def apply_old_changes(catalog, change):
     """Apply a change that is older than the catalog."""
     return apply_change(
-        catalog._replace(version=NO_VERSION),
+        catalog._replace(version=NO_VERSION, changed_version=NO_VERSION),
         change._replace(previous_version=NO_VERSION),
     )
 
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -800,3 +800,41 @@
     assert names == ["left"]
     harness.advance(HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS)
     assert list(harness.configuration.servers) == ["a", "left"]
+
+
+def read_after_restore(harness, rows, version=5):
+    """Let the instance read a store that was restored with some rows."""
+    harness.store.era, harness.store.version = 2, version
+    harness.store.rows = rows
+    harness.advance(READ_INTERVAL_MS + 100.0)
+
+
+def test_change_across_a_restore_covers_what_its_sender_did_not_know(harness):
+    """
+    Guards against a server that one instance keeps for good.
+
+    The sender had not heard of the last changes before the restore. The server
+    that they added has ended, so the store will never name it again.
+    """
+    harness.store.rows = None
+    (lost,) = make_rows("lost", row_version=14).values()
+    harness.receive_news(14, changed=(lost,))
+    harness.receive_news(5, previous=12, era=2, configuration=0)
+    assert harness.received("http_client"), "the whole catalog is pulled"
+    state = CatalogState(
+        CatalogChange(NO_VERSION, at(5, 2), tuple(make_rows("a").values()), ()),
+        True,
+        configuration_at(1),
+        b"",
+    )
+    harness.reply(harness.received("http_client")[-1], state)
+    assert list(harness.configuration.servers) == ["a"]
+
+
+def test_instance_of_an_earlier_era_pulls_the_whole_catalog(harness):
+    """Guards against changes that leave what the store has lost."""
+    harness.store.set_rows(make_rows("a", "b"))
+    harness.advance(READ_INTERVAL_MS + 100.0)
+    read_after_restore(harness, make_rows("a"))
+    state = harness.pull(1, version=12, era=1)
+    assert state.is_whole
