Keep drains when the whole catalog is pulled after a restore

A draining server got new requests again after the store was restored, at instances that had known of the drain.

Cause: an instance that starts after the return reads the copy, and announces all rows as one change. The change is too long for a datagram, or a gap, so the others pull the whole catalog, which replaced theirs without a look at what their servers had written last.

Change: a registration that is known from an earlier era stays unless the server wrote the other one later, as in a change that comes by datagram.

test_whole_catalog_does_not_end_a_drain failed before (the server was ready again). It holds for servers that tell their start.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -297,6 +297,35 @@
     )
 
 
+def replace_registrations(catalog: Catalog, change: CatalogChange) -> Catalog:
+    """
+    Replace the registrations by all those of another instance.
+
+    That instance may have read the rows of a restored store, and not know what
+    the servers had written since. Unless it has removed them, such servers
+    keep their later state.
+
+    :param catalog: local catalog, of the same version or an earlier one.
+    :param change: change that lists all registrations.
+    """
+    registrations = {}
+    for registration in change.changed:
+        server_id = registration.server.server_id
+        known = catalog.registrations.get(server_id)
+        is_kept = (
+            known is not None
+            and known.row_version.era != registration.row_version.era
+            and _is_older_row(registration, known)
+        )
+        registrations[server_id] = known if is_kept else registration
+    return catalog._replace(
+        version=change.version,
+        changed_version=change.version,
+        registrations=registrations,
+        missing_since_ms={},
+    )
+
+
 def add_registered_servers(
     document: ConfigurationDocument, catalog: Catalog
 ) -> Configuration:
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -25,7 +25,7 @@
 from cuminhatch.services.catalog._updates import (
     apply_catalog_change,
     apply_document,
-    replace_registrations,
+    apply_whole_catalog,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, Pull
 
@@ -153,7 +153,7 @@
     if state.change is None:
         return
     if state.is_whole:
-        replace_registrations(view, state.change, "peer")
+        apply_whole_catalog(view, state.change, "peer")
     else:
         apply_catalog_change(view, state.change, "peer")
 
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -9,6 +9,7 @@
     apply_change,
     has_same_servers,
     list_change_events,
+    replace_registrations,
 )
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 from cuminhatch.errors import CodecError
@@ -134,9 +135,7 @@
     return True
 
 
-def replace_registrations(
-    view: CatalogView, change: CatalogChange, source: str
-) -> None:
+def apply_whole_catalog(view: CatalogView, change: CatalogChange, source: str) -> None:
     """
     Replace the catalog by that of another instance unless it is older.
 
@@ -147,13 +146,7 @@
     if change.version < view.catalog.version:
         return
     view.change_history.clear()
-    catalog = view.catalog._replace(
-        version=change.version,
-        changed_version=change.version,
-        registrations={item.server.server_id: item for item in change.changed},
-        missing_since_ms={},
-    )
-    replace_catalog(view, catalog, source)
+    replace_catalog(view, replace_registrations(view.catalog, change), source)
 
 
 def publish_configuration(view: CatalogView) -> None:
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -838,3 +838,21 @@
     read_after_restore(harness, make_rows("a"))
     state = harness.pull(1, version=12, era=1)
     assert state.is_whole
+
+
+def test_whole_catalog_does_not_end_a_drain(harness):
+    """
+    Guards against requests to a draining server after a restore.
+
+    An instance that has started since the restore knows only the copy, in
+    which the server is not draining yet.
+    """
+    harness.store.rows = None
+    known = make_rows("a", sequence=2, is_draining=True, started_ms=7, row_version=12)
+    harness.receive_news(12, changed=tuple(known.values()))
+    harness.receive_news(6, previous=5, era=2)
+    copied = make_rows("a", sequence=1, started_ms=7, row_version=3, era=2)
+    change = CatalogChange(NO_VERSION, at(6, 2), tuple(copied.values()), ())
+    state = CatalogState(change, True, configuration_at(1), b"")
+    harness.reply(harness.received("http_client")[-1], state)
+    assert harness.configuration.servers["a"].is_draining
