Let all instances use the row that the reader uses in the end

After a restore, two instances could see a server in two states for good.

Cause: for four heartbeats the reader sends what it knows better than the copy with the version of the copy's row, so that the row replaces it later. The others ignored that, as it had the sequence that they knew already, and kept the version of the earlier era. When the reader took the row in the end, since a heartbeat without a change leaves it as it is, they held its sequence for an older one and ignored it.

Change: in a change from another instance a registration with an equal sequence is taken, and with it the version of its row. Reads of the store are as before.

test_reader_and_others_agree_on_a_row_that_the_store_keeps failed before: the server was still draining at the instance that the reader had told otherwise.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -250,9 +250,13 @@
     if is_after_restore and not is_same_start:
         return started_ms < known_started_ms
     is_same_era = registration.row_version.era == known.row_version.era
-    # A server that does not tell when it started may have started again.
-    if is_after_restore or (is_same_start and started_ms and not is_same_era):
+    if is_after_restore:
         return registration.sequence <= known.sequence
+    # A server that does not tell when it started may have started again. An
+    # equal sequence is what the reader knows better than the copy: its row
+    # version lets the row replace it that the reader uses in the end.
+    if is_same_start and started_ms and not is_same_era:
+        return registration.sequence < known.sequence
     return registration.row_version < known.row_version
 
 
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -856,3 +856,24 @@
     state = CatalogState(change, True, configuration_at(1), b"")
     harness.reply(harness.received("http_client")[-1], state)
     assert harness.configuration.servers["a"].is_draining
+
+
+def test_reader_and_others_agree_on_a_row_that_the_store_keeps(harness):
+    """
+    Guards against a server that two instances see differently for good.
+
+    A server had changed, and changed back, in the seconds that the store has
+    lost: its heartbeats leave the row of the copy as it is.
+    """
+    harness.store.rows = None
+    known = make_rows("a", sequence=9, is_draining=True, started_ms=7, row_version=12)
+    harness.receive_news(12, changed=tuple(known.values()))
+    # The reader keeps what it knows for four heartbeats, then uses the row.
+    kept = make_rows(
+        "a", sequence=9, is_draining=True, started_ms=7, row_version=3, era=2
+    )
+    harness.receive_news(5, changed=tuple(kept.values()), previous=12, era=2)
+    assert harness.configuration.servers["a"].is_draining
+    used = make_rows("a", sequence=5, started_ms=7, row_version=3, era=2)
+    harness.receive_news(6, changed=tuple(used.values()), era=2)
+    assert not harness.configuration.servers["a"].is_draining
