Let an instance that was frozen over a restore take no servers away

Servers that had registered in the last seconds were dropped by all instances, for up to four heartbeats.

Cause: an instance that was frozen or cut off while the store was restored learns of the restore later, by its first read. It took all servers that it didn't know for servers that only the copy has, and told the others to remove them, although they had registered after the return. During a release that can be all servers of a service.

Change: rows of a copy only count for doubtful at an instance that has heard of a read, or was refused by the store, within four heartbeats before.

test_instance_that_was_frozen_takes_no_server_from_the_others failed before: the news of its first read removed the new server.

--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -79,7 +79,9 @@
     if not view.catalog.is_known:
         return
     now_ms = view.clock.now_ms
-    view.restored_ms = view.outage_ended_ms = now_ms
+    view.outage_ended_ms = now_ms
+    if is_knowledge_recent(view):
+        view.restored_ms = now_ms
     details = {
         "version": version.number,
         "era": version.era,
@@ -96,7 +98,25 @@
 def is_after_restore(view: CatalogView) -> bool:
     """Tell whether rows of the store may still be those of the copy."""
     since_ms = view.clock.now_ms - view.restored_ms
-    return since_ms < HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
+    return since_ms < get_confirmation_ms(view)
+
+
+def get_confirmation_ms(view: CatalogView) -> float:
+    """Return how long the rows of a copy count for doubtful."""
+    return HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
+
+
+def is_knowledge_recent(view: CatalogView) -> bool:
+    """
+    Tell whether this instance may know more than a restored store.
+
+    One that was frozen or cut off for longer than the rows of a copy count for
+    doubtful would take servers for gone that have registered since. A refused
+    call shows that it was running during an outage.
+    """
+    reads = view.latest_reads
+    last_ms = max(view.last_read_ms, reads.last_read_ms, reads.last_refused_ms)
+    return view.clock.now_ms - last_ms < get_confirmation_ms(view)
 
 
 def replace_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -877,3 +877,20 @@
     used = make_rows("a", sequence=5, started_ms=7, row_version=3, era=2)
     harness.receive_news(6, changed=tuple(used.values()), era=2)
     assert not harness.configuration.servers["a"].is_draining
+
+
+def test_instance_that_was_frozen_takes_no_server_from_the_others(harness):
+    """
+    Guards against servers that all instances drop when a frozen one reads.
+
+    They had registered while it was frozen; the store was restored meanwhile.
+    """
+    frozen_ms = HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS + 4_000.0
+    harness.sent.clear()
+    add_members(harness.view, (PEER,))
+    harness.clock.advance(frozen_ms)
+    read_after_restore(harness, make_rows("a", "new", era=2))
+    news = [message for message in harness.sent if isinstance(message, CatalogNews)]
+    assert news
+    assert not any(message.change.removed_ids for message in news)
+    assert list(harness.configuration.servers) == ["a", "new"]
