Send the whole catalog with its present version

A whole catalog could be ignored by the instance that had asked for it.

Cause: the cached response is selected by the version of the last change, and has the version at which it was encoded. Heartbeats of other tables and rows raise the version further, and a receiver that knows these versions takes the response for an older one. So far nobody asked for the whole catalog at such a version; the next change does, after a restore.

Change: the key of a whole catalog has the version of the catalog.

test_whole_catalog_has_the_version_of_the_catalog failed before: version 10 instead of 15.

--- a/src/cuminhatch/services/catalog/_pull_responses.py
+++ b/src/cuminhatch/services/catalog/_pull_responses.py
@@ -118,9 +118,15 @@
                 configuration_version, NO_VERSION, NO_VERSION, instances
             )
         missed = view.change_history.merge_since(query.version)
-    previous_version = missed.previous_version if missed is not None else NO_VERSION
+    if missed is None or missed.previous_version == NO_VERSION:
+        return MissingParts(
+            configuration_version, NO_VERSION, catalog.version, instances
+        )
     return MissingParts(
-        configuration_version, previous_version, catalog.changed_version, instances
+        configuration_version,
+        missed.previous_version,
+        catalog.changed_version,
+        instances,
     )
 
 
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -894,3 +894,15 @@
     assert news
     assert not any(message.change.removed_ids for message in news)
     assert list(harness.configuration.servers) == ["a", "new"]
+
+
+def test_whole_catalog_has_the_version_of_the_catalog(harness):
+    """
+    Guards against a whole catalog that its receiver ignores as an older one.
+
+    The receiver knows the versions that only heartbeats have given out since
+    the response was cached.
+    """
+    assert harness.pull(1).change.version == at(10)
+    harness.receive_news(15)
+    assert harness.pull(1).change.version == at(15)
