Hold rows of a copy back that another instance announces

A server that had left got requests again from all instances after the store was restored.

Cause: an instance that starts after the return reads the copy, knows nothing of before, and announces all of its rows. The others, which knew that the server had left, took the row as a new registration; the reader of the next round as well, so that nobody corrected it until the store removed the row.

Change: an instance remembers the last registrations of the latest 1,000 servers that were removed. For four heartbeats after a restore it holds back a row of such a server that is not of a later start and has no higher sequence. If rows are still held back then, it pulls the whole catalog at the next news, once, since the store may have kept them. Instances learn of a restore before they apply the first change of the new era, not after it.

test_instance_that_started_after_a_restore_brings_no_server_back and test_row_of_a_copy_in_a_change_is_held_back failed before: the server was in use.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -20,6 +20,8 @@
 # The store removes a registration after three heartbeats without one; another
 # one allows for delays.
 HEARTBEATS_UNTIL_REMOVED = 4
+# Far more than the servers that leave in the seconds that a store may lose.
+DEPARTED_MAX = 1_000
 
 
 class ConfigurationDocument(NamedTuple):
@@ -62,6 +64,8 @@
     missing. ``unconfirmed`` holds registrations that this instance found in a
     restored store and that may be those of servers that have left since.
     ``read_era`` is the era of the latest read by this instance itself.
+    ``departed`` holds the last registrations of servers that were removed, the
+    latest ones last.
     """
 
     version: StoreVersion
@@ -70,6 +74,7 @@
     missing_since_ms: Mapping[str, float]
     unconfirmed: Mapping[str, Registration] = MappingProxyType({})
     read_era: int = 0
+    departed: Mapping[str, Registration] = MappingProxyType({})
 
     @property
     def is_known(self) -> bool:
@@ -161,11 +166,43 @@
     change = CatalogChange(catalog.changed_version, version, tuple(changed), removed)
     changed_version = version if changed or removed else catalog.changed_version
     after = Catalog(
-        version, changed_version, kept, missing_since_ms, unconfirmed, version.era
+        version,
+        changed_version,
+        kept,
+        missing_since_ms,
+        unconfirmed,
+        version.era,
+        _add_departed(catalog, kept),
     )
     return after, change
 
 
+def _add_departed(
+    before: Catalog, kept: Mapping[str, Registration]
+) -> Mapping[str, Registration]:
+    """Return the servers that were removed, with those that are not kept."""
+    removed = before.registrations.keys() - kept.keys()
+    if not removed and before.departed.keys().isdisjoint(kept):
+        return before.departed
+    departed = {
+        server_id: registration
+        for server_id, registration in before.departed.items()
+        if server_id not in kept
+    }
+    departed |= {server_id: before.registrations[server_id] for server_id in removed}
+    return dict(list(departed.items())[-DEPARTED_MAX:])
+
+
+def _is_of_departed_server(catalog: Catalog, registration: Registration) -> bool:
+    """Return whether a server was removed after it had written this row."""
+    departed = catalog.departed.get(registration.server.server_id)
+    return (
+        departed is not None
+        and departed.server.started_ms == registration.server.started_ms
+        and registration.sequence <= departed.sequence
+    )
+
+
 class _MergedRow(NamedTuple):
     """The registration to keep, and whether other instances need it."""
 
@@ -260,12 +297,19 @@
     return registration.row_version < known.row_version
 
 
-def apply_change(catalog: Catalog, change: CatalogChange) -> Catalog | VersionGap:
+def apply_change(
+    catalog: Catalog, change: CatalogChange, is_after_restore: bool = False
+) -> Catalog | VersionGap:
     """
     Apply a change that another instance has sent.
 
+    That instance may have started since the store was restored, and not know
+    which servers of the copy have left.
+
     :param catalog: local catalog.
     :param change: change received.
+    :param is_after_restore: whether the store was restored so recently that
+        some rows may still be those of the copy.
     :returns: the new catalog, the same one if the change is outdated, or
         :class:`VersionGap` if earlier changes were missed.
     """
@@ -273,8 +317,8 @@
         return VersionGap("missed-changes")
     if change.version < catalog.version:
         return catalog
-    is_after_restore = change.version.era > catalog.version.era
-    if is_after_restore and catalog.changed_version > change.previous_version:
+    is_later_era = change.version.era > catalog.version.era
+    if is_later_era and catalog.changed_version > change.previous_version:
         # The sender has not heard of the last changes of the earlier era, so
         # it does not say which of them the store has lost.
         return VersionGap("changes-before-restore")
@@ -282,12 +326,20 @@
         changed_version = max(catalog.changed_version, change.previous_version)
         return catalog._replace(version=change.version, changed_version=changed_version)
     registrations = dict(catalog.registrations)
+    unconfirmed = dict(catalog.unconfirmed)
     for server_id in change.removed_ids:
         registrations.pop(server_id, None)
+        unconfirmed.pop(server_id, None)
     for registration in change.changed:
-        known = registrations.get(registration.server.server_id)
+        server_id = registration.server.server_id
+        known = registrations.get(server_id)
+        if known is None and is_after_restore:
+            if _is_of_departed_server(catalog, registration):
+                unconfirmed[server_id] = registration
+                continue
+        unconfirmed.pop(server_id, None)
         if known is None or not _is_older_row(registration, known):
-            registrations[registration.server.server_id] = registration
+            registrations[server_id] = registration
     missing_since_ms = {
         server_id: since_ms
         for server_id, since_ms in catalog.missing_since_ms.items()
@@ -298,10 +350,14 @@
         changed_version=change.version,
         registrations=registrations,
         missing_since_ms=missing_since_ms,
+        unconfirmed=unconfirmed,
+        departed=_add_departed(catalog, registrations),
     )
 
 
-def replace_registrations(catalog: Catalog, change: CatalogChange) -> Catalog:
+def replace_registrations(
+    catalog: Catalog, change: CatalogChange, is_after_restore: bool = False
+) -> Catalog:
     """
     Replace the registrations by all those of another instance.
 
@@ -311,11 +367,17 @@
 
     :param catalog: local catalog, of the same version or an earlier one.
     :param change: change that lists all registrations.
+    :param is_after_restore: as in :func:`apply_change`.
     """
-    registrations = {}
+    registrations: dict[str, Registration] = {}
+    unconfirmed: dict[str, Registration] = {}
     for registration in change.changed:
         server_id = registration.server.server_id
         known = catalog.registrations.get(server_id)
+        if known is None and is_after_restore:
+            if _is_of_departed_server(catalog, registration):
+                unconfirmed[server_id] = registration
+                continue
         is_kept = (
             known is not None
             and known.row_version.era != registration.row_version.era
@@ -327,6 +389,8 @@
         changed_version=change.version,
         registrations=registrations,
         missing_since_ms={},
+        unconfirmed=unconfirmed,
+        departed=_add_departed(catalog, registrations),
     )
 
 
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -13,6 +13,7 @@
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.reader_selection import should_yield
+from cuminhatch.decisions.store_version import NO_VERSION
 from cuminhatch.log import logger
 from cuminhatch.messages import HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.services.catalog._members import add_members, compare_instance_counts
@@ -26,6 +27,7 @@
     apply_catalog_change,
     apply_document,
     apply_whole_catalog,
+    has_unconfirmed,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, Pull
 
@@ -53,6 +55,8 @@
         is_gap = message.change.version > view.catalog.version
     else:
         is_gap = not apply_catalog_change(view, message.change, sender.instance_id)
+    # The reader knows which rows the store has kept.
+    is_gap = is_gap or (is_current and has_unconfirmed(view))
     is_behind = message.configuration_version > view.configuration_version
     if is_behind:
         view.announced_configuration = message.configuration_version, sender
@@ -84,9 +88,11 @@
     :param is_direct: whether the instance must not refer to another one.
     """
     view.active_pull = pull
+    # An unknown version is answered with the whole catalog.
+    version = NO_VERSION if has_unconfirmed(view) else view.catalog.version
     query = {
         "configuration": encode_version(view.configuration_version),
-        "version": encode_version(view.catalog.version),
+        "version": encode_version(version),
         "instance": view.own.instance_id,
         "domain": view.failure_domain,
         "direct": int(is_direct),
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -119,6 +119,11 @@
     return view.clock.now_ms - last_ms < get_confirmation_ms(view)
 
 
+def has_unconfirmed(view: CatalogView) -> bool:
+    """Tell whether rows of a copy are held back that the store has kept."""
+    return bool(view.catalog.unconfirmed) and not is_after_restore(view)
+
+
 def replace_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
     """
     Replace the catalog, and publish it if its servers differ.
@@ -146,7 +151,8 @@
     :param source: ``peer`` or an instance id, for the event log.
     :returns: False if earlier changes are missing here.
     """
-    applied = apply_change(view.catalog, change)
+    detect_restore(view, change.version, source)
+    applied = apply_change(view.catalog, change, is_after_restore(view))
     if isinstance(applied, VersionGap):
         return False
     if applied is not view.catalog:
@@ -166,7 +172,9 @@
     if change.version < view.catalog.version:
         return
     view.change_history.clear()
-    replace_catalog(view, replace_registrations(view.catalog, change), source)
+    detect_restore(view, change.version, source)
+    catalog = replace_registrations(view.catalog, change, is_after_restore(view))
+    replace_catalog(view, catalog, source)
 
 
 def publish_configuration(view: CatalogView) -> None:
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -896,6 +896,51 @@
     assert list(harness.configuration.servers) == ["a", "new"]
 
 
+def test_instance_that_started_after_a_restore_brings_no_server_back(harness):
+    """
+    Guards against requests to a server that has left, at all instances.
+
+    An instance that has read the copy, and knows nothing of before, announces
+    its rows. If the store keeps the row, all instances use it in the end.
+    """
+    harness.store.rows = None
+    harness.receive_news(
+        11, changed=tuple(make_rows("left", sequence=3, started_ms=7).values())
+    )
+    harness.receive_news(12, removed=("left",))
+    copied = make_rows("a", "left", sequence=3, started_ms=7, era=2)
+    change = CatalogChange(NO_VERSION, at(5, 2), tuple(copied.values()), ())
+    state = CatalogState(change, True, configuration_at(1), b"")
+    harness.receive_news(5, changed=change.changed, previous=0, configuration=0, era=2)
+    harness.reply(harness.received("http_client")[-1], state)
+    assert list(harness.configuration.servers) == ["a"]
+    harness.advance(HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS)
+    before = len(harness.received("http_client"))
+    harness.receive_news(5, previous=5, configuration=0, era=2)
+    (request,) = harness.received("http_client")[before:]
+    assert b"version=0.0" in request.target
+    harness.reply(request, state)
+    assert list(harness.configuration.servers) == ["a", "left"]
+    harness.receive_news(5, previous=5, configuration=0, era=2)
+    assert len(harness.received("http_client")) == before + 1
+
+
+def test_row_of_a_copy_in_a_change_is_held_back(harness):
+    """Guards against servers that a row of a copy brings back."""
+    harness.store.rows = None
+    rows = make_rows("left", sequence=3, started_ms=7)
+    harness.receive_news(11, changed=tuple(rows.values()))
+    harness.receive_news(12, removed=("left",))
+    copied = make_rows("left", sequence=3, started_ms=7, era=2)
+    harness.receive_news(
+        5, changed=tuple(copied.values()), previous=12, configuration=0, era=2
+    )
+    assert list(harness.configuration.servers) == ["a"]
+    written = make_rows("left", sequence=4, started_ms=7, row_version=6, era=2)
+    harness.receive_news(6, changed=tuple(written.values()), configuration=0, era=2)
+    assert list(harness.configuration.servers) == ["a", "left"]
+
+
 def test_whole_catalog_has_the_version_of_the_catalog(harness):
     """
     Guards against a whole catalog that its receiver ignores as an older one.
