Tell a reader with an older configuration of the newer one

An instance that starts soon after the store was restored may read an older configuration from the copy, and become the reader. It then hears no news of other instances, so it stayed behind until the operator had written the newest configuration again, although all others knew it.

Change: an instance that hears news with a lower number of the configuration answers with its own, with a probability of one in ten; the reader pulls it. The answer has no version of the store, so that it does not pass for a read.

test_reader_with_an_older_configuration_is_told_the_newer_one failed before: no answer was sent.

--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -24,9 +24,9 @@
 
 # They fit in a datagram if ids and failure domains are not unusually long.
 MAX_MEMBERS_PER_GREETING = 16
-# Probability of sending members to an instance that knows fewer of them, so
-# that not all others answer the same datagram.
-MEMBERS_SENT_PROBABILITY = 0.1
+# Probability of answering an instance that knows fewer instances or an older
+# configuration, so that not all others answer the same datagram.
+ANSWER_PROBABILITY = 0.1
 # Services that divide a shared budget by the number of instances.
 INSTANCE_COUNT_CONSUMERS = ("forwarding", "loads")
 
@@ -155,10 +155,7 @@
     :param news: message of the other instance.
     """
     view.instances_reported = max(view.instances_reported, news.instances)
-    if (
-        news.instances < view.instance_count
-        and view.rng.random() < MEMBERS_SENT_PROBABILITY
-    ):
+    if news.instances < view.instance_count and view.rng.random() < ANSWER_PROBABILITY:
         sender = news.sender
         greeting = Greeting(view.own, sample_members(view), False)
         send_message(view, Address(sender.host, sender.port), greeting)
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -12,11 +12,18 @@
 )
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.decisions.catalog import CatalogChange
 from cuminhatch.decisions.reader_selection import should_yield
 from cuminhatch.decisions.store_version import NO_VERSION
 from cuminhatch.log import logger
 from cuminhatch.messages import HttpFailed, HttpReplied, HttpRequested
-from cuminhatch.services.catalog._members import add_members, compare_instance_counts
+from cuminhatch.services.catalog._members import (
+    ANSWER_PROBABILITY,
+    add_members,
+    compare_instance_counts,
+    make_news,
+    send_message,
+)
 from cuminhatch.services.catalog._pull_responses import (
     answer_deferred_pulls,
     encode_version,
@@ -61,10 +68,29 @@
     if is_behind:
         view.announced_configuration = message.configuration_version, sender
     has_more_instances = message.instances > view.instance_count
+    if message.configuration_version.number < view.configuration_version.number:
+        announce_configuration(view, sender)
     if is_gap or is_behind or has_more_instances:
         start_pull(view, sender)
 
 
+def announce_configuration(view: CatalogView, member: CatalogMember) -> None:
+    """
+    Tell an instance of a newer configuration, with some probability.
+
+    One that starts soon after the store was restored may have read an older
+    configuration, and as the reader it hears of no other one.
+
+    :param view: state of the catalog.
+    :param member: the instance whose configuration is older.
+    """
+    if view.rng.random() < ANSWER_PROBABILITY:
+        # Without a version of the store, it does not pass for a later read.
+        change = CatalogChange(NO_VERSION, NO_VERSION, (), ())
+        news = make_news(view, change, False)
+        send_message(view, Address(member.host, member.port), news)
+
+
 def start_pull(view: CatalogView, member: CatalogMember) -> None:
     """
     Pull from an instance unless another pull is in progress.
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -951,3 +951,25 @@
     assert harness.pull(1).change.version == at(10)
     harness.receive_news(15)
     assert harness.pull(1).change.version == at(15)
+
+
+def test_reader_with_an_older_configuration_is_told_the_newer_one(harness):
+    """
+    Guards against a reader that stays behind until the operator writes again.
+
+    It has started after a restore, and has read the configuration of the copy.
+    """
+    harness.store.document = b"r7"
+    harness.advance(2_000.0)
+    harness.store.rows = None
+    harness.sent.clear()
+    for number in range(20, 60):
+        harness.receive_news(number, configuration=6)
+    told = [m for m in harness.sent if isinstance(m, CatalogNews)]
+    assert {message.configuration_version.number for message in told} == {7}
+    assert all(message.change.version == NO_VERSION for message in told), "no read"
+    assert len(told) <= 15, "not all instances answer each message"
+    harness.sent.clear()
+    for number in range(60, 100):
+        harness.receive_news(number, configuration=7)
+    assert not any(isinstance(message, CatalogNews) for message in harness.sent)
