Ask the reader about servers whose grace period is over

An instance could keep a server in use for good that had left.

Cause: a reader that found a registration missing after an outage or a restore kept the server for the grace period, and ended that period at its next read. If another instance read from then on, which had never known the server, nobody removed it.

Change: an instance that hears of another's read after the grace period of such a server pulls the whole catalog, as it does for rows that it holds back.

--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -34,7 +34,7 @@
     apply_catalog_change,
     apply_document,
     apply_whole_catalog,
-    has_unconfirmed,
+    is_whole_catalog_needed,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, Pull
 
@@ -62,8 +62,8 @@
         is_gap = message.change.version > view.catalog.version
     else:
         is_gap = not apply_catalog_change(view, message.change, sender.instance_id)
-    # The reader knows which rows the store has kept.
-    is_gap = is_gap or (is_current and has_unconfirmed(view))
+    # The reader knows which servers the store names.
+    is_gap = is_gap or (is_current and is_whole_catalog_needed(view))
     is_behind = message.configuration_version > view.configuration_version
     if is_behind:
         view.announced_configuration = message.configuration_version, sender
@@ -115,7 +115,7 @@
     """
     view.active_pull = pull
     # An unknown version is answered with the whole catalog.
-    version = NO_VERSION if has_unconfirmed(view) else view.catalog.version
+    version = NO_VERSION if is_whole_catalog_needed(view) else view.catalog.version
     query = {
         "configuration": encode_version(view.configuration_version),
         "version": encode_version(version),
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -1,6 +1,7 @@
 """Applies newer configurations and registrations, and publishes them."""
 
 from cuminhatch.decisions.catalog import (
+    EXPIRY_GRACE_MS,
     HEARTBEATS_UNTIL_REMOVED,
     Catalog,
     CatalogChange,
@@ -119,9 +120,19 @@
     return view.clock.now_ms - last_ms < get_confirmation_ms(view)
 
 
-def has_unconfirmed(view: CatalogView) -> bool:
-    """Tell whether rows of a copy are held back that the store has kept."""
-    return bool(view.catalog.unconfirmed) and not is_after_restore(view)
+def is_whole_catalog_needed(view: CatalogView) -> bool:
+    """
+    Tell whether this instance can't know if some servers have left.
+
+    It holds rows of a copy back that the store may have kept, or has kept
+    servers for the grace period of an outage, and another instance, which may
+    never have known these, reads the store since.
+    """
+    catalog = view.catalog
+    since_ms = view.clock.now_ms - EXPIRY_GRACE_MS
+    is_grace_over = any(at_ms < since_ms for at_ms in catalog.missing_since_ms.values())
+    has_unconfirmed = bool(catalog.unconfirmed) and not is_after_restore(view)
+    return has_unconfirmed or is_grace_over
 
 
 def replace_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
