--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -12,10 +12,18 @@
 )
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.codecs.signing import PeerMessageError
+from cuminhatch.decisions.catalog import CatalogChange
 from cuminhatch.decisions.reader_selection import should_yield
+from cuminhatch.decisions.store_version import NO_VERSION
 from cuminhatch.log import logger
 from cuminhatch.messages import HttpFailed, HttpReplied, HttpRequested
-from cuminhatch.services.catalog._members import add_members, compare_instance_counts
+from cuminhatch.services.catalog._members import (
+    ANSWER_PROBABILITY,
+    add_members,
+    compare_instance_counts,
+    make_news,
+    send_message,
+)
 from cuminhatch.services.catalog._pull_responses import (
     answer_deferred_pulls,
     encode_version,
@@ -25,7 +33,8 @@
 from cuminhatch.services.catalog._updates import (
     apply_catalog_change,
     apply_document,
-    replace_registrations,
+    apply_whole_catalog,
+    is_whole_catalog_needed,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, Pull
 
@@ -53,14 +62,35 @@
         is_gap = message.change.version > view.catalog.version
     else:
         is_gap = not apply_catalog_change(view, message.change, sender.instance_id)
+    # The reader knows which servers the store names.
+    is_gap = is_gap or (is_current and is_whole_catalog_needed(view))
     is_behind = message.configuration_version > view.configuration_version
     if is_behind:
         view.announced_configuration = message.configuration_version, sender
     has_more_instances = message.instances > view.instance_count
+    if message.configuration_version.number < view.configuration_version.number:
+        announce_configuration(view, sender)
     if is_gap or is_behind or has_more_instances:
         start_pull(view, sender)
 
 
+def announce_configuration(view: CatalogView, member: CatalogMember) -> None:
+    """
+    Tell an instance of a newer configuration, with some probability.
+
+    One that starts soon after the store was restored may have read an older
+    configuration, and as the reader it hears of no other one.
+
+    :param view: state of the catalog.
+    :param member: the instance whose configuration is older.
+    """
+    if view.rng.random() < ANSWER_PROBABILITY:
+        # Without a version of the store, it does not pass for a later read.
+        change = CatalogChange(NO_VERSION, NO_VERSION, (), ())
+        news = make_news(view, change, False)
+        send_message(view, Address(member.host, member.port), news)
+
+
 def start_pull(view: CatalogView, member: CatalogMember) -> None:
     """
     Pull from an instance unless another pull is in progress.
@@ -84,9 +114,11 @@
     :param is_direct: whether the instance must not refer to another one.
     """
     view.active_pull = pull
+    # An unknown version is answered with the whole catalog.
+    version = NO_VERSION if is_whole_catalog_needed(view) else view.catalog.version
     query = {
         "configuration": encode_version(view.configuration_version),
-        "version": encode_version(view.catalog.version),
+        "version": encode_version(version),
         "instance": view.own.instance_id,
         "domain": view.failure_domain,
         "direct": int(is_direct),
@@ -153,7 +185,7 @@
     if state.change is None:
         return
     if state.is_whole:
-        replace_registrations(view, state.change, "peer")
+        apply_whole_catalog(view, state.change, "peer")
     else:
         apply_catalog_change(view, state.change, "peer")
 
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -1,6 +1,7 @@
 """Applies newer configurations and registrations, and publishes them."""
 
 from cuminhatch.decisions.catalog import (
+    EXPIRY_GRACE_MS,
     HEARTBEATS_UNTIL_REMOVED,
     Catalog,
     CatalogChange,
@@ -9,6 +10,7 @@
     apply_change,
     has_same_servers,
     list_change_events,
+    replace_registrations,
 )
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 from cuminhatch.errors import CodecError
@@ -72,10 +74,15 @@
     if version.era <= view.store_era:
         return
     view.store_era = version.era
+    # Their keys have the version of the last change, which may be of the
+    # earlier era still.
+    view.cached_responses.clear()
     if not view.catalog.is_known:
         return
     now_ms = view.clock.now_ms
-    view.restored_ms = view.outage_ended_ms = now_ms
+    view.outage_ended_ms = now_ms
+    if is_knowledge_recent(view):
+        view.restored_ms = now_ms
     details = {
         "version": version.number,
         "era": version.era,
@@ -92,7 +99,40 @@
 def is_after_restore(view: CatalogView) -> bool:
     """Tell whether rows of the store may still be those of the copy."""
     since_ms = view.clock.now_ms - view.restored_ms
-    return since_ms < HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
+    return since_ms < get_confirmation_ms(view)
+
+
+def get_confirmation_ms(view: CatalogView) -> float:
+    """Return how long the rows of a copy count for doubtful."""
+    return HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
+
+
+def is_knowledge_recent(view: CatalogView) -> bool:
+    """
+    Tell whether this instance may know more than a restored store.
+
+    One that was frozen or cut off for longer than the rows of a copy count for
+    doubtful would take servers for gone that have registered since. A refused
+    call shows that it was running during an outage.
+    """
+    reads = view.latest_reads
+    last_ms = max(view.last_read_ms, reads.last_read_ms, reads.last_refused_ms)
+    return view.clock.now_ms - last_ms < get_confirmation_ms(view)
+
+
+def is_whole_catalog_needed(view: CatalogView) -> bool:
+    """
+    Tell whether this instance can't know if some servers have left.
+
+    It holds rows of a copy back that the store may have kept, or has kept
+    servers for the grace period of an outage, and another instance, which may
+    never have known these, reads the store since.
+    """
+    catalog = view.catalog
+    since_ms = view.clock.now_ms - EXPIRY_GRACE_MS
+    is_grace_over = any(at_ms < since_ms for at_ms in catalog.missing_since_ms.values())
+    has_unconfirmed = bool(catalog.unconfirmed) and not is_after_restore(view)
+    return has_unconfirmed or is_grace_over
 
 
 def replace_catalog(view: CatalogView, catalog: Catalog, source: str) -> None:
@@ -122,7 +162,8 @@
     :param source: ``peer`` or an instance id, for the event log.
     :returns: False if earlier changes are missing here.
     """
-    applied = apply_change(view.catalog, change)
+    detect_restore(view, change.version, source)
+    applied = apply_change(view.catalog, change, is_after_restore(view))
     if isinstance(applied, VersionGap):
         return False
     if applied is not view.catalog:
@@ -131,9 +172,7 @@
     return True
 
 
-def replace_registrations(
-    view: CatalogView, change: CatalogChange, source: str
-) -> None:
+def apply_whole_catalog(view: CatalogView, change: CatalogChange, source: str) -> None:
     """
     Replace the catalog by that of another instance unless it is older.
 
@@ -144,12 +183,8 @@
     if change.version < view.catalog.version:
         return
     view.change_history.clear()
-    catalog = view.catalog._replace(
-        version=change.version,
-        changed_version=change.version,
-        registrations={item.server.server_id: item for item in change.changed},
-        missing_since_ms={},
-    )
+    detect_restore(view, change.version, source)
+    catalog = replace_registrations(view.catalog, change, is_after_restore(view))
     replace_catalog(view, catalog, source)
 
 
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -800,3 +800,176 @@
     assert names == ["left"]
     harness.advance(HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS)
     assert list(harness.configuration.servers) == ["a", "left"]
+
+
+def read_after_restore(harness, rows, version=5):
+    """Let the instance read a store that was restored with some rows."""
+    harness.store.era, harness.store.version = 2, version
+    harness.store.rows = rows
+    harness.advance(READ_INTERVAL_MS + 100.0)
+
+
+def test_change_across_a_restore_covers_what_its_sender_did_not_know(harness):
+    """
+    Guards against a server that one instance keeps for good.
+
+    The sender had not heard of the last changes before the restore. The server
+    that they added has ended, so the store will never name it again.
+    """
+    harness.store.rows = None
+    (lost,) = make_rows("lost", row_version=14).values()
+    harness.receive_news(14, changed=(lost,))
+    harness.receive_news(5, previous=12, era=2, configuration=0)
+    assert harness.received("http_client"), "the whole catalog is pulled"
+    state = CatalogState(
+        CatalogChange(NO_VERSION, at(5, 2), tuple(make_rows("a").values()), ()),
+        True,
+        configuration_at(1),
+        b"",
+    )
+    harness.reply(harness.received("http_client")[-1], state)
+    assert list(harness.configuration.servers) == ["a"]
+
+
+def test_instance_of_an_earlier_era_pulls_the_whole_catalog(harness):
+    """Guards against changes that leave what the store has lost."""
+    harness.store.set_rows(make_rows("a", "b"))
+    harness.advance(READ_INTERVAL_MS + 100.0)
+    read_after_restore(harness, make_rows("a"))
+    state = harness.pull(1, version=12, era=1)
+    assert state.is_whole
+
+
+def test_whole_catalog_does_not_end_a_drain(harness):
+    """
+    Guards against requests to a draining server after a restore.
+
+    An instance that has started since the restore knows only the copy, in
+    which the server is not draining yet.
+    """
+    harness.store.rows = None
+    known = make_rows("a", sequence=2, is_draining=True, started_ms=7, row_version=12)
+    harness.receive_news(12, changed=tuple(known.values()))
+    harness.receive_news(6, previous=5, era=2)
+    copied = make_rows("a", sequence=1, started_ms=7, row_version=3, era=2)
+    change = CatalogChange(NO_VERSION, at(6, 2), tuple(copied.values()), ())
+    state = CatalogState(change, True, configuration_at(1), b"")
+    harness.reply(harness.received("http_client")[-1], state)
+    assert harness.configuration.servers["a"].is_draining
+
+
+def test_reader_and_others_agree_on_a_row_that_the_store_keeps(harness):
+    """
+    Guards against a server that two instances see differently for good.
+
+    A server had changed, and changed back, in the seconds that the store has
+    lost: its heartbeats leave the row of the copy as it is.
+    """
+    harness.store.rows = None
+    known = make_rows("a", sequence=9, is_draining=True, started_ms=7, row_version=12)
+    harness.receive_news(12, changed=tuple(known.values()))
+    # The reader keeps what it knows for four heartbeats, then uses the row.
+    kept = make_rows(
+        "a", sequence=9, is_draining=True, started_ms=7, row_version=3, era=2
+    )
+    harness.receive_news(5, changed=tuple(kept.values()), previous=12, era=2)
+    assert harness.configuration.servers["a"].is_draining
+    used = make_rows("a", sequence=5, started_ms=7, row_version=3, era=2)
+    harness.receive_news(6, changed=tuple(used.values()), era=2)
+    assert not harness.configuration.servers["a"].is_draining
+
+
+def test_instance_that_was_frozen_takes_no_server_from_the_others(harness):
+    """
+    Guards against servers that all instances drop when a frozen one reads.
+
+    They had registered while it was frozen; the store was restored meanwhile.
+    """
+    frozen_ms = HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS + 4_000.0
+    harness.sent.clear()
+    add_members(harness.view, (PEER,))
+    harness.clock.advance(frozen_ms)
+    read_after_restore(harness, make_rows("a", "new", era=2))
+    news = [message for message in harness.sent if isinstance(message, CatalogNews)]
+    assert news
+    assert not any(message.change.removed_ids for message in news)
+    assert list(harness.configuration.servers) == ["a", "new"]
+
+
+def test_instance_that_started_after_a_restore_brings_no_server_back(harness):
+    """
+    Guards against requests to a server that has left, at all instances.
+
+    An instance that has read the copy, and knows nothing of before, announces
+    its rows. If the store keeps the row, all instances use it in the end.
+    """
+    harness.store.rows = None
+    harness.receive_news(
+        11, changed=tuple(make_rows("left", sequence=3, started_ms=7).values())
+    )
+    harness.receive_news(12, removed=("left",))
+    copied = make_rows("a", "left", sequence=3, started_ms=7, era=2)
+    change = CatalogChange(NO_VERSION, at(5, 2), tuple(copied.values()), ())
+    state = CatalogState(change, True, configuration_at(1), b"")
+    harness.receive_news(5, changed=change.changed, previous=0, configuration=0, era=2)
+    harness.reply(harness.received("http_client")[-1], state)
+    assert list(harness.configuration.servers) == ["a"]
+    harness.advance(HEARTBEATS_UNTIL_REMOVED * HEARTBEAT_MS)
+    before = len(harness.received("http_client"))
+    harness.receive_news(5, previous=5, configuration=0, era=2)
+    (request,) = harness.received("http_client")[before:]
+    assert b"version=0.0" in request.target
+    harness.reply(request, state)
+    assert list(harness.configuration.servers) == ["a", "left"]
+    harness.receive_news(5, previous=5, configuration=0, era=2)
+    assert len(harness.received("http_client")) == before + 1
+
+
+def test_row_of_a_copy_in_a_change_is_held_back(harness):
+    """Guards against servers that a row of a copy brings back."""
+    harness.store.rows = None
+    rows = make_rows("left", sequence=3, started_ms=7)
+    harness.receive_news(11, changed=tuple(rows.values()))
+    harness.receive_news(12, removed=("left",))
+    copied = make_rows("left", sequence=3, started_ms=7, era=2)
+    harness.receive_news(
+        5, changed=tuple(copied.values()), previous=12, configuration=0, era=2
+    )
+    assert list(harness.configuration.servers) == ["a"]
+    written = make_rows("left", sequence=4, started_ms=7, row_version=6, era=2)
+    harness.receive_news(6, changed=tuple(written.values()), configuration=0, era=2)
+    assert list(harness.configuration.servers) == ["a", "left"]
+
+
+def test_whole_catalog_has_the_version_of_the_catalog(harness):
+    """
+    Guards against a whole catalog that its receiver ignores as an older one.
+
+    The receiver knows the versions that only heartbeats have given out since
+    the response was cached.
+    """
+    assert harness.pull(1).change.version == at(10)
+    harness.receive_news(15)
+    assert harness.pull(1).change.version == at(15)
+
+
+def test_reader_with_an_older_configuration_is_told_the_newer_one(harness):
+    """
+    Guards against a reader that stays behind until the operator writes again.
+
+    It has started after a restore, and has read the configuration of the copy.
+    """
+    harness.store.document = b"r7"
+    harness.advance(2_000.0)
+    harness.store.rows = None
+    harness.sent.clear()
+    for number in range(20, 60):
+        harness.receive_news(number, configuration=6)
+    told = [m for m in harness.sent if isinstance(m, CatalogNews)]
+    assert {message.configuration_version.number for message in told} == {7}
+    assert all(message.change.version == NO_VERSION for message in told), "no read"
+    assert len(told) <= 15, "not all instances answer each message"
+    harness.sent.clear()
+    for number in range(60, 100):
+        harness.receive_news(number, configuration=7)
+    assert not any(isinstance(message, CatalogNews) for message in harness.sent)
