--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -314,9 +314,12 @@
     try:
         return orjson.loads(body)
     except orjson.JSONDecodeError:
-        pass
-    # orjson refuses a whole page for one key with a lone surrogate or one
-    # number out of range; the other rows can be used.
+        # orjson refuses a whole page for one key with a lone surrogate or one
+        # number out of range; the other rows can be used.
+        return _load_lenient_json(body)
+
+
+def _load_lenient_json(body: bytes) -> Any:
     try:
         return json.loads(body)
     except RecursionError as error:
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -99,11 +99,11 @@
 def is_after_restore(view: CatalogView) -> bool:
     """Tell whether rows of the store may still be those of the copy."""
     since_ms = view.clock.now_ms - view.restored_ms
-    return since_ms < get_confirmation_ms(view)
+    return since_ms < get_copy_grace_ms(view)
 
 
-def get_confirmation_ms(view: CatalogView) -> float:
-    """Return how long the rows of a copy count for doubtful."""
+def get_copy_grace_ms(view: CatalogView) -> float:
+    """Return how long after a restore rows may still be those of the copy."""
     return HEARTBEATS_UNTIL_REMOVED * view.heartbeat_ms
 
 
@@ -111,13 +111,13 @@
     """
     Tell whether this instance may know more than a restored store.
 
-    One that was frozen or cut off for longer than the rows of a copy count for
-    doubtful would take servers for gone that have registered since. A refused
-    call shows that it was running during an outage.
+    One that was frozen or cut off for longer would treat servers as gone that
+    have registered since. A refused call shows that it was running during an
+    outage.
     """
     reads = view.latest_reads
     last_ms = max(view.last_read_ms, reads.last_read_ms, reads.last_refused_ms)
-    return view.clock.now_ms - last_ms < get_confirmation_ms(view)
+    return view.clock.now_ms - last_ms < get_copy_grace_ms(view)
 
 
 def is_whole_catalog_needed(view: CatalogView) -> bool:
