Show an answer that is reset on the way and passed on as complete

A faulty backend answers before it has read a long request, without a length, and resets its connection in the middle of the answer. The caller gets a 200 with a Content-Length that matches the part that arrived.

--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers of the review's scripts; standard library only."""
--- /dev/null
+++ b/review/standins/backend.py
@@ -0,0 +1,121 @@
+"""
+Stand-in of a backend server, a process of its own.
+
+Usage: ``backend.py ID PORT RECORD BREAK_OFF_EVERY``. It writes a line to RECORD
+about each request that it runs, and answers with the body that belongs to the
+attempt, without a length. It breaks off each BREAK_OFF_EVERY-th answer, 0 for
+none: it answers before it has read the request's body, and resets the
+connection in the middle of its answer.
+"""
+
+import socket
+import struct
+import sys
+import threading
+import time
+from pathlib import Path
+
+if __name__ == "__main__":
+    sys.path.insert(0, str(Path(__file__).resolve().parents[1]))
+
+from standins.wire import BrokenOff, Reader, make_body, make_seal
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+# How long a backend tries to send an answer that nobody reads.
+SEND_TIMEOUT_S = 0.5
+
+
+class Backend:
+    """Serves connections, one request at a time on each."""
+
+    def __init__(self, server_id, port, record, break_off_every):
+        self._server_id = server_id
+        self._record = record
+        self._lock = threading.Lock()
+        self._break_off_every = break_off_every
+        self._requests = 0
+        self._socket = socket.socket()
+        self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._socket.bind(("127.0.0.1", port))
+        self._socket.listen(128)
+
+    def serve_forever(self):
+        """Accept connections until the process ends."""
+        while True:
+            connection, _ = self._socket.accept()
+            threading.Thread(target=self._serve, args=(connection,), daemon=True).start()
+
+    def _write(self, text):
+        with self._lock, open(self._record, "a", encoding="utf-8") as file:
+            file.write(f"{time.time():.3f} {self._server_id} {text}\n")
+
+    def _serve(self, connection):
+        reader = Reader(connection)
+        try:
+            while self._serve_request(connection, reader):
+                pass
+        except (OSError, BrokenOff):
+            pass
+        connection.close()
+
+    def _serve_request(self, connection, reader):
+        start, headers = reader.read_head()
+        if start.split()[1] == "/health":
+            self._answer_health(connection)
+            return True
+        attempt_id = headers["attempt-id"]
+        if headers.get("expected-instance") != self._server_id:
+            reader.read_body(headers)
+            connection.sendall(
+                b"HTTP/1.1 421 Misdirected Request\r\n"
+                b"Instance-Id: %s\r\nContent-Length: 0\r\n\r\n"
+                % self._server_id.encode()
+            )
+            return True
+        with self._lock:
+            self._requests += 1
+            is_last = self._break_off_every and not (
+                self._requests % self._break_off_every
+            )
+        if is_last:
+            self._break_off(connection, attempt_id, headers)
+            return False
+        body = reader.read_body(headers)
+        self._write(f"runs {attempt_id}, {len(body)} bytes received")
+        answer = make_body(attempt_id, int(headers["x-size"]))
+        connection.sendall(self._make_head(attempt_id, answer) + answer)
+        self._write(f"answers {attempt_id} 200, {len(answer)} bytes, closes")
+        return False
+
+    def _answer_health(self, connection):
+        connection.sendall(
+            b"HTTP/1.1 200 OK\r\nInstance-Id: %s\r\nBackend-Load: 0,0,3,100\r\n"
+            b"Content-Length: 0\r\n\r\n" % self._server_id.encode()
+        )
+
+    def _make_head(self, attempt_id, body):
+        """Return a head without a length: the body ends with the connection."""
+        seal = make_seal(attempt_id, 200, body)
+        return (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt_id}\r\nResponse-Seal: {seal}\r\n"
+            "Backend-Load: 0,0,3,100\r\nConnection: close\r\n\r\n"
+        ).encode()
+
+    def _break_off(self, connection, attempt_id, headers):
+        """Answer before the body is read, and reset in the middle of it."""
+        self._write(f"runs {attempt_id}, its body not read")
+        answer = make_body(attempt_id, int(headers["x-size"]))
+        part = answer[: len(answer) * 6 // 10]
+        connection.settimeout(SEND_TIMEOUT_S)
+        try:
+            connection.sendall(self._make_head(attempt_id, answer) + part)
+        except OSError:
+            pass
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        self._write(
+            f"answers {attempt_id} 200, {len(part)} of {len(answer)} bytes, resets"
+        )
+
+
+if __name__ == "__main__":
+    Backend(sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4])).serve_forever()
