--- a/review/standins/backend.py
+++ b/review/standins/backend.py
@@ -1,11 +1,14 @@
 """
 Stand-in of a backend server, a process of its own.
 
-Usage: ``backend.py ID PORT RECORD BREAK_OFF_EVERY``. It writes a line to RECORD
-about each request that it runs, and answers with the body that belongs to the
-attempt, without a length. It breaks off each BREAK_OFF_EVERY-th answer, 0 for
+Usage: ``backend.py ID PORT RECORD BREAK_OFF_EVERY [UNAVAILABLE_EVERY
+[ENDLESS_EVERY]]``. It writes a line to RECORD
+about each request that it runs, works for ``X-Work-Ms`` and answers with
+``X-Size`` bytes that belong to the attempt, without a length. It breaks off each BREAK_OFF_EVERY-th answer, 0 for
 none: it answers before it has read the request's body, and resets the
-connection in the middle of its answer.
+connection in the middle of its answer. Each UNAVAILABLE_EVERY-th request it
+runs and then answers with 503, without ``Not-Executed``. To each ENDLESS_EVERY-th
+one it sends a body without end, until its peer closes the connection.
 """
 
 import socket
@@ -23,16 +26,23 @@
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # How long a backend tries to send an answer that nobody reads.
 SEND_TIMEOUT_S = 0.5
+# A body without end comes at about 3 MB/s.
+ENDLESS_PART = b"x" * 65536
+ENDLESS_INTERVAL_S = 0.02
 
 
 class Backend:
     """Serves connections, one request at a time on each."""
 
-    def __init__(self, server_id, port, record, break_off_every):
+    def __init__(
+        self, server_id, port, record, break_off_every, unavailable_every=0, endless_every=0
+    ):
         self._server_id = server_id
         self._record = record
         self._lock = threading.Lock()
         self._break_off_every = break_off_every
+        self._unavailable_every = unavailable_every
+        self._endless_every = endless_every
         self._requests = 0
         self._socket = socket.socket()
         self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -74,15 +84,22 @@
             return True
         with self._lock:
             self._requests += 1
-            is_last = self._break_off_every and not (
-                self._requests % self._break_off_every
-            )
-        if is_last:
+            is_broken_off = is_due(self._requests, self._break_off_every)
+            is_unavailable = is_due(self._requests, self._unavailable_every)
+            is_endless = is_due(self._requests, self._endless_every)
+        if is_broken_off:
             self._break_off(connection, attempt_id, headers)
             return False
         body = reader.read_body(headers)
-        self._write(f"runs {attempt_id}, {len(body)} bytes received")
+        order = headers.get("x-order", "none")
+        self._write(f"runs {attempt_id}, {len(body)} bytes received, order {order}")
+        time.sleep(int(headers.get("x-work-ms", "0")) / 1000)
+        if is_unavailable:
+            self._answer_unavailable(connection, attempt_id)
+            return True
         answer = make_body(attempt_id, int(headers["x-size"]))
+        if is_endless:
+            self._answer_endlessly(connection, attempt_id, answer)
         connection.sendall(self._make_head(attempt_id, answer) + answer)
         self._write(f"answers {attempt_id} 200, {len(answer)} bytes, closes")
         return False
@@ -93,6 +110,24 @@
             b"Content-Length: 0\r\n\r\n" % self._server_id.encode()
         )
 
+    def _answer_endlessly(self, connection, attempt_id, answer):
+        self._write(f"answers {attempt_id} 200, without end")
+        connection.sendall(self._make_head(attempt_id, answer) + answer)
+        while True:
+            time.sleep(ENDLESS_INTERVAL_S)
+            connection.sendall(ENDLESS_PART)
+
+    def _answer_unavailable(self, connection, attempt_id):
+        body = b"a dependency failed\n"
+        seal = make_seal(attempt_id, 503, body)
+        head = (
+            "HTTP/1.1 503 Service Unavailable\r\n"
+            f"Attempt-Id: {attempt_id}\r\nResponse-Seal: {seal}\r\n"
+            f"Backend-Load: 0,0,3,100\r\nContent-Length: {len(body)}\r\n\r\n"
+        )
+        connection.sendall(head.encode() + body)
+        self._write(f"answers {attempt_id} 503 without Not-Executed")
+
     def _make_head(self, attempt_id, body):
         """Return a head without a length: the body ends with the connection."""
         seal = make_seal(attempt_id, 200, body)
@@ -117,5 +152,11 @@
         )
 
 
+def is_due(requests, every):
+    """Tell whether a fault that comes with each so many requests is due."""
+    return bool(every) and requests % every == 0
+
+
 if __name__ == "__main__":
-    Backend(sys.argv[1], int(sys.argv[2]), sys.argv[3], int(sys.argv[4])).serve_forever()
+    server_id, port, record, *every = sys.argv[1:]
+    Backend(server_id, int(port), record, *map(int, every)).serve_forever()
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -1,6 +1,7 @@
 """HTTP/1.1 as the stand-ins of clients and backends speak it."""
 
 import socket
+import threading
 import zlib
 
 
@@ -118,9 +119,14 @@
         lines.append(f"Content-Length: {len(body)}")
     head = ("\r\n".join(lines) + "\r\n\r\n").encode()
     answer = Answer()
+    timer = None
     try:
         with socket.create_connection(address, 1.0) as sock:
             sock.settimeout(deadline_ms / 1000)
+            # The client leaves at its deadline, whatever still arrives.
+            timer = threading.Timer(deadline_ms / 1000, leave, (sock,))
+            timer.daemon = True
+            timer.start()
             try:
                 sock.sendall(head + (body or b""))
             except (BrokenPipeError, ConnectionResetError):
@@ -132,4 +138,15 @@
             answer.body = reader.read_body(answer.headers, is_response=True)
     except (OSError, BrokenOff, ValueError) as error:
         answer.error = f"{type(error).__name__}: {error}"
+    if timer is not None:
+        timer.cancel()
     return answer
+
+
+def leave(sock):
+    """Close a connection that another thread reads."""
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError:
+        # The answer was complete just then.
+        pass
