--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,7 +12,7 @@
     """
     A linearizable store of rows.
 
-    ``refused_instances`` holds the source addresses whose calls get 503.
+    ``refused_hosts`` holds the source addresses whose calls get 503.
     """
 
     def __init__(self, host="127.0.0.1"):
@@ -41,12 +41,15 @@
             daemon_threads = True
             request_queue_size = 128
 
+            def handle_error(self, request, client_address):
+                """Ignore daemons that close their connections."""
+
         self._server = Server((host, 0), Handler)
-        self.address = "%s:%d" % self._server.server_address
+        self.address = f"{host}:{self._server.server_address[1]}"
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
     def put(self, table, key, document):
-        """Write a row as the operator or a backend does; return its version."""
+        """Write a row as the operator or a backend; return its version."""
         value = b64encode(json.dumps(document).encode()).decode()
         with self._lock:
             self._version += 1
--- a/review/standins/wire.py
+++ b/review/standins/wire.py
@@ -5,7 +5,7 @@
 import zlib
 
 
-class BrokenOff(Exception):
+class BrokenOffError(Exception):
     """The peer has closed or reset the connection."""
 
 
@@ -65,7 +65,7 @@
     def _fill(self):
         data = self._sock.recv(65536)
         if not data:
-            raise BrokenOff("end of stream")
+            raise BrokenOffError("end of stream")
         self._buffer += data
 
 
@@ -102,7 +102,9 @@
         if int(status) != self.status:
             return f"status {self.status}, its backend gave {status}"
         if int(size) != len(self.body) or int(crc, 16) != zlib.crc32(self.body):
-            return f"complete with {len(self.body)} bytes, its backend's body has {size}"
+            return (
+                f"complete with {len(self.body)} bytes, its backend's body has {size}"
+            )
         return ""
 
 
@@ -136,7 +138,7 @@
             start, answer.headers = reader.read_head()
             answer.status = int(start.split()[1])
             answer.body = reader.read_body(answer.headers, is_response=True)
-    except (OSError, BrokenOff, ValueError) as error:
+    except (OSError, BrokenOffError, ValueError) as error:
         answer.error = f"{type(error).__name__}: {error}"
     if timer is not None:
         timer.cancel()
