--- a/review/5/check.py
+++ b/review/5/check.py
@@ -1,4 +1,4 @@
-"""Sends requests while backends answer some of them with a body without end."""
+"""Sends requests while backends answer some of them without end."""
 
 import os
 import subprocess
@@ -7,9 +7,6 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-FOLDER = Path(__file__).resolve().parent
-sys.path.insert(0, str(FOLDER.parent))
-
 from standins.deployment import (
     Daemon,
     find_free_port,
@@ -23,13 +20,14 @@
 from standins.store import Store
 from standins.wire import call
 
+FOLDER = Path(__file__).resolve().parent
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "history.example"
 SERVICE = "archive"
 BACKENDS = 4
-# ``garble`` with its default share 0.5; 0.05 of the answers, its largest x in the
-# site file.
+# ``garble`` with its default share 0.5; 0.05 of the answers, its largest x in
+# the site file.
 FAULTY_BACKENDS = 2
 ENDLESS_EVERY = 20
 REQUESTS = 480
