--- a/review/standins/store.py
+++ b/review/standins/store.py
@@ -12,16 +12,24 @@
     """
     A linearizable store of rows.
 
-    ``refused_hosts`` holds the source addresses whose calls get 503.
+    Each caller may have an address of its own at the store, from
+    :meth:`listen`. The calls of the callers in ``refused`` get 503, and those
+    of the callers in ``cut_off`` no answer.
     """
 
-    def __init__(self, host="127.0.0.1"):
+    def __init__(self):
         self._lock = threading.Lock()
         self._rows = {}
         self._version = 0
         self._started = time.monotonic()
-        self.refused_hosts = set()
-        self.calls = []
+        self.refused = set()
+        self.cut_off = set()
+        # When each caller has last read the registrations.
+        self.last_reads = {}
+        self.address = self.listen("all")
+
+    def listen(self, caller):
+        """Return a new address of the store, for one caller."""
         store = self
 
         class Handler(BaseHTTPRequestHandler):
@@ -31,11 +39,11 @@
                 """Write no log."""
 
             def do_GET(self):
-                store.handle(self, "GET", b"")
+                store.handle(self, caller, "GET", b"")
 
             def do_POST(self):
                 length = int(self.headers.get("Content-Length") or 0)
-                store.handle(self, "POST", self.rfile.read(length))
+                store.handle(self, caller, "POST", self.rfile.read(length))
 
         class Server(ThreadingHTTPServer):
             daemon_threads = True
@@ -44,9 +52,9 @@
             def handle_error(self, request, client_address):
                 """Ignore daemons that close their connections."""
 
-        self._server = Server((host, 0), Handler)
-        self.address = f"{host}:{self._server.server_address[1]}"
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        server = Server(("127.0.0.1", 0), Handler)
+        threading.Thread(target=server.serve_forever, daemon=True).start()
+        return f"127.0.0.1:{server.server_address[1]}"
 
     def put(self, table, key, document):
         """Write a row as the operator or a backend; return its version."""
@@ -63,13 +71,18 @@
             self._rows.pop((table, "", key), None)
             return self._version
 
-    def handle(self, handler, method, body):
+    def handle(self, handler, caller, method, body):
         """Answer one call."""
         url = urlsplit(handler.path)
         query = {name: values[0] for name, values in parse_qs(url.query).items()}
-        host = handler.client_address[0]
-        self.calls.append((time.monotonic(), host, url.path, query.get("table", "")))
-        if host in self.refused_hosts:
+        if caller in self.cut_off:
+            while caller in self.cut_off:
+                time.sleep(0.01)
+            handler.close_connection = True
+            return
+        if query.get("table") == "servers":
+            self.last_reads[caller] = time.monotonic()
+        if caller in self.refused:
             self._reply(handler, 503, {})
         elif method == "GET" and url.path == "/rows-get":
             self._reply(handler, 200, self._get_rows(query))
