Log when an instance assumes an outage of the store

The log could not tell apart why: a failed read of the reader's own that counts as an outage, a pause of all reads that does, a removal that other instances lose, or requests that were placed earlier and sent late.

store_outage_assumed now names the two conditions and their inputs, and registration_missing each server that is kept although the store does not list it.

--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -66,6 +66,12 @@
     last_ms = max(view.last_read_ms, view.latest_reads.last_read_ms)
     is_after_gap = last_ms > 0.0 and now_ms - last_ms > OUTAGE_GAP_MS
     if is_after_gap or view.has_read_failed:
+        details = {
+            "gap_ms": round(now_ms - last_ms, 1),
+            "has_read_failed": view.has_read_failed,
+            "latest_reader": view.latest_reads.reader_id,
+        }
+        view.record("store_outage_assumed", details)
         view.outage_ended_ms = now_ms
         view.has_read_failed = False
     detect_restore(view, message.version, "store")
@@ -87,6 +93,7 @@
     )
     record_refused_rows(view, message)
     record_unconfirmed(view, catalog)
+    record_missing(view, catalog)
     view.change_history.add(change)
     replace_catalog(view, catalog, "store")
     broadcast_change(view, change)
@@ -139,6 +146,15 @@
             view.record("registration_unconfirmed", details)
 
 
+def record_missing(view: CatalogView, catalog: Catalog) -> None:
+    """Record each server that is kept although the store does not list it."""
+    for server_id in catalog.missing_since_ms:
+        if server_id not in view.catalog.missing_since_ms:
+            service_id = catalog.registrations[server_id].server.service_id
+            details = {"server": server_id, "service": service_id}
+            view.record("registration_missing", details)
+
+
 def record_refused_rows(view: CatalogView, message: RegistrationsRead) -> None:
     """Record each row that names no usable server, once per reason."""
     refused = dict(message.refused)
