Conclude from the reads of all instances that the store was down

Cause: after an outage of the store, servers that are missing in it are kept for a while, as they may have expired. An instance took its own trouble for an outage, in two ways: a failed read of its own, however long ago, and a gap in the reads that it followed, which left out those of instances that come after it in the order of readers. After a cut from all other instances there is a third way: the instance has heard of no read because it could not.

Each instance now keeps the span in which reads of the store followed each other without a gap of more than one heartbeat, whoever made them, and tells it in its news. Spans that overlap are joined, so one instance that has read in the gap is enough to refute an outage, and the instance that read in place of the one cut off answers its news. An outage that all have seen is known to all alike, so a second reader keeps the grace period of the first.

The grace period now ends 2.5 s after the first read for all servers. It was 2.5 s from when each server was found missing, so 5 s in all, more than the two seconds in which servers are back. The test of the grace period expected that; it now says so by the flag, and a second test holds the end.

The gap that counts was 2.5 s, or any with a failed read; it is one heartbeat (1.5 s), as a server that misses one of three does not expire. Fields of news were added at the end, and news of earlier versions count as one read.

--- a/idl/catalog.thrift
+++ b/idl/catalog.thrift
@@ -40,6 +40,8 @@
   9: i64 previous_era
   10: i64 era
   11: i64 configuration_era
+  12: i32 latest_read_age_ms
+  13: i32 read_span_ms
 }
 
 struct Greeting {
--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -21,6 +21,8 @@
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 
 MAX_PORT = 65535
+# Longer spans of time are cut off, as their field is an i32.
+MAX_REPORTED_MS = 2**31 - 1
 # The same as the longest response of the store, which the document comes from.
 CONFIGURATION_MAX_BYTES = 16 * 1024 * 1024
 
@@ -38,13 +40,26 @@
     failure_domain: str = ""
 
 
+class ReadReport(NamedTuple):
+    """
+    What an instance knows of the reads of the store by any instance.
+
+    The latest read is ``latest_age_ms`` old, and ended a span of ``span_ms``
+    in which the store was read without a gap.
+    """
+
+    latest_age_ms: int
+    span_ms: int
+
+
 class CatalogNews(NamedTuple):
     """
     Change of the catalog that the sender has read from the metadata store.
 
     ``is_pull_needed`` is set if the change is too long for a datagram, so that
     the receiver has to pull it. ``instances`` is the number of instances that
-    the sender knows, including itself.
+    the sender knows, including itself. ``reads`` is None if the sender knows
+    of none, or is of an earlier version.
     """
 
     sender: CatalogMember
@@ -52,6 +67,7 @@
     configuration_version: ConfigurationVersion
     is_pull_needed: bool
     instances: int
+    reads: ReadReport | None = None
 
 
 class Greeting(NamedTuple):
@@ -137,6 +153,9 @@
 
 def _news_to_thrift(message: CatalogNews) -> ThriftNews:
     change = message.change
+    age_ms = span_ms = None
+    if message.reads is not None:
+        age_ms, span_ms = (min(ms, MAX_REPORTED_MS) for ms in message.reads)
     return ThriftNews(
         ThriftMember(*message.sender),
         change.previous_version.number,
@@ -149,6 +168,8 @@
         change.previous_version.era,
         change.version.era,
         message.configuration_version.era,
+        age_ms,
+        span_ms,
     )
 
 
@@ -170,9 +191,17 @@
         ConfigurationVersion(data.configuration_version, data.configuration_era or 0),
         data.is_pull_needed,
         data.instances or 0,
+        _reads_from_thrift(data),
     )
 
 
+def _reads_from_thrift(data: ThriftNews) -> ReadReport | None:
+    age_ms, span_ms = data.latest_read_age_ms, data.read_span_ms
+    if age_ms is None or span_ms is None:
+        return None
+    return ReadReport(max(0, age_ms), max(0, span_ms))
+
+
 def _greeting_to_thrift(message: Greeting) -> ThriftGreeting:
     return ThriftGreeting(
         ThriftMember(*message.sender),
--- a/src/cuminhatch/codecs/gen/catalog/ttypes.py
+++ b/src/cuminhatch/codecs/gen/catalog/ttypes.py
@@ -309,11 +309,13 @@
      - previous_era
      - era
      - configuration_era
+     - latest_read_age_ms
+     - read_span_ms
 
     """
 
 
-    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None, instances=None, previous_era=None, era=None, configuration_era=None,):
+    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None, instances=None, previous_era=None, era=None, configuration_era=None, latest_read_age_ms=None, read_span_ms=None,):
         self.sender = sender
         self.previous_version = previous_version
         self.version = version
@@ -325,6 +327,8 @@
         self.previous_era = previous_era
         self.era = era
         self.configuration_era = configuration_era
+        self.latest_read_age_ms = latest_read_age_ms
+        self.read_span_ms = read_span_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -402,6 +406,16 @@
                     self.configuration_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.I32:
+                    self.latest_read_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.read_span_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -462,6 +476,14 @@
             oprot.writeFieldBegin('configuration_era', TType.I64, 11)
             oprot.writeI64(self.configuration_era)
             oprot.writeFieldEnd()
+        if self.latest_read_age_ms is not None:
+            oprot.writeFieldBegin('latest_read_age_ms', TType.I32, 12)
+            oprot.writeI32(self.latest_read_age_ms)
+            oprot.writeFieldEnd()
+        if self.read_span_ms is not None:
+            oprot.writeFieldBegin('read_span_ms', TType.I32, 13)
+            oprot.writeI32(self.read_span_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -857,6 +879,8 @@
     (9, TType.I64, 'previous_era', None, None, ),  # 9
     (10, TType.I64, 'era', None, None, ),  # 10
     (11, TType.I64, 'configuration_era', None, None, ),  # 11
+    (12, TType.I32, 'latest_read_age_ms', None, None, ),  # 12
+    (13, TType.I32, 'read_span_ms', None, None, ),  # 13
 )
 all_structs.append(Greeting)
 Greeting.thrift_spec = (
--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -118,7 +118,8 @@
 
     Registrations expire while the store is down, since backend servers cannot
     renew them. Registrations missing from a read soon after an outage are kept
-    for a grace period; otherwise a missing registration is removed at once.
+    until its grace period is over; otherwise a missing registration is removed
+    at once.
 
     A restored store holds registrations as they were some time before, until
     the servers have written them again or the store has removed them. What is
@@ -253,15 +254,13 @@
     now_ms: float,
     is_after_outage: bool,
 ) -> dict[str, float]:
-    """Return the missing servers in their grace period, and since when."""
+    """Return the missing servers that are kept, and since when they miss."""
+    if not is_after_outage:
+        return {}
     missing_since_ms = {}
     for server_id in catalog.registrations:
-        if server_id in rows:
-            continue
-        since_ms = catalog.missing_since_ms.get(server_id)
-        if since_ms is None and is_after_outage:
-            since_ms = now_ms
-        if since_ms is not None and now_ms - since_ms < EXPIRY_GRACE_MS:
+        if server_id not in rows:
+            since_ms = catalog.missing_since_ms.get(server_id, now_ms)
             missing_since_ms[server_id] = since_ms
     return missing_since_ms
 
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -16,6 +16,7 @@
     InstanceRecordsRequested,
     InstanceRecordStored,
 )
+from cuminhatch.services.catalog._read_spans import make_read_report
 from cuminhatch.services.catalog._timers import (
     INSTANCE_RECORD_RETRY_MS,
     InstanceRecordDue,
@@ -122,8 +123,14 @@
     view: CatalogView, change: CatalogChange, is_pull_needed: bool
 ) -> CatalogNews:
     """Return the message that announces a change."""
-    version = view.configuration_version
-    return CatalogNews(view.own, change, version, is_pull_needed, view.instance_count)
+    return CatalogNews(
+        view.own,
+        change,
+        view.configuration_version,
+        is_pull_needed,
+        view.instance_count,
+        make_read_report(view),
+    )
 
 
 def broadcast_change(view: CatalogView, change: CatalogChange) -> None:
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -14,7 +14,7 @@
 from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.catalog import CatalogChange
 from cuminhatch.decisions.reader_selection import should_yield
-from cuminhatch.decisions.store_version import NO_VERSION
+from cuminhatch.decisions.store_version import NO_VERSION, StoreVersion
 from cuminhatch.log import logger
 from cuminhatch.messages import HttpFailed, HttpReplied, HttpRequested
 from cuminhatch.services.catalog._members import (
@@ -28,6 +28,7 @@
     answer_deferred_pulls,
     encode_version,
 )
+from cuminhatch.services.catalog._read_spans import get_reported_span, note_reads
 from cuminhatch.services.catalog._store_reads import schedule_read
 from cuminhatch.services.catalog._timers import PULL_TIMEOUT_MS
 from cuminhatch.services.catalog._updates import (
@@ -51,8 +52,9 @@
     compare_instance_counts(view, message)
     now_ms = view.clock.now_ms
     own_id = view.own.instance_id
-    is_current = message.change.version >= view.catalog.version
     is_reader = view.latest_reads.reader_id == own_id
+    exchange_read_spans(view, message, is_reader)
+    is_current = message.change.version >= view.catalog.version
     if is_current and (not is_reader or should_yield(own_id, sender.instance_id)):
         view.latest_reads = view.latest_reads._replace(
             reader_id=sender.instance_id, last_read_ms=now_ms
@@ -74,6 +76,33 @@
         start_pull(view, sender)
 
 
+def exchange_read_spans(view: CatalogView, news: CatalogNews, is_reader: bool) -> None:
+    """
+    Note the reads that a message tells of, or tell its sender of earlier ones.
+
+    The sender may have been cut off and have read after a gap of its own. The
+    instance that read in its place answers, others with some probability.
+
+    :param view: state of the catalog.
+    :param news: message of the other instance.
+    :param is_reader: whether this instance was the last one to read.
+    """
+    if news.change.version.era != view.store_era:
+        # Before or after a restore of the store, which other instances may
+        # have noticed earlier or later.
+        return
+    span = get_reported_span(view, news)
+    note_reads(view, span, news.sender.instance_id)
+    if news.reads is None:
+        return
+    is_span_shorter = span.since_ms - view.read_span.since_ms > view.read_gap_max_ms
+    if is_span_shorter and (is_reader or view.rng.random() < ANSWER_PROBABILITY):
+        # With such a version it does not pass for a later read.
+        version = StoreVersion(view.store_era, 0)
+        change = CatalogChange(NO_VERSION, version, (), ())
+        send_notice(view, news.sender, change)
+
+
 def announce_configuration(view: CatalogView, member: CatalogMember) -> None:
     """
     Tell an instance of a newer configuration, with some probability.
@@ -86,9 +115,21 @@
     """
     if view.rng.random() < ANSWER_PROBABILITY:
         # Without a version of the store, it does not pass for a later read.
-        change = CatalogChange(NO_VERSION, NO_VERSION, (), ())
-        news = make_news(view, change, False)
-        send_message(view, Address(member.host, member.port), news)
+        send_notice(view, member, CatalogChange(NO_VERSION, NO_VERSION, (), ()))
+
+
+def send_notice(
+    view: CatalogView, member: CatalogMember, change: CatalogChange
+) -> None:
+    """
+    Tell an instance what is known here, without a change of the catalog.
+
+    :param view: state of the catalog.
+    :param member: the instance to tell.
+    :param change: change without content.
+    """
+    news = make_news(view, change, False)
+    send_message(view, Address(member.host, member.port), news)
 
 
 def start_pull(view: CatalogView, member: CatalogMember) -> None:
--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -1,6 +1,7 @@
 """Reads of the store, for which the instances take turns."""
 
 from cuminhatch.decisions.catalog import EXPIRY_GRACE_MS, Catalog, merge_store_read
+from cuminhatch.decisions.read_span import ReadSpan
 from cuminhatch.decisions.reader_selection import next_read_ms
 from cuminhatch.log import logger
 from cuminhatch.messages.catalog import (
@@ -11,10 +12,10 @@
     StoreUnavailable,
 )
 from cuminhatch.services.catalog._members import broadcast_change, make_empty_change
+from cuminhatch.services.catalog._read_spans import note_reads
 from cuminhatch.services.catalog._timers import (
     CONFIGURATION_INTERVAL_MS,
     INSTANCE_RECORD_DELAY_MS,
-    OUTAGE_GAP_MS,
     STALE_READ_MS,
     InstanceRecordDue,
     ReadDue,
@@ -63,17 +64,7 @@
     """Apply the registrations as read, and send the change to the others."""
     now_ms = view.clock.now_ms
     own_id = view.own.instance_id
-    last_ms = max(view.last_read_ms, view.latest_reads.last_read_ms)
-    is_after_gap = last_ms > 0.0 and now_ms - last_ms > OUTAGE_GAP_MS
-    if is_after_gap or view.has_read_failed:
-        details = {
-            "gap_ms": round(now_ms - last_ms, 1),
-            "has_read_failed": view.has_read_failed,
-            "latest_reader": view.latest_reads.reader_id,
-        }
-        view.record("store_outage_assumed", details)
-        view.outage_ended_ms = now_ms
-        view.has_read_failed = False
+    note_reads(view, ReadSpan(now_ms, now_ms), own_id)
     detect_restore(view, message.version, "store")
     mark_store_available(view)
     if message.token == view.read_token:
@@ -111,7 +102,6 @@
     now_ms = view.clock.now_ms
     if message.token == view.read_token:
         view.read_token = 0
-        view.has_read_failed = True
     view.latest_reads = view.latest_reads._replace(last_refused_ms=now_ms)
     reason = message.reason or "unknown"
     if view.store_lost_reason != reason:
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -6,8 +6,6 @@
 # seconds after the store acknowledges it. It is read less often than the
 # registrations, because it changes far less often.
 CONFIGURATION_INTERVAL_MS = 950.0
-# If no instance has read the store for this long, the store has been down.
-OUTAGE_GAP_MS = 2_500.0
 # A read that has not ended after this time no longer delays the next one.
 STALE_READ_MS = 1_200.0
 PULL_TIMEOUT_MS = 400.0
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -12,6 +12,7 @@
     list_change_events,
     replace_registrations,
 )
+from cuminhatch.decisions.read_span import ReadSpan
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 from cuminhatch.errors import CodecError
 from cuminhatch.kernel import SUPERVISOR
@@ -81,6 +82,7 @@
         return
     now_ms = view.clock.now_ms
     view.outage_ended_ms = now_ms
+    view.read_span = ReadSpan(now_ms, now_ms)
     if is_knowledge_recent(view):
         view.restored_ms = now_ms
     details = {
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -8,6 +8,7 @@
 from cuminhatch.codecs.catalog_thrift import CatalogMember
 from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
 from cuminhatch.decisions.change_history import ChangeHistory
+from cuminhatch.decisions.read_span import NO_READS
 from cuminhatch.decisions.reader_selection import LatestReads
 from cuminhatch.decisions.referrals import Referrals
 from cuminhatch.decisions.store_version import (
@@ -128,6 +129,8 @@
         self.read_started_ms = 0.0
         self.configuration_requested_ms = float("-inf")
         self.last_read_ms = float("-inf")
+        # Reads by any instance, also by those that this one does not follow.
+        self.read_span = NO_READS
         self.outage_ended_ms = float("-inf")
         # Highest era of the store that is known, and when this instance found
         # that the store had been restored.
@@ -135,7 +138,6 @@
         self.restored_ms = float("-inf")
         # Why the latest call to the store failed, empty if it did not.
         self.store_lost_reason = ""
-        self.has_read_failed = False
         self.refused_rows: dict[str, str] = {}
         self.change_history = ChangeHistory()
         # The pull in progress, and the version and sender of the newest
@@ -162,6 +164,16 @@
         """Tell whether the store has not responded, or was not understood."""
         return bool(self.store_lost_reason)
 
+    @property
+    def read_gap_max_ms(self) -> float:
+        """
+        Return how long no instance may read while the store is up.
+
+        A shorter outage makes a backend server miss one heartbeat at most; the
+        store removes it after three.
+        """
+        return self.heartbeat_ms
+
     @property
     def instance_count(self) -> int:
         """Return the number of known instances, this one included."""
--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -4,7 +4,6 @@
 
 from cuminhatch.decisions.catalog import (
     EMPTY_CATALOG,
-    EXPIRY_GRACE_MS,
     Catalog,
     CatalogChange,
     ConfigurationDocument,
@@ -78,14 +77,23 @@
     kept, change = read(catalog, 6, {}, 1_000.0, is_after_outage=True)
     assert list_names(kept) == ["a", "b"]
     assert not change.removed_ids
-    partly_renewed, _ = read(kept, 7, make_rows("a"), 2_000.0)
+    partly_renewed, _ = read(kept, 7, make_rows("a"), 2_000.0, is_after_outage=True)
     assert list_names(partly_renewed) == ["a", "b"]
-    expired_ms = 1_000.0 + EXPIRY_GRACE_MS
-    late, change = read(partly_renewed, 8, make_rows("a"), expired_ms)
+    late, change = read(partly_renewed, 8, make_rows("a"), 2_001.0)
     assert list_names(late) == ["a"]
     assert change.removed_ids == ("b",)
 
 
+def test_server_that_leaves_in_a_grace_period_has_none_of_its_own():
+    """Guards against a server that left after an outage and stays in use."""
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a", "b"))
+    kept, _ = read(catalog, 6, make_rows("a"), 2_400.0, is_after_outage=True)
+    assert list_names(kept) == ["a", "b"]
+    later, change = read(kept, 7, make_rows("a"), 2_500.0)
+    assert list_names(later) == ["a"]
+    assert change.removed_ids == ("b",)
+
+
 def test_older_read_is_ignored():
     """Guards against a slow reader that restores a deregistered server."""
     catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a"))
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -145,10 +145,12 @@
 class Harness:
     """The catalog service, with recorders in place of other services."""
 
-    def __init__(self, seeds=(), is_first_start=False):
+    def __init__(self, seeds=(), is_first_start=False, is_store_down=False):
         self.clock = ManualClock(100_000.0)
         self.kernel = Kernel(self.clock)
         self.store = Store()
+        if is_store_down:
+            self.store.rows = None
         replies = {
             RegistrationsRequested: self.store.read_registrations,
             ConfigurationRequested: self.store.read_configuration,
