Rank ill servers that the store no longer lists last

While all servers of a service say that they are ill, any of them gets requests, as health checks may be wrong. Nothing ranked a server that nothing says has left above one that the store no longer lists and that is kept for the grace period of an outage only.

The reader marks the servers that it keeps although they are missing, once, in the change that it sends; the mark goes with the next row or with the removal. An ill server with the mark gets a request only if the store lists no server of its service: after a real outage that expired all of them, all are used as before. One that says that it is well is used like the others.

The mark is an added field of registrations between instances; an earlier version ignores it.

Both new tests of placement failed before.

--- a/idl/catalog.thrift
+++ b/idl/catalog.thrift
@@ -26,6 +26,7 @@
   11: i64 row_version
   12: i64 row_era
   13: i64 sequence
+  14: bool is_unlisted
 }
 
 struct CatalogNews {
--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -122,6 +122,7 @@
         registration.row_version.number,
         registration.row_version.era,
         registration.sequence,
+        server.is_unlisted,
     )
 
 
@@ -137,6 +138,7 @@
         data.is_draining,
         float(data.warmup_left_ms),
         data.started_ms,
+        bool(data.is_unlisted),
     )
     row_version = StoreVersion(data.row_era or 0, data.row_version)
     return Registration(server, row_version, data.sequence or 0)
--- a/src/cuminhatch/codecs/gen/catalog/ttypes.py
+++ b/src/cuminhatch/codecs/gen/catalog/ttypes.py
@@ -122,11 +122,12 @@
      - row_version
      - row_era
      - sequence
+     - is_unlisted
 
     """
 
 
-    def __init__(self, server_id=None, service_id=None, host=None, port=None, failure_domain=None, slots=None, connections=None, is_draining=None, warmup_left_ms=None, started_ms=None, row_version=None, row_era=None, sequence=None,):
+    def __init__(self, server_id=None, service_id=None, host=None, port=None, failure_domain=None, slots=None, connections=None, is_draining=None, warmup_left_ms=None, started_ms=None, row_version=None, row_era=None, sequence=None, is_unlisted=None,):
         self.server_id = server_id
         self.service_id = service_id
         self.host = host
@@ -140,6 +141,7 @@
         self.row_version = row_version
         self.row_era = row_era
         self.sequence = sequence
+        self.is_unlisted = is_unlisted
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -215,6 +217,11 @@
                     self.sequence = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.BOOL:
+                    self.is_unlisted = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -277,6 +284,10 @@
             oprot.writeFieldBegin('sequence', TType.I64, 13)
             oprot.writeI64(self.sequence)
             oprot.writeFieldEnd()
+        if self.is_unlisted is not None:
+            oprot.writeFieldBegin('is_unlisted', TType.BOOL, 14)
+            oprot.writeBool(self.is_unlisted)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -864,6 +875,7 @@
     (11, TType.I64, 'row_version', None, None, ),  # 11
     (12, TType.I64, 'row_era', None, None, ),  # 12
     (13, TType.I64, 'sequence', None, None, ),  # 13
+    (14, TType.BOOL, 'is_unlisted', None, None, ),  # 14
 )
 all_structs.append(CatalogNews)
 CatalogNews.thrift_spec = (
--- a/src/cuminhatch/decisions/candidates.py
+++ b/src/cuminhatch/decisions/candidates.py
@@ -16,7 +16,7 @@
 from typing import NamedTuple
 
 from cuminhatch.decisions.rendezvous import rank
-from cuminhatch.decisions.server_records import ServerRecord, is_excluded
+from cuminhatch.decisions.server_records import ServerRecord, is_excluded, prefer_listed
 
 # Preferred servers of a service. They are few enough that each one gets a
 # request before it closes its idle connection to this instance.
@@ -95,8 +95,15 @@
     """
     untried = [r for r in records if r.server.server_id not in tried]
     available = [r for r in untried if not is_excluded(r, now_ms)]
-    pool = available or untried or [r for r in records if not is_excluded(r, now_ms)]
-    pool = pool or list(records)
+    # Of servers that are excluded, one that the store no longer lists is more
+    # likely to have left.
+    listed = prefer_listed(records)
+    pool = (
+        available
+        or [r for r in listed if r.server.server_id not in tried]
+        or [r for r in records if not is_excluded(r, now_ms)]
+        or listed
+    )
     near = [r for r in pool if r.is_near]
     near = _arrange(near, PREFERRED_NEAR, wanted.near, wanted.explored_near, rng)
     far = [r for r in pool if not r.is_near]
--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -154,10 +154,13 @@
             changed.append(merged.registration)
     missing_since_ms = _find_missing_in_grace(catalog, rows, now_ms, is_after_outage)
     for server_id in missing_since_ms:
-        kept[server_id] = previous[server_id]
-        if is_after_restore and previous[server_id].server.is_draining:
-            # It is ready in the copy, which another instance may have read.
-            changed.append(previous[server_id])
+        known = previous[server_id]
+        kept[server_id] = _mark_listed(known, False)
+        is_draining = known.server.is_draining
+        if not known.server.is_unlisted or (is_after_restore and is_draining):
+            # A draining server is ready in the copy, which another instance
+            # may have read.
+            changed.append(kept[server_id])
     # Other instances may have read the unconfirmed registrations themselves.
     removed = tuple(
         server_id
@@ -204,6 +207,14 @@
     )
 
 
+def _mark_listed(registration: Registration, is_listed: bool) -> Registration:
+    """Return the registration with a note whether the store lists it."""
+    if registration.server.is_unlisted is not is_listed:
+        return registration
+    server = registration.server._replace(is_unlisted=not is_listed)
+    return registration._replace(server=server)
+
+
 class _MergedRow(NamedTuple):
     """The registration to keep, and whether other instances need it."""
 
@@ -217,6 +228,9 @@
     """Return the newer one of the registration read and the known one."""
     if known is None:
         return _MergedRow(registration, True)
+    if known.server.is_unlisted:
+        merged = _merge_row(registration, _mark_listed(known, True), is_after_restore)
+        return merged._replace(is_sent=True)
     if not _is_relevant_change(known, registration):
         # An instance that has read the copy does not know a row that the
         # server has written since.
@@ -444,6 +458,7 @@
             "server": server_id,
             "service": registration.server.service_id,
             "is_draining": registration.server.is_draining,
+            "is_unlisted": registration.server.is_unlisted,
             "row_version": registration.row_version.number,
             "era": registration.row_version.era,
         }
--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -87,6 +87,8 @@
     the number of connections it accepts in total. ``warmup_left_ms`` is the
     time left until it is warmed up. ``started_ms`` is the wall-clock time of
     its start, 0 if unknown; it is later after a restart under the same id.
+    ``is_unlisted`` tells that the store no longer lists the server, which may
+    have left or may register again after an outage.
     """
 
     server_id: str
@@ -99,6 +101,7 @@
     is_draining: bool = False
     warmup_left_ms: float = 0.0
     started_ms: int = 0
+    is_unlisted: bool = False
 
 
 class CallerLimits(NamedTuple):
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -7,6 +7,7 @@
 and tries them again by single requests.
 """
 
+from collections.abc import Sequence
 from typing import NamedTuple
 
 from cuminhatch.decisions.configuration import BackendServer
@@ -188,6 +189,16 @@
     return record.failure_rate * 0.5 ** (age_ms / FAILURE_HALF_LIFE_MS)
 
 
+def prefer_listed(records: Sequence[ServerRecord]) -> list[ServerRecord]:
+    """
+    Return the servers that the store lists, or all if it lists none.
+
+    :param records: servers of one service.
+    """
+    listed = [record for record in records if not record.server.is_unlisted]
+    return listed or list(records)
+
+
 def is_excluded(record: ServerRecord, now_ms: float) -> bool:
     """
     Tell whether a server gets no requests while others are available.
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -15,7 +15,7 @@
     Wait,
     choose_server,
 )
-from cuminhatch.decisions.server_records import ServerRecord, is_excluded
+from cuminhatch.decisions.server_records import ServerRecord, is_excluded, prefer_listed
 from cuminhatch.decisions.stopping import can_end_before_stop
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
@@ -164,13 +164,13 @@
     Return the servers to choose from.
 
     Preferred are those that have not received the request and whose load is
-    recent.
+    recent, then those that the store lists.
     """
     candidates = pool.list_untried(exchange.tried_server_ids)
     if not candidates and not exchange.is_hedging:
         candidates = pool.usable
     preferred = [r for r in candidates if is_preferred(r, now_ms)]
-    return preferred or candidates
+    return preferred or prefer_listed(candidates)
 
 
 def is_preferred(record: ServerRecord, now_ms: float) -> bool:
--- a/tests/codecs/test_catalog_thrift.py
+++ b/tests/codecs/test_catalog_thrift.py
@@ -9,6 +9,7 @@
     CatalogReferral,
     CatalogState,
     Greeting,
+    ReadReport,
     decode_message,
     encode_message,
 )
@@ -24,7 +25,7 @@
 KEY = b"key"
 MEMBER = CatalogMember("front-1", "10.0.0.1", 7200)
 SERVER = BackendServer(
-    "i-7", "s", "10.0.0.2", 80, "here", 3, 0, True, 250.0, 7 * 10**12
+    "i-7", "s", "10.0.0.2", 80, "here", 3, 0, True, 250.0, 7 * 10**12, True
 )
 REGISTRATION = Registration(SERVER, StoreVersion(2, 41), 17)
 CONFIGURATION = ConfigurationVersion(5, 1)
@@ -36,6 +37,10 @@
         CONFIGURATION,
         False,
         7,
+        ReadReport(120, 60_000),
+    ),
+    CatalogNews(
+        MEMBER, CatalogChange(BEFORE, AFTER, (), ("i-8",)), CONFIGURATION, True, 7
     ),
     Greeting(MEMBER, (MEMBER,), True),
     CatalogState(
@@ -72,6 +77,15 @@
         decode_message(data, b"other key")
 
 
+def test_reads_long_ago_are_encoded():
+    """Guards against an error in place of news after weeks without a read."""
+    change = CatalogChange(BEFORE, AFTER, (), ())
+    reads = ReadReport(5 * 10**9, 5 * 10**9)
+    news = CatalogNews(MEMBER, change, CONFIGURATION, False, 7, reads)
+    decoded = decode_message(encode_message(news, KEY), KEY)
+    assert decoded.reads == ReadReport(2**31 - 1, 2**31 - 1)
+
+
 @pytest.mark.parametrize("port", [-1, 65_536, 2**31 - 1])
 def test_port_out_of_range_is_rejected(port):
     """
--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -47,6 +47,27 @@
     assert len(fallback.first) == 2, "the unreachable one is used last"
 
 
+def test_ill_server_that_the_store_does_not_list_is_asked_last():
+    """Guards against requests to a server that has left, if all seem ill."""
+    records = [make_record(name) for name in "abc"]
+    for record in records:
+        record.is_unhealthy = True
+    records[0].server = records[0].server._replace(is_unlisted=True)
+
+    def pick(tried=""):
+        picked = pick_candidates(records, frozenset(tried), NARROW, NOW_MS, Random(3))
+        return sorted(record.server.server_id for record in picked.first)
+
+    assert pick() == ["b", "c"]
+    assert pick(tried="b") == ["c"]
+    assert pick(tried="bc") == ["b", "c"]
+    records[0].is_unhealthy = False
+    assert pick() == ["a"], "it answers that it is well"
+    for record in records:
+        record.server = record.server._replace(is_unlisted=True)
+    assert pick(tried="a") == ["b", "c"], "an outage has expired all"
+
+
 def test_same_few_servers_are_probed():
     """
     Guards against a new connection for each probe.
--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -94,6 +94,27 @@
     assert change.removed_ids == ("b",)
 
 
+def test_server_missing_after_an_outage_is_marked_until_it_is_back():
+    """Guards against instances that prefer a server that may have left."""
+    catalog, change = read(EMPTY_CATALOG, 5, make_rows("a", "b"))
+    follower = apply_change(EMPTY_CATALOG, change)
+    kept, change = read(catalog, 6, make_rows("a"), 1_000.0, is_after_outage=True)
+    follower = apply_change(follower, change)
+    for state in (kept, follower):
+        assert not state.registrations["a"].server.is_unlisted
+        assert state.registrations["b"].server.is_unlisted
+    still, change = read(kept, 7, make_rows("a"), 1_500.0, is_after_outage=True)
+    assert still.registrations["b"].server.is_unlisted
+    assert not change.changed, "told once"
+    for rows in (make_rows("a", "b"), make_rows("a", "b", version=7)):
+        back, change = read(kept, 7, rows, 1_500.0, is_after_outage=True)
+        assert not back.registrations["b"].server.is_unlisted
+        later = apply_change(follower, change)
+        assert not later.registrations["b"].server.is_unlisted
+        restored = merge_store_read(kept, at(1, 2), rows, 1_500.0, True, True)[0]
+        assert not restored.registrations["b"].server.is_unlisted
+
+
 def test_older_read_is_ignored():
     """Guards against a slow reader that restores a deregistered server."""
     catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a"))
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -500,6 +500,23 @@
     assert take_only_attempt(world).server_id == "a"
 
 
+def test_ill_server_that_the_store_does_not_list_gets_no_request(make_world):
+    """Guards against requests to a server that has left, if all seem ill."""
+    world = make_world("b", "c")
+    world.loads = {"a": None, "b": None, "c": None}
+    world.configure(
+        make_server("a", is_unlisted=True), make_server("b"), make_server("c")
+    )
+    for server_id in "abc":
+        world.tell(HealthCheckAnswered(server_id, False, None))
+    for _ in range(8):
+        world.request("read")
+    assert {attempt.server_id for attempt in world.take_attempts()} == {"b", "c"}
+    world.configure(make_server("a", is_unlisted=True))
+    world.request("read")
+    assert take_only_attempt(world).server_id == "a"
+
+
 def test_restarted_server_gets_a_new_record(make_world):
     """Guards against counting failures of a server before its restart."""
     world = make_world("a", "b")
