Break streamed responses off after the timeout of their route

Cause: at the deadline of a request, a response that was being streamed to a caller that still read was left alone. That is right for the caller's own deadline, but the timer stands for the timeout of the route as well. The limit of an attempt counts from its last progress and never ends such a stream.

At the deadline the timer is now set again to 200 ms after the timeout of the rule, and the stream is broken off then. The grace lets a response end that is nearly through.

It works since the new limit does not depend on progress. Four kinds (no length, chunks, a huge length, a failure) failed before in test_stream_without_end_ends_at_the_timeout_of_its_route.

--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -1,5 +1,7 @@
 """Ends requests and reports their outcomes to callers."""
 
+from math import inf
+
 from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS, NotPlaced
 from cuminhatch.decisions.stopping import StopSchedule
 from cuminhatch.messages import (
@@ -112,21 +114,13 @@
 
 
 def on_exchange_timed_out(state: ForwardingState, message: ExchangeTimedOut) -> None:
-    """
-    End a request at its deadline with an error response.
-
-    A response that is already being streamed goes on as long as its caller
-    reads it.
-    """
+    """End a request at its deadline with an error response."""
     exchange = state.exchanges.get(message.request_id)
     if exchange is None:
         return
     exchange.deadline_timer = None
     if exchange.stage is Stage.ANSWERING:
-        # The caller decides how long it waits for the rest of the response. A
-        # server that sends without end must not outlive it.
-        if exchange.is_caller_gone:
-            abort_response(state, exchange, "timeout")
+        limit_stream(state, exchange)
         return
     if exchange.attempts:
         exchange.may_have_run = True
@@ -137,6 +131,23 @@
     end_with_unknown_outcome(state, exchange, 504, "timeout")
 
 
+def limit_stream(state: ForwardingState, exchange: Exchange) -> None:
+    """
+    Break a streamed response off, or set the time at which it will be.
+
+    The deadline of the caller does not end it: a caller that still reads
+    decides itself how long it waits. The timeout of the rule does, since a
+    server may send without end, as does the deadline of a caller that has
+    left.
+    """
+    ends_ms = exchange.stream_ends_ms
+    if exchange.is_caller_gone or state.clock.now_ms >= ends_ms:
+        abort_response(state, exchange, "timeout")
+    elif ends_ms < inf:
+        timed_out = ExchangeTimedOut(exchange.request_id)
+        exchange.deadline_timer = state.call_at(ends_ms, timed_out)
+
+
 def on_stop_scheduled(state: ForwardingState, message: StopScheduled) -> None:
     """Send on only requests that can end before the process does."""
     state.stop = StopSchedule(message.late_from_ms, message.ends_ms)
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -1,6 +1,7 @@
 """State of one request and of its attempts at backend servers."""
 
 from enum import Enum, auto
+from math import inf
 
 from cuminhatch.codecs.dialect import RequestMetadata, ResponseMetadata
 from cuminhatch.codecs.http1 import ResponseHead
@@ -16,6 +17,9 @@
 REQUEST_BUFFER_MAX_BYTES = 64 * 1024
 # Applies if the caller sends no timeout.
 DEFAULT_TIMEOUT_MS = 30_000.0
+# A streamed response may end this long after the timeout of its rule: most of
+# it has been delivered by then.
+STREAM_GRACE_MS = 200.0
 
 
 class Stage(Enum):
@@ -197,6 +201,13 @@
             raise StageError(f"a request enters {stage.name} while it is answered")
         self._stage = stage
 
+    @property
+    def stream_ends_ms(self) -> float:
+        """Return when a streamed response is broken off, ``inf`` for never."""
+        if self.rule.timeout_ms is None:
+            return inf
+        return self.received_ms + self.rule.timeout_ms + STREAM_GRACE_MS
+
     @property
     def is_awaiting_response(self) -> bool:
         """Tell whether attempts are in progress, none with a response yet."""
--- a/tests/services/test_endless_responses.py
+++ b/tests/services/test_endless_responses.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from cuminhatch.messages import CallerDisconnected, ResponseStarted
+from cuminhatch.messages import CallerDisconnected, ResponseAborted, ResponseStarted
 from tests.services._loopback import run_until
 from tests.services.front_ends import Daemon, Gateway, is_not_run
 
@@ -32,6 +32,9 @@
 FLOOD_BYTES = 4 * 1024 * 1024
 # Far below a flood that would be kept.
 MEMORY_BYTES_MAX = 1024 * 1024
+# Timeout of the route ``brief``, and the time that is left after it.
+TIMEOUT_MS = 300.0
+SLACK_MS = 500.0
 
 
 @pytest.fixture(params=[Gateway, Daemon])
@@ -161,6 +164,85 @@
     peer.run_until(lambda: peer.is_closed)
 
 
+ENDLESS_STREAMS = {
+    "no length": (200, b"", b"x" * 65_536),
+    "chunks": (
+        200,
+        b"transfer-encoding: chunked\r\n",
+        b"10000\r\n" + b"x" * 65_536 + b"\r\n",
+    ),
+    "huge length": (200, b"content-length: 1000000000000\r\n", b"x" * 65_536),
+    "failure": (500, b"", b"x" * 65_536),
+}
+
+
+def start_stream(gateway, status, framing, part):
+    """Request a brief route; return the server end of a streamed response."""
+    gateway.request("brief")
+    peer = gateway.accept()
+    head = gateway.response(gateway.receive(peer), b"", status, (b"seal: 1",))
+    peer.send(head.replace(b"content-length: 0\r\n", framing))
+    received = gateway.world.received["callers"]
+    while not any(type(message) is ResponseStarted for message in received):
+        peer.send(part)
+        gateway.world.run()
+    return peer
+
+
+@pytest.mark.parametrize("kind", ENDLESS_STREAMS)
+def test_stream_without_end_ends_at_the_timeout_of_its_route(gateway, kind):
+    """Guards against callers that are kept past the timeout of their route."""
+    peer = start_stream(gateway, *ENDLESS_STREAMS[kind])
+    part = ENDLESS_STREAMS[kind][2]
+    received = gateway.world.received["callers"]
+    started_ms = gateway.world.clock.now_ms
+    while not any(type(message) is ResponseAborted for message in received):
+        assert gateway.world.clock.now_ms < started_ms + TIMEOUT_MS + SLACK_MS
+        peer.send(part)
+        gateway.world.advance(20.0)
+    assert gateway.world.clock.now_ms >= started_ms + TIMEOUT_MS
+    assert not any(getattr(message, "is_complete", False) for message in received)
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_stream_that_ends_soon_after_the_timeout_is_delivered(gateway):
+    """Guards against a response that is cut just before its end."""
+    started_ms = gateway.world.clock.now_ms
+    peer = start_stream(gateway, 200, b"content-length: 400000\r\n", b"x" * 100_000)
+    received = gateway.world.received["callers"]
+
+    def count_bytes():
+        return sum(len(message.data) for message in received)
+
+    run_until(gateway.kernel, lambda: count_bytes() and not count_bytes() % 100_000)
+    for _ in range(7):
+        peer.send(b"x")
+        gateway.world.advance(50.0)
+    assert gateway.world.clock.now_ms > started_ms + TIMEOUT_MS
+    run_until(gateway.kernel, lambda: count_bytes() % 100_000 == 7)
+    peer.send(b"x" * (400_000 - count_bytes()))
+    run_until(gateway.kernel, lambda: count_bytes() == 400_000)
+    assert received[-1].is_complete
+    gateway.world.advance(SLACK_MS)
+    assert not any(type(message) is ResponseAborted for message in received)
+
+
+def test_stream_outlives_the_deadline_of_its_caller(gateway):
+    """Guards against a response withheld from a caller that still reads."""
+    gateway.world.request("read", wait_ms=300)
+    peer = gateway.accept()
+    head = gateway.success(gateway.receive(peer), b"")
+    peer.send(head.replace(b"content-length: 0\r\n", b""))
+    received = gateway.world.received["callers"]
+    for _ in range(8):
+        peer.send(b"x" * 65_536)
+        gateway.world.run()
+    for _ in range(30):
+        peer.send(b"x")
+        gateway.world.advance(50.0)
+    assert not any(type(message) is ResponseAborted for message in received)
+
+
 def test_body_without_end_ends_at_the_deadline_if_its_caller_has_left(gateway):
     """Guards against a write's response that is read for nobody."""
     request_id = gateway.request("write")
