Bound the wait for the body of a chunked request

A caller that sends a chunked body byte by byte, in chunk sizes, extensions or trailers, kept its connection without any limit: the head is held back until the body is complete or 16 KB long, each byte counts as progress, and the deadline of a request starts only when its head is forwarded.

The wait now ends after the time limit of a head; the head is then forwarded and the deadline of the request applies. A caller that is slow, but sends, is still served.

--- a/src/cuminhatch/services/http_listener/_requests.py
+++ b/src/cuminhatch/services/http_listener/_requests.py
@@ -59,7 +59,9 @@
     while connection.parsed_events and not connection.is_closing:
         exchange = connection.exchange
         if exchange is None:
-            if is_write_buffer_full(connection) or must_buffer_request(connection):
+            if is_write_buffer_full(connection) or must_buffer_request(
+                state, connection
+            ):
                 break
             start_exchange(state, connection)
         elif exchange.is_request_complete:
@@ -78,8 +80,16 @@
         refuse_malformed_request(state, connection, error)
 
 
-def must_buffer_request(connection: Connection) -> bool:
-    """Decide whether to wait for more of the next request's body."""
+def must_buffer_request(state: ListenerState, connection: Connection) -> bool:
+    """
+    Decide whether to wait for more of the next request's body.
+
+    The wait is limited: the deadline of a request starts once it is forwarded.
+    """
+    now_ms = state.clock.now_ms
+    since_ms = connection.buffering_since_ms
+    if since_ms is None:
+        since_ms = now_ms
     parsed = connection.parsed_events[0]
     if connection.message_end_count:
         is_buffered = False
@@ -91,8 +101,9 @@
             and not parsed.is_continue_expected
             and connection.parsed_body_bytes < MAX_BUFFERED_REQUEST_BYTES
             and len(connection.parsed_events) < MAX_BUFFERED_REQUEST_EVENTS
+            and now_ms - since_ms < state.limits.head_timeout_ms
         )
-    connection.is_request_buffered = is_buffered
+    connection.buffering_since_ms = since_ms if is_buffered else None
     if is_buffered:
         connection.head_started_ms = None
     return is_buffered
--- a/src/cuminhatch/services/http_listener/_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -25,8 +25,9 @@
     Limits on connections and timeouts.
 
     ``idle_timeout_ms`` applies between requests, ``head_timeout_ms`` from the
-    first to the last byte of a head, ``body_progress_timeout_ms`` between
-    parts of a request body and ``response_progress_timeout_ms`` while the
+    first to the last byte of a head, and then to a body that is awaited before
+    the head is forwarded, ``body_progress_timeout_ms`` between parts of a
+    request body and ``response_progress_timeout_ms`` while the
     caller reads no more of a response.
     ``pipelined`` is how many safe requests of one connection are handled at
     the same time; the responses are sent in the order of the requests.
@@ -144,13 +145,20 @@
         self.exchange: Exchange | None = None
         self.pipelined_exchanges: deque[Exchange] = deque()
         self.request_count = 0
-        self.is_request_buffered = False
+        # Since when the body of the next request is awaited before its head is
+        # forwarded.
+        self.buffering_since_ms: float | None = None
         self.is_closing = False
         self.last_progress_ms = now_ms
         self.sent_bytes = 0
         self.head_started_ms: float | None = None
         self.linger_started_ms: float | None = None
 
+    @property
+    def is_request_buffered(self) -> bool:
+        """Tell whether the next request waits for more of its body."""
+        return self.buffering_since_ms is not None
+
     @property
     def last_exchange(self) -> Exchange | None:
         """Return the last request forwarded, None if none is in progress."""
