Refute an outage only by reads well before its end

An instance that learns of the end of an outage by a message dates it by the arrival of that message. The next one may date it some milliseconds earlier, which counted as reads in the gap and ended the grace period. It takes more than the gap itself now.

Found when reading the change again. The new test failed before.

--- a/src/cuminhatch/services/catalog/_read_spans.py
+++ b/src/cuminhatch/services/catalog/_read_spans.py
@@ -28,8 +28,9 @@
         view.outage_ended_ms = since_ms
         gap_ms = round(since_ms - before.latest_ms, 1) if before.is_known else None
         view.record("store_outage_assumed", {"gap_ms": gap_ms, "source": source})
-    elif since_ms < min(before.since_ms, view.outage_ended_ms):
-        # The source knows of reads in the gap.
+    elif since_ms < view.outage_ended_ms - view.read_gap_max_ms:
+        # The source knows of reads in the gap. Times that differ by less may
+        # be due to the delays of messages.
         view.outage_ended_ms = -inf
         # Their grace period is over, here or at the next pull.
         missing_since_ms = dict.fromkeys(view.catalog.missing_since_ms, -inf)
--- a/tests/services/test_store_outages.py
+++ b/tests/services/test_store_outages.py
@@ -132,6 +132,17 @@
     assert list_servers(harness) == ["a"]
 
 
+def test_reads_told_a_little_later_do_not_refute_an_outage(harness):
+    """Guards against a grace period that ends by the delays of messages."""
+    cut_off(harness, 4_000.0)
+    receive_reads(harness, LATER, 0, 0)
+    harness.advance(READ_INTERVAL_MS)
+    receive_reads(harness, LATER, 0, int(READ_INTERVAL_MS) + 20)
+    assert list_events(harness) == ["store_outage_assumed"]
+    receive_reads(harness, LATER, 0, LONG_MS)
+    assert list_events(harness) == ["store_outage_assumed", "store_outage_refuted"]
+
+
 def test_instance_that_starts_in_an_outage_keeps_servers_after_it():
     """Guards against servers dropped that expire soon after an outage."""
     harness = Harness(is_store_down=True)
