--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -389,6 +389,21 @@
     assert len(after.change.changed) == 2
 
 
+def test_pulls_pause_while_all_instances_refuse_them(harness):
+    """Guards against a busy loop while the other instances are down."""
+    pulls = 0
+
+    def refuse(message):
+        nonlocal pulls
+        pulls += 1
+        harness.kernel.send("catalog", HttpFailed(message.token, "refused", False))
+
+    harness.recorders["http_client"].deliver = refuse
+    harness.receive_news(20, make_rows("b").values(), previous=15)
+    harness.advance(1_000.0)
+    assert pulls <= 100
+
+
 def test_servers_missing_after_an_outage_stay_for_a_grace_time(harness):
     """Guards against an empty catalog when the store comes back."""
     harness.store.rows = None
