Disable entries of a configuration that cannot be used, and keep the rest

Such a route, service or team now disables that entry alone. Uploads, teams and warm-up rates are decoded. The keys of teams are replaced by digests before the document is kept or sent to other instances.

Where the document as a whole is malformed, it is refused as before.

--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -24,6 +24,19 @@
 DEPARTED_MAX = 1_000
 
 
+class RefusedEntry(NamedTuple):
+    """
+    An entry of the configuration that cannot be used.
+
+    ``kind`` is ``rule``, ``service`` or ``team``; ``entry_id`` is empty if the
+    entry has no readable name.
+    """
+
+    kind: str
+    entry_id: str
+    reason: str
+
+
 class ConfigurationDocument(NamedTuple):
     """
     The operator's configuration, without backend servers.
@@ -32,11 +45,13 @@
     register themselves in the metadata store.
 
     ``connections`` maps each service id to the number of connections that one
-    of its backend servers accepts in total.
+    of its backend servers accepts in total. ``refused`` lists the entries that
+    cannot be used; all others are in force.
     """
 
     configuration: Configuration
     connections: Mapping[str, int]
+    refused: tuple[RefusedEntry, ...] = ()
 
 
 class Registration(NamedTuple):
--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -40,6 +40,10 @@
     the highest. ``servers_max`` limits the number of backend servers that one
     request is sent to.
 
+    ``is_upload`` marks requests with long bodies. Requests of a rule that
+    ``is_anonymous`` need no credential. ``fault`` says why the rule cannot be
+    used and is empty if it can; its requests are refused.
+
     ``deadline_ms`` and ``response_timeout_ms`` are used by the ``dispatch``
     service, ``timeout_ms`` and ``target_latency_ms`` by ``forwarding``.
     """
@@ -58,6 +62,9 @@
     target_latency_ms: float = 1000.0
     priority: int = 0
     servers_max: int = 3
+    is_upload: bool = False
+    is_anonymous: bool = False
+    fault: str = ""
 
 
 class ServiceSpec(NamedTuple):
@@ -68,7 +75,9 @@
     server. ``probe_rate`` is the number of probes per second that a backend
     server receives from all instances together. ``long_slots`` limits the
     slots of a backend server that long requests from all instances may use; 0
-    means a third of its slots.
+    means a third of its slots. ``warmup_rate`` is the number of requests per
+    second that a server tolerates from all instances together while it warms
+    up; 0 means no limit.
     """
 
     service_id: str
@@ -77,6 +86,7 @@
     long_slots: int = 0
     slow_start_ms: float = 5000.0
     health_path: str = "/health"
+    warmup_rate: float = 0.0
 
 
 class BackendServer(NamedTuple):
@@ -113,11 +123,32 @@
     idle_ms: float
 
 
+class Team(NamedTuple):
+    """
+    A group of callers with common credentials.
+
+    ``priority`` takes precedence over the priority of the rule, unless it is
+    None. All instances together run at most ``rate_per_s`` requests per second
+    for the team, plus a burst of ``burst``; a rate of 0 means no quota.
+    ``fault`` says why the team cannot be used and is empty if it can; its
+    requests are refused.
+    """
+
+    team_id: str
+    priority: int | None = None
+    rate_per_s: float = 0.0
+    burst: float = 0.0
+    fault: str = ""
+
+
 class Configuration(NamedTuple):
     """
     All services, backend servers and rules in force.
 
     ``caller_limits`` is None if the limits of the listener's settings apply.
+    ``teams`` is None if callers need no credentials. ``team_ids_by_key`` maps
+    the digest of each credential to the team it belongs to. Backend servers in
+    ``evacuated_domains`` get no requests.
     """
 
     sequence: int
@@ -125,6 +156,9 @@
     servers: MappingProxyType[str, BackendServer]
     rules: MappingProxyType[str, Rule]
     caller_limits: CallerLimits | None = None
+    teams: Mapping[str, Team] | None = None
+    team_ids_by_key: Mapping[bytes, str] = MappingProxyType({})
+    evacuated_domains: frozenset[str] = frozenset()
 
 
 EMPTY_CONFIGURATION = Configuration(
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -1,6 +1,6 @@
 """Decode the operators' configuration and the server registrations."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from ipaddress import AddressValueError, IPv4Address
 from math import isfinite
 from types import MappingProxyType
@@ -9,21 +9,31 @@
 import orjson
 
 from cuminhatch.address import Address
-from cuminhatch.decisions.catalog import ConfigurationDocument, Registration
+from cuminhatch.decisions.catalog import (
+    ConfigurationDocument,
+    RefusedEntry,
+    Registration,
+)
 from cuminhatch.decisions.configuration import (
     BackendServer,
     CallerLimits,
     Configuration,
     Rule,
     ServiceSpec,
+    Team,
     TrafficPart,
 )
+from cuminhatch.decisions.credentials import digest_credential
 from cuminhatch.decisions.store_version import StoreVersion
 from cuminhatch.errors import CodecError
 
 VERSION_PREFIX = "r"
 SAFE_ROUTE_KINDS = frozenset({"safe", "download"})
-ROUTE_KINDS = SAFE_ROUTE_KINDS | {"unsafe"}
+UPLOAD_KIND = "upload"
+ROUTE_KINDS = SAFE_ROUTE_KINDS | {"unsafe", UPLOAD_KIND}
+API_KEYS_FIELD = "api-keys"
+# Takes the place of the keys in documents that instances keep and relay.
+KEY_DIGESTS_FIELD = "key-digests"
 SERVER_STATES = frozenset({"ready", "draining"})
 MAX_PORT = 65535
 MAX_PORT_DIGITS = 5
@@ -49,6 +59,17 @@
     """
 
 
+# Raised by the decoding of an entry that has fields missing or of other types.
+ENTRY_ERRORS = (
+    DocumentError,
+    ArithmeticError,
+    LookupError,
+    TypeError,
+    ValueError,
+    AttributeError,
+)
+
+
 def parse_version(text: Any) -> int:
     """
     Parse a configuration version such as ``r12`` and return its number.
@@ -69,43 +90,128 @@
     """
     Decode the operators' configuration.
 
-    :param data: document as stored.
-    :raises DocumentError: the document is malformed.
+    A route, service or team that cannot be used disables that entry alone.
+
+    :param data: document as stored, or as returned by
+        :func:`redact_configuration`.
+    :raises DocumentError: the document as a whole is malformed.
     """
     document = _load_json(data)
+    refused: list[RefusedEntry] = []
     try:
         version = parse_version(document["version"])
-        services = {
-            item["name"]: _decode_service(item) for item in document["services"]
-        }
-        connections = {
-            item["name"]: _get_integer(item, "max-conns", INT32_MAX)
-            for item in document["services"]
-        }
-        rules = {item["name"]: _decode_rule(item) for item in document["routes"]}
+        services, connections = _decode_services(
+            _get_list(document, "services"), refused
+        )
+        rules = _decode_rules(_get_list(document, "routes"), refused)
         limits = _decode_limits(document["limits"])
     except DocumentError:
         raise
     except (ArithmeticError, LookupError, TypeError, ValueError, AttributeError) as e:
         raise DocumentError(f"configuration: {_quote(e)}") from e
+    teams, team_ids_by_key = _decode_teams(document, refused)
     configuration = Configuration(
         version,
         MappingProxyType(services),
         MappingProxyType({}),
         MappingProxyType(rules),
         limits,
+        teams,
+        MappingProxyType(team_ids_by_key),
     )
-    return ConfigurationDocument(configuration, connections)
+    return ConfigurationDocument(configuration, connections, tuple(refused))
+
+
+def redact_configuration(data: bytes) -> bytes:
+    """
+    Replace the keys of teams in a configuration by their digests.
+
+    Instances keep the document and send it to each other; the keys are needed
+    for neither.
+
+    :param data: document as stored.
+    :returns: the document without keys; the same bytes if it has none, or
+        cannot be read.
+    """
+    if API_KEYS_FIELD.encode() not in data:
+        return data
+    try:
+        document = _load_json(data)
+    except DocumentError:
+        return data
+    teams = document.get("tenants")
+    for team in teams if isinstance(teams, list) else ():
+        if isinstance(team, dict) and API_KEYS_FIELD in team:
+            team[KEY_DIGESTS_FIELD] = _redact_keys(team.pop(API_KEYS_FIELD))
+    return orjson.dumps(document)
+
+
+def _redact_keys(keys: Any) -> Any:
+    # What is no list stays wrong, so that the team is refused.
+    if not isinstance(keys, list):
+        return None
+    return [
+        digest_credential(key.encode()).hex() if isinstance(key, str) else None
+        for key in keys
+    ]
+
+
+def _decode_services(
+    items: list[Any], refused: list[RefusedEntry]
+) -> tuple[dict[str, ServiceSpec], dict[str, int]]:
+    """Return the services, and the connections of their servers, by id."""
+    services: dict[str, ServiceSpec] = {}
+    connections: dict[str, int] = {}
+    for item in items:
+        try:
+            service = _decode_service(item)
+            connections[service.service_id] = _get_integer(item, "max-conns", INT32_MAX)
+        except ENTRY_ERRORS as error:
+            refused.append(_refuse("service", item, error))
+            continue
+        services[service.service_id] = service
+    return services, connections
 
 
 def _decode_service(item: dict[str, Any]) -> ServiceSpec:
-    return ServiceSpec(_get_text(item, "name"), health_path=_get_path(item))
+    return ServiceSpec(
+        _get_text(item, "name"),
+        health_path=_get_path(item),
+        warmup_rate=_get_optional(item, "warmup-per-s", _get_number, INT32_MAX) or 0.0,
+    )
+
+
+def _decode_rules(items: list[Any], refused: list[RefusedEntry]) -> dict[str, Rule]:
+    rules: dict[str, Rule] = {}
+    for item in items:
+        try:
+            rule = _decode_rule(item)
+        except ENTRY_ERRORS as error:
+            refusal = _refuse("rule", item, error)
+            refused.append(refusal)
+            rule = _make_disabled_rule(item, refusal.reason)
+        if rule is not None:
+            rules[rule.rule_id] = rule
+    return rules
+
+
+def _make_disabled_rule(item: Any, fault: str) -> Rule | None:
+    """Return a rule that refuses its requests, None if none can match."""
+    try:
+        host, prefix = _get_text(item, "host"), _get_text(item, "prefix")
+    except ENTRY_ERRORS:
+        return None
+    name = item.get("name")
+    rule_id = name if isinstance(name, str) and name else f"{host}{prefix}"
+    return Rule(
+        rule_id, "", "*", prefix, is_idempotent=False, host=host.lower(), fault=fault
+    )
 
 
 def _decode_rule(item: dict[str, Any]) -> Rule:
     kind = item["kind"]
     if kind not in ROUTE_KINDS:
-        raise DocumentError(f"routes: unknown kind {_quote(kind)}")
+        raise DocumentError(f"unknown kind {_quote(kind)}")
     parts = tuple(
         TrafficPart(_get_text(part, "service"), _get_number(part, "weight", INT32_MAX))
         for part in item.get("traffic-split") or ()
@@ -127,9 +233,72 @@
         servers_max=max(
             1, _get_optional(item, "max-attempts", _get_integer, INT32_MAX) or 1
         ),
+        is_upload=kind == UPLOAD_KIND,
+        is_anonymous=_get_flag(item, "anonymous"),
+    )
+
+
+def _decode_teams(
+    document: dict[str, Any], refused: list[RefusedEntry]
+) -> tuple[Mapping[str, Team] | None, dict[bytes, str]]:
+    """Return the teams by id, or None, and their ids by credential."""
+    if document.get("tenants") in (None, []):
+        return None, {}
+    teams: dict[str, Team] = {}
+    team_ids_by_key: dict[bytes, str] = {}
+    for item in _get_list(document, "tenants"):
+        try:
+            team = _decode_team(item)
+        except ENTRY_ERRORS as error:
+            refusal = _refuse("team", item, error)
+            refused.append(refusal)
+            team = Team(refusal.entry_id, fault=refusal.reason)
+        teams[team.team_id] = team
+        for digest in _list_key_digests(item):
+            team_ids_by_key[digest] = team.team_id
+    return MappingProxyType(teams), team_ids_by_key
+
+
+def _decode_team(item: dict[str, Any]) -> Team:
+    team_id = _get_string(item, "name")
+    # It becomes a header of requests to backend servers.
+    if not team_id.isascii() or not _is_visible(team_id):
+        raise DocumentError("name: expected visible ASCII characters")
+    if not isinstance(item.get(API_KEYS_FIELD, item.get(KEY_DIGESTS_FIELD)), list):
+        raise DocumentError(f"{API_KEYS_FIELD}: expected a list")
+    return Team(
+        team_id,
+        _get_optional(item, "priority", _get_integer, INT32_MAX),
+        _get_optional(item, "rate-per-s", _get_number, INT32_MAX) or 0.0,
+        _get_optional(item, "burst", _get_number, INT32_MAX) or 0.0,
     )
 
 
+def _list_key_digests(item: Any) -> list[bytes]:
+    """Return the digests of the usable keys of a team."""
+    if not isinstance(item, dict):
+        return []
+    keys = item.get(API_KEYS_FIELD)
+    texts = item.get(KEY_DIGESTS_FIELD)
+    if isinstance(keys, list):
+        texts = _redact_keys(keys)
+    digests = []
+    for text in texts if isinstance(texts, list) else ():
+        try:
+            digests.append(bytes.fromhex(text))
+        except (TypeError, ValueError):
+            continue
+    return digests
+
+
+def _refuse(kind: str, item: Any, error: Exception) -> RefusedEntry:
+    """Return why an entry is refused, with its name if it has one."""
+    name = item.get("name") if isinstance(item, dict) else None
+    entry_id = name[:NAME_MAX_BYTES] if isinstance(name, str) else ""
+    reason = str(error) if isinstance(error, DocumentError) else _quote(error)
+    return RefusedEntry(kind, entry_id, reason)
+
+
 def _decode_limits(item: dict[str, Any]) -> CallerLimits:
     return CallerLimits(
         _get_integer(item, "max-header-bytes", INT64_MAX),
@@ -232,6 +401,20 @@
     return f"{value!r:.{QUOTED_CHARACTERS_MAX}}"
 
 
+def _get_list(document: dict[str, Any], name: str) -> list[Any]:
+    value = document[name]
+    if not isinstance(value, list):
+        raise DocumentError(f"{name}: expected a list")
+    return value
+
+
+def _get_flag(item: dict[str, Any], name: str) -> bool:
+    value = item.get(name)
+    if value is not None and not isinstance(value, bool):
+        raise DocumentError(f"{name}: expected true or false")
+    return bool(value)
+
+
 def _get_text(document: dict[str, Any], name: str) -> str:
     value = document[name]
     if not isinstance(value, str) or not value:
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -35,6 +35,7 @@
     decode_registration,
     is_server_id,
     parse_address,
+    redact_configuration,
 )
 
 SERVERS_TABLE = "servers"
@@ -199,7 +200,7 @@
         document = b""
         if range_read.rows:
             _check_row(range_read.rows[0])
-            document = range_read.rows[0].value
+            document = redact_configuration(range_read.rows[0].value)
         request = range_read.request
         era = range_read.version.era
         self.send(request.reply_to, ConfigurationRead(request.token, document, era))
