Add settings for quotas, warm-up limits, evacuations and hedges

The platform's bounds are filled in where a deployment has them; without them the sections are missing and the limits are off.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -1,7 +1,8 @@
 """Settings of ``cuminhatch-gateway`` in TOML."""
 
 from collections.abc import Mapping
-from typing import NamedTuple
+from math import inf
+from typing import Any, NamedTuple
 
 from cuminhatch.address import Address
 from cuminhatch.codecs.settings_keys import (
@@ -21,6 +22,7 @@
     InstanceSettings,
     PeersSettings,
 )
+from cuminhatch.errors import SettingsError
 from cuminhatch.log import LEVELS
 
 
@@ -64,6 +66,33 @@
     far_charge_ms_per_kb: float
 
 
+class QuotaSettings(NamedTuple):
+    """
+    Enforcement of the quotas of teams over all instances.
+
+    Within any ``window_s`` seconds a team may exceed its quota by a share of
+    ``overshoot`` plus ``slack`` requests. Instances exchange their counters at
+    ``address`` over UDP; the port is the same on all of them.
+    """
+
+    window_s: float
+    overshoot: float
+    slack: float
+    address: Address
+
+
+class WarmupSettings(NamedTuple):
+    """
+    Limit on the requests that a backend server gets while it warms up.
+
+    In any second it gets at most ``overshoot`` times the rate that its service
+    tolerates, plus ``slack`` requests, from all instances together.
+    """
+
+    overshoot: float
+    slack: float
+
+
 class StopSettings(NamedTuple):
     """
     Durations of a graceful shutdown, in milliseconds.
@@ -78,7 +107,15 @@
 
 
 class GatewaySettings(NamedTuple):
-    """All settings of ``cuminhatch-gateway``."""
+    """
+    All settings of ``cuminhatch-gateway``.
+
+    ``quota`` and ``warmup`` are None if the limits are not enforced.
+    ``evacuation_ms`` is the time within which an evacuation of a failure
+    domain takes effect, 0 if operators do not evacuate any. ``hedging_share``
+    limits hedges to a share of the requests of a service, infinite for no
+    limit but the resend budget.
+    """
 
     instance: InstanceSettings
     callers_address: Address
@@ -91,7 +128,14 @@
     placement: PlacementSettings
     drain: StopSettings
     log_level: str
+    quota: QuotaSettings | None
+    warmup: WarmupSettings | None
+    evacuation_ms: float
+    hedging_share: float
+
 
+# Stands for a key that is not set in a section that is left out.
+NO_ADDRESS = Address("", 0)
 
 _SECTIONS: Sections = {
     "instance": {
@@ -127,6 +171,18 @@
         "total_ms": SettingsKey(read_milliseconds, 6_000.0),
     },
     "log": {"level": SettingsKey(make_choice_reader(*LEVELS), "INFO")},
+    "quota": {
+        "window_s": SettingsKey(read_non_negative_number, 0.0),
+        "overshoot": SettingsKey(read_non_negative_number, 0.0),
+        "slack": SettingsKey(read_non_negative_number, 0.0),
+        "address": SettingsKey(parse_address, NO_ADDRESS),
+    },
+    "warmup": {
+        "overshoot": SettingsKey(read_non_negative_number, 0.0),
+        "slack": SettingsKey(read_non_negative_number, 0.0),
+    },
+    "evacuation": {"within_ms": SettingsKey(read_milliseconds, 0.0)},
+    "hedging": {"share": SettingsKey(read_non_negative_number, inf)},
 }
 
 
@@ -157,4 +213,22 @@
         PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
         StopSettings(*values["drain"]),
         values["log"][0],
+        _make_quota_settings(values["quota"], file_name),
+        _make_warmup_settings(values["warmup"]),
+        values["evacuation"][0],
+        values["hedging"][0],
     )
+
+
+def _make_quota_settings(values: list[Any], file_name: str) -> QuotaSettings | None:
+    quota = QuotaSettings(*values)
+    if not quota.window_s:
+        return None
+    if quota.address == NO_ADDRESS:
+        raise SettingsError(f"{file_name}: quota.address: missing; add it")
+    return quota
+
+
+def _make_warmup_settings(values: list[Any]) -> WarmupSettings | None:
+    warmup = WarmupSettings(*values)
+    return warmup if warmup.overshoot or warmup.slack else None
--- a/tests/codecs/test_gateway_toml.py
+++ b/tests/codecs/test_gateway_toml.py
@@ -1,7 +1,10 @@
 """Tests of the settings of a gateway daemon."""
 
+from math import inf
+
 import pytest
 
+from cuminhatch.address import Address
 from cuminhatch.codecs.gateway_toml import parse_gateway_settings
 from cuminhatch.errors import SettingsError
 from cuminhatch.gateway import drain_limit_ms
@@ -50,6 +53,44 @@
     assert settings.drain.announce_ms > 2_000.0
 
 
+def test_limits_are_off_without_their_sections():
+    """Guards against limits in deployments that have not asked for them."""
+    settings = parse(TEXT)
+    assert settings.quota is None
+    assert settings.warmup is None
+    assert settings.evacuation_ms == 0.0
+    assert settings.hedging_share == inf
+
+
+def test_limits_are_read():
+    """Guards against a limit that is read into the wrong field."""
+    sections = """
+[quota]
+window_s = 5
+overshoot = 0.1
+slack = 20
+address = "10.1.0.18:7215"
+[warmup]
+overshoot = 1.5
+slack = 8
+[evacuation]
+within_ms = 5000
+[hedging]
+share = 0.02
+"""
+    settings = parse(TEXT + sections)
+    assert settings.quota == (5.0, 0.1, 20.0, Address("10.1.0.18", 7215))
+    assert settings.warmup == (1.5, 8.0)
+    assert settings.evacuation_ms == 5000.0
+    assert settings.hedging_share == 0.02
+
+
+def test_quota_without_an_address_is_refused():
+    """Guards against quotas that no other instance hears of."""
+    with pytest.raises(SettingsError, match="quota.address"):
+        parse(TEXT + "[quota]\nwindow_s = 5\n")
+
+
 @pytest.mark.parametrize(
     ("before", "after", "named"),
     [
