Explore the same few servers first when a search is widened

The first wider search of a request now explores the next six in the order of preference, each further one six more.

--- a/src/cuminhatch/decisions/candidates.py
+++ b/src/cuminhatch/decisions/candidates.py
@@ -29,13 +29,15 @@
     How many near and far servers to probe.
 
     ``explored_near`` and ``explored_far`` of them are chosen at random from
-    those that are not preferred.
+    those that are not preferred. If ``explored_among`` is given, they are
+    chosen from the next so many in the order of preference.
     """
 
     near: int
     far: int
     explored_near: int = 0
     explored_far: int = 0
+    explored_among: int | None = None
 
 
 # Near servers that may be probed instead of candidates that were probed too
@@ -60,6 +62,21 @@
 # of them are not preferred: the preferred servers may all be full while
 # others are idle.
 WIDENED_COUNTS = CandidateCounts(8, 6, 4, 3)
+# Servers of each kind that the first wider search of a request explores. A new
+# one at random each time would open a connection that is not used again.
+EXPLORED_AMONG = 6
+
+
+def widened_counts(searches: int) -> CandidateCounts:
+    """
+    Return how many servers a wider search probes.
+
+    Each further search of the same request explores more servers, so that none
+    is idle while the request waits.
+
+    :param searches: number of wider searches of the request, with this one.
+    """
+    return WIDENED_COUNTS._replace(explored_among=EXPLORED_AMONG * searches)
 
 
 def preference_key(instance_id: str, server_id: str) -> bytes:
@@ -104,10 +121,11 @@
         or [r for r in records if not is_excluded(r, now_ms)]
         or listed
     )
+    among = wanted.explored_among
     near = [r for r in pool if r.is_near]
-    near = _arrange(near, PREFERRED_NEAR, wanted.near, wanted.explored_near, rng)
+    near = _arrange(near, PREFERRED_NEAR, wanted.near, wanted.explored_near, among, rng)
     far = [r for r in pool if not r.is_near]
-    far = _arrange(far, PREFERRED_FAR, wanted.far, wanted.explored_far, rng)
+    far = _arrange(far, PREFERRED_FAR, wanted.far, wanted.explored_far, among, rng)
     total = wanted.near + wanted.far
     far_count = min(len(far), max(wanted.far, total - len(near)))
     near_count = total - far_count
@@ -122,6 +140,7 @@
     preferred_count: int,
     wanted_count: int,
     explored_count: int,
+    explored_among: int | None,
     rng: Random,
 ) -> list[ServerRecord]:
     """
@@ -136,7 +155,7 @@
     rng.shuffle(preferred)
     if not explored_count:
         return preferred + others
-    rng.shuffle(others)
+    others = _shuffle_first(others, explored_among, rng)
     kept_count = max(0, wanted_count - explored_count)
     return (
         preferred[:kept_count]
@@ -144,3 +163,12 @@
         + preferred[kept_count:]
         + others[explored_count:]
     )
+
+
+def _shuffle_first(
+    records: list[ServerRecord], count: int | None, rng: Random
+) -> list[ServerRecord]:
+    """Return the records with the first so many, or all, in random order."""
+    first, rest = records[:count], records[count:] if count is not None else []
+    rng.shuffle(first)
+    return first + rest
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -124,6 +124,7 @@
         "rule",
         "service_id",
         "streaming_attempt",
+        "wide_searches",
     )
 
     def __init__(
@@ -167,6 +168,7 @@
         self.placement_retries = 0
         # Candidates of all failure domains have been asked for their load.
         self.is_search_widened = False
+        self.wide_searches = 0
         # The measurement in progress is for a hedged attempt.
         self.is_hedging = False
         self.attempts: dict[int, Attempt] = {}
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -1,10 +1,10 @@
 """Chooses a backend server for each request."""
 
 from cuminhatch.decisions.candidates import (
-    WIDENED_COUNTS,
     CandidateCounts,
     Candidates,
     pick_candidates,
+    widened_counts,
 )
 from cuminhatch.decisions.placement import (
     REPORT_MAX_AGE_MS,
@@ -47,11 +47,10 @@
         return
     # The first search prefers this instance's failure domain. Servers of other
     # domains are added if none of its candidates is good enough.
-    wanted = (
-        WIDENED_COUNTS
-        if exchange.is_search_widened
-        else CandidateCounts(state.settings.candidates, 0)
-    )
+    wanted = CandidateCounts(state.settings.candidates, 0)
+    if exchange.is_search_widened:
+        exchange.wide_searches += 1
+        wanted = widened_counts(exchange.wide_searches)
     candidates = pick_candidates(
         records, exchange.tried_server_ids, wanted, state.clock.now_ms, state.rng
     )
