--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -110,6 +110,8 @@
     """
     All settings of ``cuminhatch-gateway``.
 
+    ``callers_pipelined`` is how many pipelined requests of a caller's
+    connection are handled at the same time.
     ``quota`` and ``warmup`` are None if the limits are not enforced.
     ``evacuation_ms`` is the time within which an evacuation of a failure
     domain takes effect, 0 if operators do not evacuate any. ``hedging_share``
@@ -119,6 +121,7 @@
 
     instance: InstanceSettings
     callers_address: Address
+    callers_pipelined: int
     readiness_address: Address
     metrics_address: Address
     peers: PeersSettings
@@ -142,7 +145,10 @@
         "id": SettingsKey(read_string),
         "failure_domain": SettingsKey(read_string),
     },
-    "callers": {"address": SettingsKey(parse_address)},
+    "callers": {
+        "address": SettingsKey(parse_address),
+        "pipelined": SettingsKey(read_non_negative_number, 1.0),
+    },
     "readiness": {"address": SettingsKey(parse_address)},
     "metrics": {"address": SettingsKey(parse_address)},
     "peers": {
@@ -204,6 +210,7 @@
     return GatewaySettings(
         InstanceSettings(*values["instance"]),
         values["callers"][0],
+        max(1, int(values["callers"][1])),
         values["readiness"][0],
         values["metrics"][0],
         PeersSettings(*values["peers"]),
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -28,7 +28,7 @@
 from cuminhatch.services.event_log import EventLog
 from cuminhatch.services.forwarding import Forwarding, ForwardingSettings
 from cuminhatch.services.http_client import HttpClient
-from cuminhatch.services.http_listener import HttpListener
+from cuminhatch.services.http_listener import HttpListener, ListenerLimits
 from cuminhatch.services.loads import Loads
 from cuminhatch.services.metrics import PORT_NAME as METRICS_PORT, Metrics
 from cuminhatch.services.readiness import PORT_NAME as READINESS_PORT, Readiness
@@ -87,7 +87,12 @@
         BackendConnections(kernel, "forwarding"),
         Readiness(kernel),
         HttpListener(kernel, settings.readiness_address, "readiness", READINESS_PORT),
-        HttpListener(kernel, settings.callers_address, "forwarding"),
+        HttpListener(
+            kernel,
+            settings.callers_address,
+            "forwarding",
+            limits=ListenerLimits(pipelined=settings.callers_pipelined),
+        ),
     )
     for service in services:
         kernel.register(service)
