Use connections in use a moment ago for requests that may run once

Each request that is not idempotent opened a connection, as the server may close an idle one just then. The new setting placement.active_connection_ms gives the time; by default only new connections are used. A server that has sent a response out of place in the last 30 s gets new connections as before, since the next one would cost such a request its outcome. New connections are counted by reason.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -58,12 +58,14 @@
     instances together. ``candidates`` is how many servers are asked for their
     load before each selection. ``far_charge_ms_per_kb`` is the extra latency
     that is accepted per kilobyte of response body to keep it within the
-    failure domain.
+    failure domain. Requests that are not idempotent use a connection up to
+    ``active_connection_ms`` after its latest response, 0 for new ones only.
     """
 
     probes_per_s: float
     candidates: int
     far_charge_ms_per_kb: float
+    active_connection_ms: float
 
 
 class QuotaSettings(NamedTuple):
@@ -171,6 +173,7 @@
         "probes_per_s": SettingsKey(read_non_negative_number, 10.0),
         "candidates": SettingsKey(read_non_negative_number, 4.0),
         "far_charge_ms_per_kb": SettingsKey(read_non_negative_number, 0.0),
+        "active_connection_ms": SettingsKey(read_milliseconds, 0.0),
     },
     "drain": {
         "announce_ms": SettingsKey(read_milliseconds, 2_300.0),
@@ -206,7 +209,7 @@
         that names the file and the key.
     """
     values = read_sections(text, _SECTIONS, file_name, environment)
-    probes_per_s, candidates, far_charge = values["placement"]
+    probes_per_s, candidates, far_charge, active_ms = values["placement"]
     return GatewaySettings(
         InstanceSettings(*values["instance"]),
         values["callers"][0],
@@ -217,7 +220,7 @@
         values["start"][0],
         StoreSettings(*values["store"]),
         ResendSettings(*values["resends"]),
-        PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
+        PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge, active_ms),
         StopSettings(*values["drain"]),
         values["log"][0],
         _make_quota_settings(values["quota"], file_name),
--- a/src/cuminhatch/decisions/response_origin.py
+++ b/src/cuminhatch/decisions/response_origin.py
@@ -6,6 +6,7 @@
 services ``dispatch`` and ``forwarding``.
 """
 
+from math import inf
 from typing import NamedTuple
 
 
@@ -51,11 +52,11 @@
     return is_own_response(evidence) and not evidence.has_trailing_data
 
 
-def is_new_connection_required(
-    request_id: bytes, is_idempotent: bool, is_server_attempted: bool
-) -> bool:
+def idle_limit_ms(
+    request_id: bytes, is_idempotent: bool, is_server_attempted: bool, active_ms: float
+) -> float:
     """
-    Tell whether a request must not be sent on a connection used before.
+    Return how long a connection may have been idle to be used for a request.
 
     The server may be closing an idle connection at this moment, and a request
     that is lost on it may have run. On the connection of an earlier attempt a
@@ -66,5 +67,11 @@
     :param is_idempotent: whether the request may run more than once.
     :param is_server_attempted: whether the request was sent to this server
         before.
+    :param active_ms: time for which a connection counts as in use after its
+        latest response; 0 if the server's responses are not reliable.
+    :returns: milliseconds, 0 if a new connection is required, ``inf`` for no
+        limit.
     """
-    return not is_idempotent or not request_id or is_server_attempted
+    if not request_id or is_server_attempted:
+        return 0.0
+    return inf if is_idempotent else active_ms
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -22,6 +22,9 @@
 FAILURES_TO_EXCLUDE = 2
 EXCLUSION_FIRST_MS = 500.0
 EXCLUSION_MAX_MS = 4_000.0
+# A server that has sent a response out of place may do so again. It may be
+# faulty for several seconds, and few of its responses are out of place.
+UNRELIABLE_MS = 30_000.0
 # A full server that closed a new connection has capacity again about as soon
 # as one of its requests ends.
 FULL_EXCLUSION_MS = 150.0
@@ -57,6 +60,7 @@
         "load",
         "sent_since_load",
         "server",
+        "unreliable_until_ms",
         "warm_at_ms",
     )
 
@@ -82,6 +86,7 @@
         self.failure_rate = 0.0
         self.failure_rate_at_ms = 0.0
         self.excluded_until_ms = 0.0
+        self.unreliable_until_ms = 0.0
 
 
 def record_load(record: ServerRecord, load: ServerLoad) -> None:
@@ -175,6 +180,26 @@
     record.excluded_until_ms = max(record.excluded_until_ms, until_ms)
 
 
+def record_misplaced_response(record: ServerRecord, now_ms: float) -> None:
+    """
+    Record a response that does not belong to the request it follows.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    record.unreliable_until_ms = now_ms + UNRELIABLE_MS
+
+
+def are_responses_reliable(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether a server has sent no misplaced response lately.
+
+    :param record: the backend server.
+    :param now_ms: current time.
+    """
+    return now_ms >= record.unreliable_until_ms
+
+
 def decayed_failure_rate(record: ServerRecord, now_ms: float) -> float:
     """
     Return the share of recent requests that failed.
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -122,6 +122,7 @@
         ResendLimits(*settings.resends),
         placement.candidates,
         placement.far_charge_ms_per_kb,
+        placement.active_connection_ms,
     )
 
 
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -7,6 +7,7 @@
 backend server.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import RequestHead, ResponseHead
@@ -26,7 +27,8 @@
     ``body_length`` is in bytes, None for a chunked body; ``data`` is the body
     received so far. ``timeout_ms`` limits the wait for the response head and
     for each further part of its body. ``is_new_connection_required`` requires
-    a new connection.
+    a new connection; ``idle_max_ms`` is how long another one may have been
+    idle.
     """
 
     attempt_id: int
@@ -38,6 +40,7 @@
     is_complete: bool
     timeout_ms: float
     is_new_connection_required: bool
+    idle_max_ms: float = inf
 
 
 class AttemptRequestBody(NamedTuple):
--- a/src/cuminhatch/messages/loads.py
+++ b/src/cuminhatch/messages/loads.py
@@ -11,6 +11,9 @@
 from cuminhatch.decisions.server_records import ServerLoad
 from cuminhatch.messages.address import Address
 
+# Reason of a health check whose response claims to be that of a request.
+MISPLACED_RESPONSE = "response of another request"
+
 
 class LoadTarget(NamedTuple):
     """
--- a/src/cuminhatch/services/backends/_pool.py
+++ b/src/cuminhatch/services/backends/_pool.py
@@ -128,18 +128,24 @@
         """
         return self._open_counts[server_id]
 
-    def acquire(self, key: ServerKey, is_new_required: bool) -> Connection | str:
+    def acquire(
+        self, key: ServerKey, is_new_required: bool, idle_max_ms: float = inf
+    ) -> Connection | str:
         """
         Return an idle or new connection, or the reason of the failure.
 
         :param key: the backend server.
         :param is_new_required: whether an idle connection must not be used.
+        :param idle_max_ms: how long a connection to use may have been idle.
         """
         idle = self._idle[key]
+        idle_since_ms = self._clock.now_ms - idle_max_ms
         while idle and not is_new_required:
             # The connection used last is the least likely to have been closed
             # by the server.
             connection = idle[-1]
+            if connection.idle_since_ms < idle_since_ms:
+                break
             # Reading before the request is sent detects a connection that the
             # server has closed or sent unsolicited bytes on.
             connection.stream.read()
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -1,6 +1,7 @@
 """Sends requests and load probes to backend servers."""
 
 from functools import partial
+from math import inf
 from socket import socket
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
     AttemptWriteResumed,
     AttemptWriteStalled,
     ConfigurationChanged,
+    CounterIncremented,
     ValueObserved,
 )
 from cuminhatch.messages.loads import ProbeRequested, ProbeResponseRejected
@@ -157,10 +159,13 @@
         connection = self._pool.acquire(
             ServerKey(request.server_id, request.address),
             request.is_new_connection_required,
+            request.idle_max_ms,
         )
         if isinstance(connection, str):
             attempt.reports.on_failed(connection, False, False)
             return
+        if not connection.is_reused:
+            self._count_opened(attempt)
         attempt.sent_bytes_at_start = attempt.last_sent_bytes = (
             connection.stream.sent_bytes
         )
@@ -174,6 +179,19 @@
             self._report_connect_time(connection)
         self._report_if_stalled(connection)
 
+    def _count_opened(self, attempt: Attempt) -> None:
+        request = attempt.request
+        if attempt.is_probe:
+            reason = "probe"
+        elif request.is_new_connection_required:
+            reason = "required"
+        elif request.idle_max_ms < inf:
+            reason = "idle-too-long"
+        else:
+            reason = "none-idle"
+        labels = {"reason": reason}
+        self.send("metrics", CounterIncremented("connections_opened_total", labels))
+
     def _encode_body(self, attempt: Attempt, data: bytes, is_complete: bool) -> bytes:
         if not attempt.is_chunked:
             return data
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -4,8 +4,12 @@
 from cuminhatch.decisions.hedging import hedge_delay_ms
 from cuminhatch.decisions.placement import Placed
 from cuminhatch.decisions.request_estimates import RequestEstimate
-from cuminhatch.decisions.response_origin import is_new_connection_required
-from cuminhatch.decisions.server_records import record_ended, record_sent
+from cuminhatch.decisions.response_origin import idle_limit_ms
+from cuminhatch.decisions.server_records import (
+    are_responses_reliable,
+    record_ended,
+    record_sent,
+)
 from cuminhatch.messages import (
     Address,
     AttemptCancelled,
@@ -86,6 +90,13 @@
     """Return the message that requests an attempt."""
     server = attempt.record.server
     left_ms = exchange.deadline_ms - now_ms
+    is_reliable = are_responses_reliable(attempt.record, now_ms)
+    idle_max_ms = idle_limit_ms(
+        exchange.facts.request_id,
+        exchange.is_idempotent,
+        exchange.attempted_server_ids.count(server.server_id) > 1,
+        state.settings.active_connection_ms if is_reliable else 0.0,
+    )
     forwarding = ForwardingMetadata(server.server_id, left_ms)
     head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
     return AttemptRequested(
@@ -97,11 +108,8 @@
         bytes(exchange.body),
         exchange.is_body_complete,
         max(1.0, left_ms),
-        is_new_connection_required(
-            exchange.facts.request_id,
-            exchange.is_idempotent,
-            exchange.attempted_server_ids.count(server.server_id) > 1,
-        ),
+        idle_max_ms == 0.0,
+        idle_max_ms,
     )
 
 
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -15,6 +15,7 @@
     ServerLoad,
     record_failure,
     record_load,
+    record_misplaced_response,
     record_rejected_connection,
     record_success,
     record_unreachable,
@@ -121,6 +122,7 @@
     """
     record_rejection(state, exchange, attempt, fault)
     record_failure(attempt.record, state.clock.now_ms)
+    record_misplaced_response(attempt.record, state.clock.now_ms)
     cancel_attempt(state, exchange, attempt)
     exchange.may_have_run = True
     exchange.last_failure = fault
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -8,12 +8,14 @@
     ServerRecord,
     record_failure,
     record_load,
+    record_misplaced_response,
     record_rejected_connection,
     record_unreachable,
 )
 from cuminhatch.messages import ConfigurationChanged
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
+    MISPLACED_RESPONSE,
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
     HealthCheckFailed,
@@ -109,6 +111,8 @@
         record_unreachable(record, now_ms)
     else:
         record_failure(record, now_ms)
+    if message.reason == MISPLACED_RESPONSE:
+        record_misplaced_response(record, now_ms)
     details = {
         "server": message.server_id,
         "reason": message.reason,
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -27,6 +27,8 @@
     ``candidates`` is how many servers are asked for their load before each
     placement. ``far_charge_ms_per_kb`` is the extra latency that is accepted
     per kilobyte of response body to keep it within the failure domain.
+    ``active_connection_ms`` is for how long after a response a connection may
+    be used for a request that is not idempotent.
     """
 
     instance_id: str
@@ -34,6 +36,7 @@
     resends: ResendLimits
     candidates: int
     far_charge_ms_per_kb: float
+    active_connection_ms: float = 0.0
 
 
 class ServicePool:
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -16,6 +16,7 @@
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
+    MISPLACED_RESPONSE,
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
     HealthCheckFailed,
@@ -181,8 +182,8 @@
         facts = self._dialect.read_health(message.status, message.headers)
         if facts.has_request_id:
             self.send("backends", ProbeResponseRejected(self.name, message.token))
-            reason = "response of another request"
-            self._report(probe, HealthCheckFailed(probe.server_id, False, reason))
+            failed = HealthCheckFailed(probe.server_id, False, MISPLACED_RESPONSE)
+            self._report(probe, failed)
             return
         if facts.server_id and facts.server_id != probe.server_id:
             silent = HealthCheckFailed(probe.server_id, True, "another server answers")
--- a/tests/decisions/test_response_origin.py
+++ b/tests/decisions/test_response_origin.py
@@ -1,10 +1,12 @@
 """Tests of the decision which request a response belongs to."""
 
+from math import inf
+
 import pytest
 
 from cuminhatch.decisions.response_origin import (
     ResponseEvidence,
-    is_new_connection_required,
+    idle_limit_ms,
     is_own_response,
     is_refusal_proven,
 )
@@ -43,17 +45,21 @@
 
 
 @pytest.mark.parametrize(
-    ("request_id", "is_idempotent", "is_attempted", "is_required"),
+    ("request_id", "is_idempotent", "is_attempted", "active_ms", "limit_ms"),
     [
-        (b"7", True, False, False),
-        (b"7", True, True, True),
-        (b"7", False, False, True),
-        (b"", True, False, True),
+        (b"7", True, False, 0.0, inf),
+        (b"7", True, False, 50.0, inf),
+        (b"7", True, True, 50.0, 0.0),
+        (b"7", False, False, 0.0, 0.0),
+        (b"7", False, False, 50.0, 50.0),
+        (b"7", False, True, 50.0, 0.0),
+        (b"", True, False, 50.0, 0.0),
+        (b"", False, False, 50.0, 0.0),
     ],
 )
 def test_connection_that_can_hold_a_repetition_is_not_used(
-    request_id, is_idempotent, is_attempted, is_required
+    request_id, is_idempotent, is_attempted, active_ms, limit_ms
 ):
     """Guards against a repeated refusal that carries the expected id."""
-    required = is_new_connection_required(request_id, is_idempotent, is_attempted)
-    assert required is is_required
+    found = idle_limit_ms(request_id, is_idempotent, is_attempted, active_ms)
+    assert found == limit_ms
