Accept requests by the credentials of teams

Keys of callers reached backend servers, and every request ran whether its key was known or not. Where the configuration names teams, a request now needs the key of one, unless its rule is anonymous: 401 otherwise, 503 for a team or rule that cannot be used. Backend servers get the name of the team in place of the key and of whatever the caller sent as such.

Only the digest of a key is kept with a request; the head that attempts are made from is stripped. A request is checked again before each send if rules or teams have changed since: 401 if its key or 404 if its route is gone, 503 if it belongs to another team or route now, 502 if it may have run. A second check on each change of the configuration alone was ruled out: a request may be placed between the change and its turn. Of several credentials none counts.

Without teams in the configuration heads are forwarded byte for byte as before.

--- a/src/cuminhatch/codecs/dialect.py
+++ b/src/cuminhatch/codecs/dialect.py
@@ -32,13 +32,19 @@
 
     ``request_id`` is empty if there is none. ``budget_ms`` is the request
     timeout set by the caller, None if there is none. ``host`` has no port.
-    ``headers`` are those to forward.
+    ``headers`` are those to forward, without those that name a credential or a
+    team. ``key_digest`` is the digest of the credential, empty if there is
+    none that can be used; the credential itself is not kept.
+    ``has_team_headers`` is set if headers that name a credential or a team
+    were left out.
     """
 
     request_id: bytes
     budget_ms: float | None
     host: str
     headers: tuple[Header, ...]
+    key_digest: bytes = b""
+    has_team_headers: bool = False
 
 
 class ResponseMetadata(NamedTuple):
@@ -79,15 +85,25 @@
     """
     Metadata that the daemon adds to a request for a backend server.
 
-    ``left_ms`` is the remaining time of the request.
+    ``left_ms`` is the remaining time of the request. ``team_id`` is the team
+    that the request belongs to, empty if there is none. ``has_teams`` tells
+    whether callers have credentials; where they have none, headers that would
+    name a credential or a team are forwarded like any other.
     """
 
     server_id: str
     left_ms: float
+    team_id: str = ""
+    has_teams: bool = False
 
 
 class Dialect(NamedTuple):
-    """Functions that read and write the headers of one platform."""
+    """
+    Functions that read and write the headers of one platform.
+
+    ``drop_team_headers`` returns a head without the headers that name a
+    credential or a team.
+    """
 
     read_request: Callable[[RequestHead], RequestMetadata]
     forward_request: Callable[
@@ -95,3 +111,4 @@
     ]
     read_response: Callable[[ResponseHead], ResponseMetadata]
     read_health: Callable[[int, tuple[Header, ...]], HealthCheckMetadata]
+    drop_team_headers: Callable[[RequestHead], RequestHead]
--- a/src/cuminhatch/platform/headers.py
+++ b/src/cuminhatch/platform/headers.py
@@ -11,6 +11,7 @@
     ResponseMetadata,
 )
 from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
+from cuminhatch.decisions.credentials import digest_credential
 
 # Despite its name the id of the caller's request: all attempts of the daemon
 # to forward that request carry it. A retry by the caller has another id.
@@ -25,6 +26,10 @@
 INSTANCE_ID = b"instance-id"
 NOT_EXECUTED = b"not-executed"
 BACKEND_LOAD = b"backend-load"
+# The key of a team, from callers only.
+CREDENTIAL = b"credential"
+# The name of the team, for backend servers only.
+TENANT_NAME = b"tenant-name"
 
 STATUS_MISDIRECTED = 421
 STATUS_OK = 200
@@ -39,6 +44,9 @@
 # Request headers that the daemon replaces in each attempt, or that are meant
 # only for this hop.
 _NOT_FORWARDED = frozenset({REQUEST_DEADLINE, EXPECTED_INSTANCE, b"expect"})
+_TEAM_HEADERS = frozenset({CREDENTIAL, TENANT_NAME})
+# White space around a value that does not belong to it (RFC 9110, 5.5).
+_OPTIONAL_WHITE_SPACE = b" \t"
 # Response headers that are meant only for the daemon.
 _NOT_RETURNED = frozenset({BACKEND_LOAD, INSTANCE_ID, NOT_EXECUTED})
 
@@ -52,6 +60,8 @@
     request_id = b""
     budget_ms = None
     host = b""
+    credentials = []
+    has_team_headers = False
     forwarded = []
     for header in head.headers:
         name, value = header
@@ -61,10 +71,44 @@
             budget_ms = _parse_number(value)
         elif name == b"host":
             host = value.strip()
-        if name not in _NOT_FORWARDED:
+        if name in _TEAM_HEADERS:
+            has_team_headers = True
+            if name == CREDENTIAL:
+                credentials.append(value)
+        elif name not in _NOT_FORWARDED:
             forwarded.append(header)
-    name = host.partition(b":")[0].decode("latin-1").lower()
-    return RequestMetadata(request_id, budget_ms, name, tuple(forwarded))
+    return RequestMetadata(
+        request_id,
+        budget_ms,
+        host.partition(b":")[0].decode("latin-1").lower(),
+        tuple(forwarded),
+        _digest_credentials(credentials),
+        has_team_headers,
+    )
+
+
+def _digest_credentials(credentials: list[bytes]) -> bytes:
+    """
+    Return the digest of the only credential of a request.
+
+    Of several credentials none counts, even if they are equal: another hop may
+    take another one of them. The length needs no limit of its own, as that of
+    the head bounds it.
+    """
+    if len(credentials) != 1:
+        return b""
+    credential = credentials[0].strip(_OPTIONAL_WHITE_SPACE)
+    return digest_credential(credential) if credential else b""
+
+
+def drop_team_headers(head: RequestHead) -> RequestHead:
+    """
+    Return a request head without credential and name of a team.
+
+    :param head: head as received from the caller.
+    """
+    headers = tuple(h for h in head.headers if h.name not in _TEAM_HEADERS)
+    return head._replace(headers=headers)
 
 
 def forward_request(
@@ -81,7 +125,13 @@
         Header(REQUEST_DEADLINE, b"%d" % max(1, int(forwarding.left_ms))),
         Header(EXPECTED_INSTANCE, forwarding.server_id.encode()),
     )
-    return RequestHead(head.method, head.target, facts.headers + added)
+    headers = facts.headers
+    if forwarding.has_teams:
+        if forwarding.team_id:
+            added += (Header(TENANT_NAME, forwarding.team_id.encode()),)
+    elif facts.has_team_headers:
+        headers = tuple(h for h in head.headers if h.name not in _NOT_FORWARDED)
+    return RequestHead(head.method, head.target, headers + added)
 
 
 def read_response(head: ResponseHead) -> ResponseMetadata:
@@ -171,4 +221,6 @@
     return number if 0 <= number < 10**MAX_DIGITS else None
 
 
-DIALECT = Dialect(read_request, forward_request, read_response, read_health)
+DIALECT = Dialect(
+    read_request, forward_request, read_response, read_health, drop_team_headers
+)
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -86,7 +86,13 @@
     """Return the message that requests an attempt."""
     server = attempt.record.server
     left_ms = exchange.deadline_ms - now_ms
-    forwarding = ForwardingMetadata(server.server_id, left_ms)
+    team = exchange.team
+    forwarding = ForwardingMetadata(
+        server.server_id,
+        left_ms,
+        team.team_id if team is not None else "",
+        team is not None or state.configuration.teams is not None,
+    )
     head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
     return AttemptRequested(
         attempt.attempt_id,
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -2,6 +2,7 @@
 
 from math import inf
 
+from cuminhatch.decisions.credentials import AccessDenied
 from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS, NotPlaced
 from cuminhatch.decisions.stopping import StopSchedule
 from cuminhatch.messages import (
@@ -21,6 +22,9 @@
 RETRY_AFTER_JITTER_RATIO = 0.3
 # Reason of requests that end because the process does.
 STOPPING = "stopping"
+# Retry-After of a request for an entry of the configuration that cannot be
+# used, or that has changed: the configuration is read about once a second.
+CONFIGURATION_RETRY_AFTER_MS = 1_000.0
 
 
 def refuse_unplaced(
@@ -47,14 +51,47 @@
     elif exchange.may_have_run:
         end_with_unknown_outcome(state, exchange, 502, reason)
     else:
-        jitter = 1.0 + RETRY_AFTER_JITTER_RATIO * (2.0 * state.rng.random() - 1.0)
-        retry_after_ms = round(capacity_in_ms * jitter, 1)
+        retry_after_ms = spread_retry_after(state, capacity_in_ms)
         send_error_response(
             state, exchange, 503, Outcome.NOT_RUN, reason, retry_after_ms
         )
         finish_exchange(state, exchange, reason)
 
 
+def refuse_access(
+    state: ForwardingState, exchange: Exchange, denied: AccessDenied
+) -> None:
+    """End a request that may no longer be sent, and has no attempt."""
+    if exchange.may_have_run:
+        end_with_unknown_outcome(state, exchange, 502, denied.reason)
+        return
+    retry_after_ms = get_access_retry_after(state, denied)
+    send_error_response(
+        state,
+        exchange,
+        denied.status,
+        Outcome.NOT_RUN,
+        denied.reason,
+        retry_after_ms,
+    )
+    finish_exchange(state, exchange, denied.reason)
+
+
+def get_access_retry_after(
+    state: ForwardingState, denied: AccessDenied
+) -> float | None:
+    """Return when a denied request may be accepted, None for never."""
+    if not denied.is_temporary:
+        return None
+    return spread_retry_after(state, CONFIGURATION_RETRY_AFTER_MS)
+
+
+def spread_retry_after(state: ForwardingState, retry_after_ms: float) -> float:
+    """Return the delay that one of several callers is told, with jitter."""
+    jitter = 1.0 + RETRY_AFTER_JITTER_RATIO * (2.0 * state.rng.random() - 1.0)
+    return round(retry_after_ms * jitter, 1)
+
+
 def end_with_unknown_outcome(
     state: ForwardingState, exchange: Exchange, status: int, reason: str
 ) -> None:
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -5,7 +5,7 @@
 
 from cuminhatch.codecs.dialect import RequestMetadata, ResponseMetadata
 from cuminhatch.codecs.http1 import ResponseHead
-from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.configuration import Rule, Team
 from cuminhatch.decisions.resending import SendHistory
 from cuminhatch.decisions.response_copies import CopyFinder
 from cuminhatch.decisions.response_origin import ResponseEvidence
@@ -99,6 +99,7 @@
 
     __slots__ = (
         "_stage",
+        "access_version",
         "attempted_server_ids",
         "attempts",
         "body",
@@ -124,6 +125,7 @@
         "rule",
         "service_id",
         "streaming_attempt",
+        "team",
     )
 
     def __init__(
@@ -146,6 +148,10 @@
         self.facts = facts
         self.rule = rule
         self.service_id = service_id
+        # The team that the request is accepted for, None for none.
+        self.team: Team | None = None
+        # ``ForwardingState.access_version`` of the last check of access.
+        self.access_version = 0
         self.received_ms = message.received_ms
         timeout_ms = facts.budget_ms
         if timeout_ms is None:
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -20,7 +20,12 @@
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
 from cuminhatch.services.forwarding._attempts import estimate_request, start_attempt
-from cuminhatch.services.forwarding._completion import STOPPING, refuse_unplaced
+from cuminhatch.services.forwarding._completion import (
+    STOPPING,
+    refuse_access,
+    refuse_unplaced,
+)
+from cuminhatch.services.forwarding._credentials import find_denial
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
 from cuminhatch.services.forwarding._timers import PlacementRetryDue
@@ -110,7 +115,15 @@
         exchange.is_hedging = False
         state.record("hedge_dropped", exchange.trace_id, {"reason": obstacle})
         return
-    choose_and_send(state, exchange)
+    denied = find_denial(state, exchange)
+    if denied is not None and exchange.is_hedging:
+        # The attempt in progress was sent while access was granted.
+        exchange.is_hedging = False
+        state.record("hedge_dropped", exchange.trace_id, {"reason": denied.reason})
+    elif denied is not None:
+        refuse_access(state, exchange, denied)
+    else:
+        choose_and_send(state, exchange)
 
 
 def choose_and_send(state: ForwardingState, exchange: Exchange) -> None:
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -1,5 +1,6 @@
 """Accepts requests and their bodies from callers."""
 
+from cuminhatch.decisions.credentials import AccessDenied
 from cuminhatch.decisions.routing import NoRoute
 from cuminhatch.messages import (
     AttemptRequestBody,
@@ -11,7 +12,16 @@
 )
 from cuminhatch.outcomes import Outcome
 from cuminhatch.services.forwarding._attempts import cancel_attempts
-from cuminhatch.services.forwarding._completion import STOPPING, finish_exchange
+from cuminhatch.services.forwarding._completion import (
+    STOPPING,
+    finish_exchange,
+    get_access_retry_after,
+)
+from cuminhatch.services.forwarding._credentials import (
+    accept_exchange,
+    check_request,
+    match_request,
+)
 from cuminhatch.services.forwarding._exchange import (
     REQUEST_BUFFER_MAX_BYTES,
     Exchange,
@@ -36,14 +46,20 @@
     if not state.has_configuration:
         refuse_unrouted(state, message, trace_id, 503, "no-configuration")
         return
-    path = message.head.target.partition(b"?")[0].decode("latin-1")
-    method = message.head.method.decode("latin-1")
-    rule = state.match_rule(method, path, facts.host)
+    rule = match_request(state, message.head, facts)
     if isinstance(rule, NoRoute):
         refuse_unrouted(state, message, trace_id, 404, rule.reason)
         return
+    access = check_request(state, rule, facts)
+    if isinstance(access, AccessDenied):
+        retry_after_ms = get_access_retry_after(state, access)
+        refuse_unrouted(
+            state, message, trace_id, access.status, access.reason, retry_after_ms
+        )
+        return
     service_id = state.pick_service(rule)
     exchange = Exchange(message, facts, rule, service_id)
+    accept_exchange(state, exchange, access)
     state.exchanges[message.request_id] = exchange
     details = {
         "rule": rule.rule_id,
@@ -52,6 +68,8 @@
         "budget_ms": facts.budget_ms,
         "target_ms": rule.target_latency_ms,
     }
+    if exchange.team is not None:
+        details["team"] = exchange.team.team_id
     state.record("received", trace_id, details)
     pool = state.pools.get(service_id)
     if pool is not None:
@@ -67,9 +85,11 @@
     trace_id: str,
     status: int,
     reason: str,
+    retry_after_ms: float | None = None,
 ) -> None:
     """Refuse a request before it is assigned to a service."""
-    retry_after_ms = NO_CONFIGURATION_RETRY_AFTER_MS if status == 503 else None
+    if status == 503 and retry_after_ms is None:
+        retry_after_ms = NO_CONFIGURATION_RETRY_AFTER_MS
     refusal = RequestRefused(
         message.request_id, status, Outcome.NOT_RUN, reason, b"", retry_after_ms
     )
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -18,6 +18,7 @@
     HealthCheckConnectionClosed,
     HealthCheckFailed,
 )
+from cuminhatch.services.forwarding._credentials import note_access_change
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
@@ -28,6 +29,7 @@
     previous, state.configuration = state.configuration, message.configuration
     if previous.rules is not message.configuration.rules:
         state.match_rule = make_router(message.configuration)
+    note_access_change(state, previous)
     for service_id in message.configuration.services:
         if service_id not in state.pools:
             budget = ResendBudget(state.settings.resends, state.instance_count)
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -96,6 +96,8 @@
         self.is_stop_limit_reached = False
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.match_rule = make_router(EMPTY_CONFIGURATION)
+        # Changes whenever access to services may have changed.
+        self.access_version = 0
         self.pick_service = weighted_round_robin(rng)
         self.pools: dict[str, ServicePool] = {}
         self.request_estimates = RequestEstimates()
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -4,6 +4,7 @@
 
 from cuminhatch.codecs.dialect import ForwardingMetadata, ReportedLoad
 from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
+from cuminhatch.decisions.credentials import digest_credential
 from cuminhatch.platform.headers import DIALECT, parse_load
 
 
@@ -112,3 +113,57 @@
     """Guards against load that is attributed to another server."""
     facts = DIALECT.read_health(status, (Header(b"instance-id", b"i-7"),))
     assert (facts.server_id, facts.is_healthy, facts.load) == ("i-7", is_healthy, None)
+
+
+KEY = b"key-1"
+
+
+@pytest.mark.parametrize(
+    ("values", "is_read"),
+    [
+        ((KEY,), True),
+        ((b" \tkey-1\t ",), True),
+        ((), False),
+        ((b"",), False),
+        ((b" \t",), False),
+        ((b"KEY-1",), False),
+        ((b"key-1\x0b",), False),
+        ((b"key-1, key-1",), False),
+        ((KEY, KEY), False),
+        ((KEY, b"other"), False),
+        ((b"", KEY), False),
+        ((KEY * 2000,), False),
+    ],
+)
+def test_only_a_single_credential_counts(values, is_read):
+    """Guards against a credential that is chosen among several, or altered."""
+    facts = DIALECT.read_request(request_head(*((b"credential", v) for v in values)))
+    assert (facts.key_digest == digest_credential(KEY)) is is_read
+    if not values or not values[0].strip(b" \t") or len(values) > 1:
+        assert facts.key_digest == b""
+    assert KEY not in repr(facts).encode()
+
+
+TEAM_HEAD = request_head(
+    (b"credential", KEY), (b"tenant-name", b"forged"), (b"x-other", b"kept")
+)
+
+
+@pytest.mark.parametrize("team_id", ["", "red"])
+def test_team_is_written_in_place_of_the_credential(team_id):
+    """Guards against a credential or a forged team name at a server."""
+    facts = DIALECT.read_request(TEAM_HEAD)
+    forwarding = ForwardingMetadata("i-7", 812.9, team_id, True)
+    head = DIALECT.forward_request(TEAM_HEAD, facts, forwarding)
+    names = [value for name, value in head.headers if name == b"tenant-name"]
+    assert names == ([team_id.encode()] if team_id else [])
+    assert b"credential" not in dict(head.headers)
+    assert (b"x-other", b"kept") in head.headers
+    assert DIALECT.drop_team_headers(TEAM_HEAD).headers == TEAM_HEAD.headers[2:]
+
+
+def test_team_headers_are_forwarded_without_teams():
+    """Guards against a change for deployments without teams."""
+    facts = DIALECT.read_request(TEAM_HEAD)
+    head = DIALECT.forward_request(TEAM_HEAD, facts, ForwardingMetadata("i-7", 812.9))
+    assert head.headers[:3] == TEAM_HEAD.headers
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -17,7 +17,9 @@
     Configuration,
     Rule,
     ServiceSpec,
+    Team,
 )
+from cuminhatch.decisions.credentials import digest_credential
 from cuminhatch.decisions.resending import ResendLimits
 from cuminhatch.decisions.server_records import ServerLoad
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed, Kernel, Service
@@ -65,15 +67,28 @@
 IDLE_LOAD = (0, 0, 1.0)
 
 
+TEAM_HEADERS = (b"key", b"team")
+
+
+def drop_team_headers(head):
+    """Return a head without key and name of a team."""
+    headers = tuple(h for h in head.headers if h.name not in TEAM_HEADERS)
+    return head._replace(headers=headers)
+
+
 def read_request(head):
     """Read the request headers of the test dialect."""
     values = dict(head.headers)
     budget = values.get(b"wait")
+    key = values.get(b"key", b"")
+    headers = drop_team_headers(head).headers
     return RequestMetadata(
         values.get(b"id", b""),
         None if budget is None else float(budget),
         values.get(b"host", b"").decode(),
-        head.headers,
+        headers,
+        digest_credential(key) if key else b"",
+        headers != head.headers,
     )
 
 
@@ -83,7 +98,10 @@
         Header(b"left", b"%d" % forwarding.left_ms),
         Header(b"for", forwarding.server_id.encode()),
     )
-    return RequestHead(head.method, head.target, facts.headers + added)
+    if forwarding.team_id:
+        added += (Header(b"team", forwarding.team_id.encode()),)
+    headers = facts.headers if forwarding.has_teams else head.headers
+    return RequestHead(head.method, head.target, headers + added)
 
 
 def read_response(head):
@@ -111,7 +129,9 @@
     return HealthCheckMetadata(server_id, status == 200, load, b"id" in values)
 
 
-DIALECT = Dialect(read_request, forward_request, read_response, read_health)
+DIALECT = Dialect(
+    read_request, forward_request, read_response, read_health, drop_team_headers
+)
 
 
 def make_server(server_id, **fields):
@@ -204,19 +224,38 @@
             ms -= step
             self.run()
 
-    def configure(self, *servers, rules=RULES):
-        """Apply a configuration."""
+    def configure(self, *servers, rules=RULES, keys=None, teams=()):
+        """
+        Apply a configuration.
+
+        With ``keys``, which map keys to ids of teams, callers need one;
+        ``teams`` lists teams other than ``Team(id)``.
+        """
+        teams_by_id = None
+        if keys is not None:
+            teams_by_id = {team_id: Team(team_id) for team_id in keys.values()}
+            teams_by_id |= {team.team_id: team for team in teams}
         self.sequence += 1
         configuration = Configuration(
             self.sequence,
             MappingProxyType({"s": ServiceSpec("s")}),
             MappingProxyType({server.server_id: server for server in servers}),
             MappingProxyType(rules),
+            None,
+            teams_by_id,
+            {digest_credential(key): team_id for key, team_id in (keys or {}).items()},
         )
         self.tell(ConfigurationChanged(configuration))
 
     def request(
-        self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None, body_length=None
+        self,
+        rule_id,
+        wait_ms=1_200,
+        body=b"",
+        host=b"h",
+        path=None,
+        body_length=None,
+        headers=(),
     ):
         """
         Send a request of a caller and return its id.
@@ -234,6 +273,7 @@
                 Header(b"host", host),
                 Header(b"id", b"%d" % request_id),
                 Header(b"wait", b"%d" % wait_ms),
+                *(Header(*pair) for pair in headers),
             ),
         )
         self.tell(
