Use only keys that a request can carry, and digests of full length

An empty entry among the digests of a team made its digest that of requests without a key, and a field name written with escapes was decoded but not redacted, so that keys were sent to other instances. A document nested deeper than orjson writes made the store count as lost. White space around a key, which no header can carry, is left out as in the header.

A digest with a salt was ruled out: the instances would need to agree on it.

--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -23,7 +23,7 @@
     Team,
     TrafficPart,
 )
-from cuminhatch.decisions.credentials import digest_credential
+from cuminhatch.decisions.credentials import DIGEST_BYTES, digest_credential
 from cuminhatch.decisions.store_version import StoreVersion
 from cuminhatch.errors import CodecError
 
@@ -131,29 +131,40 @@
 
     :param data: document as stored.
     :returns: the document without keys; the same bytes if it has none, or
-        cannot be read.
+        is no JSON object, and no document if it is nested too deeply.
     """
-    if API_KEYS_FIELD.encode() not in data:
+    # The name of the field may be written with escapes.
+    if API_KEYS_FIELD.encode() not in data and b"\\u" not in data:
         return data
     try:
         document = _load_json(data)
     except DocumentError:
         return data
+    is_redacted = False
     teams = document.get("tenants")
     for team in teams if isinstance(teams, list) else ():
         if isinstance(team, dict) and API_KEYS_FIELD in team:
             team[KEY_DIGESTS_FIELD] = _redact_keys(team.pop(API_KEYS_FIELD))
-    return orjson.dumps(document)
+            is_redacted = True
+    try:
+        return orjson.dumps(document) if is_redacted else data
+    except orjson.JSONEncodeError:
+        # orjson reads deeper nesting than it writes.
+        return b"null"
 
 
 def _redact_keys(keys: Any) -> Any:
     # What is no list stays wrong, so that the team is refused.
     if not isinstance(keys, list):
         return None
-    return [
-        digest_credential(key.encode()).hex() if isinstance(key, str) else None
-        for key in keys
-    ]
+    return [_redact_key(key) for key in keys]
+
+
+def _redact_key(key: Any) -> str | None:
+    """Return the digest of a key, None if no request can carry the key."""
+    # A header has no white space around its value.
+    text = key.strip(" \t") if isinstance(key, str) else ""
+    return digest_credential(text.encode()).hex() if text else None
 
 
 def _decode_services(
@@ -278,16 +289,18 @@
     """Return the digests of the usable keys of a team."""
     if not isinstance(item, dict):
         return []
-    keys = item.get(API_KEYS_FIELD)
     texts = item.get(KEY_DIGESTS_FIELD)
-    if isinstance(keys, list):
-        texts = _redact_keys(keys)
+    if API_KEYS_FIELD in item:
+        texts = _redact_keys(item[API_KEYS_FIELD])
     digests = []
     for text in texts if isinstance(texts, list) else ():
         try:
-            digests.append(bytes.fromhex(text))
+            digest = bytes.fromhex(text)
         except (TypeError, ValueError):
             continue
+        # An empty one would be that of requests without a key.
+        if len(digest) == DIGEST_BYTES:
+            digests.append(digest)
     return digests
 
 
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -199,6 +199,49 @@
     assert redact_configuration(redacted) == redacted
 
 
+def test_escaped_field_is_redacted():
+    """Guards against keys that are kept if their field has escapes."""
+    teams = [{"name": "t-1", "api-keys": ["uakn2ftimaj3nr26tta8"]}]
+    data = json.dumps(CONFIGURATION | {"tenants": teams}).encode()
+    escaped = data.replace(b"api-keys", b"api\\u002dkeys")
+    assert redact_configuration(escaped) == redact_configuration(data)
+    assert b"uakn2ftimaj3nr26tta8" not in redact_configuration(escaped)
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"api-keys": [""]},
+        {"api-keys": [" \t"]},
+        {"key-digests": [""]},
+        {"key-digests": ["00"]},
+        {"key-digests": ["zz" * 16, None, 7]},
+        {"api-keys": 7, "key-digests": ["00" * 16]},
+    ],
+)
+def test_malformed_key_belongs_to_no_team(fields):
+    """Guards against a team whose requests need no key, or a short one."""
+    found = decode(tenants=[{"name": "t-1", **fields}]).configuration
+    assert found.team_ids_by_key == {}
+
+
+def test_white_space_around_a_key_does_not_count():
+    """Guards against a key that no header can carry as it is."""
+    teams = [{"name": "t-1", "api-keys": [" k 1\t"]}]
+    found = decode(tenants=teams).configuration
+    assert found.team_ids_by_key == {digest_credential(b"k 1"): "t-1"}
+
+
+def test_document_that_cannot_be_redacted_is_refused():
+    """Guards against keys that are kept, and a store that counts as lost."""
+    nested = b"[" * 500 + b"]" * 500
+    teams = b'{"version":"r7","tenants":[{"api-keys":["secret"]}],"x":%s}' % nested
+    redacted = redact_configuration(teams)
+    assert b"secret" not in redacted
+    with pytest.raises(DocumentError):
+        decode_configuration(redacted)
+
+
 @pytest.mark.parametrize("data", [b"", b"{", json.dumps(CONFIGURATION).encode()])
 def test_document_without_keys_is_kept_as_it_is(data):
     """Guards against a document that differs from the one in the store."""
