Redact documents that other instances send

An instance of the previous release relays the operators' document as it is stored. Pulled from it, the document was kept and relayed with the keys of teams, and differed from the redacted one for the same version, so that it came into force again in each era. It is now redacted on receipt, too; versions and eras stay as they are: one pull for a new version or era, none for a known one.

--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -19,7 +19,7 @@
 from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.log import logger
 from cuminhatch.messages import EventRecorded
-from cuminhatch.platform.documents import decode_configuration
+from cuminhatch.platform.documents import decode_configuration, redact_configuration
 from cuminhatch.platform.environment import SETTINGS_VARIABLE
 from cuminhatch.platform.headers import DIALECT
 from cuminhatch.platform.store import PlatformStore
@@ -78,6 +78,7 @@
             decode_configuration,
             settings.is_first_start,
             heartbeat_ms=settings.store.heartbeat_ms,
+            redact_configuration=redact_configuration,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel, gauge_parts=("forwarding", "catalog")),
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -221,8 +221,10 @@
 def apply_state(view: CatalogView, state: CatalogState) -> None:
     """Apply the state of another instance."""
     add_members(view, state.members)
-    era = state.configuration_version.era
-    apply_document(view, state.configuration, "peer", era)
+    version = state.configuration_version
+    # An instance of an earlier release sends the document as it is stored.
+    document = view.redact_configuration(state.configuration)
+    apply_document(view, document, "peer", version.era)
     if state.change is None:
         return
     if state.is_whole:
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -24,6 +24,7 @@
 PORT_NAME = "catalog_port"
 
 DecodeConfiguration = Callable[[bytes], ConfigurationDocument]
+RedactConfiguration = Callable[[bytes], bytes]
 SendBytes = Callable[[tuple[str, int], bytes], None]
 
 
@@ -81,6 +82,7 @@
         send_bytes: SendBytes,
         rng: Random,
         heartbeat_ms: float,
+        redact_configuration: RedactConfiguration,
     ) -> None:
         """
         Start with an empty catalog.
@@ -93,6 +95,8 @@
         :param send_bytes: sends a datagram.
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
+        :param redact_configuration: removes from a document what instances
+            must not keep.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -101,6 +105,7 @@
         self.failure_domain = failure_domain
         self.key = key
         self.decode_configuration = decode_configuration
+        self.redact_configuration = redact_configuration
         self.send_bytes = send_bytes
         self.rng = rng
         self.heartbeat_ms = heartbeat_ms
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -58,7 +58,12 @@
     InstanceRecordDue,
     ReadDue,
 )
-from cuminhatch.services.catalog._view import NAME, CatalogView, DecodeConfiguration
+from cuminhatch.services.catalog._view import (
+    NAME,
+    CatalogView,
+    DecodeConfiguration,
+    RedactConfiguration,
+)
 
 MAX_DATAGRAMS_PER_EVENT = 64
 MAX_RECEIVED_BYTES = 65_536
@@ -85,6 +90,7 @@
         is_first_start: bool = False,
         rng: Random | None = None,
         heartbeat_ms: float = HEARTBEAT_MS,
+        redact_configuration: RedactConfiguration = bytes,
     ) -> None:
         """
         Start with an empty catalog.
@@ -101,6 +107,8 @@
             time, so that no caller waits yet.
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
+        :param redact_configuration: removes from a document what instances
+            must not keep; none by default.
         """
         super().__init__(kernel)
         self._address = address
@@ -116,6 +124,7 @@
             self._send_bytes,
             rng or Random(),
             heartbeat_ms,
+            redact_configuration,
         )
         self._view.is_seed = address in seeds or not seeds
 
