Report entries of a configuration that cannot be used

Operators did not hear of an entry that is disabled. The event configuration_entry_refused names it once for each version, the gauge configuration_entries_refused counts the entries in force. A document that cannot be read at all is logged once, no more at each reading (once a second); only its digest is kept, as it may hold keys.

--- a/src/cuminhatch/services/catalog/_gauges.py
+++ b/src/cuminhatch/services/catalog/_gauges.py
@@ -11,6 +11,9 @@
     is_reader = view.latest_reads.reader_id == view.own.instance_id
     values = {
         "configuration_version": view.configuration_version.number,
+        "configuration_entries_refused": len(view.document.refused)
+        if view.document is not None
+        else 0,
         "registrations_version": view.catalog.version.number,
         "store_era": view.catalog.version.era,
         "registrations_age_ms": age_ms,
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -14,10 +14,12 @@
 )
 from cuminhatch.decisions.read_span import ReadSpan
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
-from cuminhatch.errors import CodecError
 from cuminhatch.kernel import SUPERVISOR
-from cuminhatch.log import logger
 from cuminhatch.messages import ConfigurationChanged, ReadinessChanged
+from cuminhatch.services.catalog._refused_documents import (
+    decode_document,
+    record_refused_entries,
+)
 from cuminhatch.services.catalog._timers import InstanceRecordDue
 from cuminhatch.services.catalog._view import NAME, CatalogView
 
@@ -44,10 +46,8 @@
             # make all others pull a document that they know.
             view.document_era = max(view.document_era, era)
         return False
-    try:
-        document = view.decode_configuration(data)
-    except CodecError as error:
-        logger.warning("catalog: Configuration refused: {}.", error)
+    document = decode_document(view, data)
+    if document is None:
         return False
     version = ConfigurationVersion(document.configuration.sequence, era)
     if version <= view.configuration_version:
@@ -57,6 +57,7 @@
     view.document_era = era
     details = {"version": version.number, "era": era, "source": source}
     view.record("configuration_in_force", details)
+    record_refused_entries(view)
     publish_configuration(view)
     return True
 
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -6,7 +6,12 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.codecs.catalog_thrift import CatalogMember
-from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
+from cuminhatch.decisions.catalog import (
+    EMPTY_CATALOG,
+    Catalog,
+    ConfigurationDocument,
+    RefusedEntry,
+)
 from cuminhatch.decisions.change_history import ChangeHistory
 from cuminhatch.decisions.read_span import NO_READS
 from cuminhatch.decisions.reader_selection import LatestReads
@@ -120,6 +125,11 @@
         self.catalog: Catalog = EMPTY_CATALOG
         self.document: ConfigurationDocument | None = None
         self.document_bytes = b""
+        # Digests of documents that cannot be read, the latest last.
+        self.refused_documents: dict[bytes, None] = {}
+        # Entries of this version that were recorded as refused.
+        self.refused_entries: set[RefusedEntry] = set()
+        self.refused_entries_version = 0
         # Era of the store that the configuration in force was read in.
         self.document_era = 0
         # Earliest time of the first read of the store.
--- a/tests/services/test_catalog_documents.py
+++ b/tests/services/test_catalog_documents.py
@@ -6,11 +6,14 @@
 
 from cuminhatch.codecs.catalog_thrift import CatalogState
 from cuminhatch.decisions.credentials import digest_credential
+from cuminhatch.messages import GaugesReported, GaugesRequested
 from cuminhatch.platform.documents import (
     decode_configuration,
     redact_configuration,
 )
+from cuminhatch.services.catalog import _refused_documents
 from tests.services.test_catalog import Harness, configuration_at
+from tests.support import Recorder
 
 KEY = "uakn2ftimaj3nr26tta8"
 SERVICE = {"name": "s", "health-path": "/health", "max-conns": 200}
@@ -43,6 +46,19 @@
     harness.kernel.close()
 
 
+@pytest.fixture
+def warnings(monkeypatch):
+    """Return the texts of warnings, formatted."""
+    texts = []
+
+    class Log:
+        def warning(self, text, *values):
+            texts.append(text.format(*values))
+
+    monkeypatch.setattr(_refused_documents, "logger", Log())
+    return texts
+
+
 def read(harness, document):
     """Have the document read from the store, as its client returns it."""
     harness.store.document = redact_configuration(document)
@@ -62,6 +78,62 @@
     return pulls
 
 
+def list_refused(harness):
+    return [
+        event.details
+        for event in harness.received("event_log")
+        if event.name == "configuration_entry_refused"
+    ]
+
+
+def test_refused_entry_is_recorded_once_for_each_version(harness):
+    """Guards against disabled entries that operators don't hear of."""
+    teams = [{"name": "red", "api-keys": [KEY], "burst": "much"}]
+    read(harness, make_document(2, tenants=teams, routes=[{"name": "r-1"}]))
+    refused = list_refused(harness)
+    assert [(e["version"], e["kind"], e["name"]) for e in refused] == [
+        (2, "rule", "r-1"),
+        (2, "team", "red"),
+    ]
+    assert refused[1]["reason"] == "burst: expected a number"
+    harness.store.era = 2
+    read(harness, make_document(2, tenants=teams, routes=[{"name": "r-1"}], x=1))
+    assert harness.view.document_era == 2
+    assert len(list_refused(harness)) == 2
+    read(harness, make_document(3, tenants=teams))
+    assert [e["version"] for e in list_refused(harness)] == [2, 2, 3]
+
+
+def test_refused_entries_are_counted(harness):
+    """Guards against a gauge that misses the entries in force."""
+    reports = harness.kernel.register(
+        Recorder(harness.kernel, "metrics", GaugesReported)
+    )
+    for version, fields in ((2, {"routes": [{"name": "r-1"}]}), (3, {})):
+        read(harness, make_document(version, **fields))
+        harness.kernel.send("catalog", GaugesRequested("metrics", 1))
+        harness.run()
+    counts = [
+        gauge.value
+        for report in reports.received
+        for gauge in report.gauges
+        if gauge.name == "configuration_entries_refused"
+    ]
+    assert counts == [1, 0]
+
+
+def test_unreadable_document_is_logged_once(harness, warnings):
+    """Guards against a warning for each of many reads, and a fallback."""
+    read(harness, make_document(2))
+    for document in (b"{", b"{", make_document(3, routes=7), b"{"):
+        read(harness, document)
+        assert harness.configuration.sequence == 2
+    assert len(warnings) == 2
+    assert not any(KEY in text for text in warnings)
+    read(harness, make_document(3))
+    assert harness.configuration.sequence == 3
+
+
 def test_document_of_an_earlier_release_is_redacted(harness):
     """
     Guards against keys that are kept, and pulls that go on without end.
