Pull a configuration that cannot be used only once

An instance that cannot read the document of an announced version stayed behind and pulled it twice for each news message, every 500 ms: 2 pulls in the test where 1 is due, and 2 more at the next announcement. It now remembers the latest version that it pulled in vain. A wait before the next pull was ruled out: the same document is no better later.

--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -66,7 +66,7 @@
         is_gap = not apply_catalog_change(view, message.change, sender.instance_id)
     # The reader knows which servers the store names.
     is_gap = is_gap or (is_current and is_whole_catalog_needed(view))
-    is_behind = message.configuration_version > view.configuration_version
+    is_behind = view.is_behind(message.configuration_version)
     if is_behind:
         view.announced_configuration = message.configuration_version, sender
     has_more_instances = message.instances > view.instance_count
@@ -225,6 +225,9 @@
     # An instance of an earlier release sends the document as it is stored.
     document = view.redact_configuration(state.configuration)
     apply_document(view, document, "peer", version.era)
+    if document and version > view.configuration_version:
+        # Pulled again, it would be no better.
+        view.unusable_version = version
     if state.change is None:
         return
     if state.is_whole:
@@ -241,7 +244,7 @@
         return
     version, sender = view.announced_configuration
     view.announced_configuration = None
-    if version > view.configuration_version:
+    if view.is_behind(version):
         start_pull(view, sender)
 
 
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -127,6 +127,8 @@
         self.document_bytes = b""
         # Digests of documents that cannot be read, the latest last.
         self.refused_documents: dict[bytes, None] = {}
+        # The latest version whose document was pulled and cannot be used.
+        self.unusable_version = NO_CONFIGURATION
         # Entries of this version that were recorded as refused.
         self.refused_entries: set[RefusedEntry] = set()
         self.refused_entries_version = 0
@@ -174,6 +176,15 @@
             self.document.configuration.sequence, self.document_era
         )
 
+    def is_behind(self, version: ConfigurationVersion) -> bool:
+        """
+        Tell whether a version is newer, and may be used here.
+
+        :param version: version of the configuration at another instance.
+        """
+        is_newer = version > self.configuration_version
+        return is_newer and version != self.unusable_version
+
     @property
     def is_store_unavailable(self) -> bool:
         """Tell whether the store has not responded, or was not understood."""
--- a/tests/services/test_catalog_documents.py
+++ b/tests/services/test_catalog_documents.py
@@ -166,3 +166,13 @@
     assert pull_document(harness, make_document(3), 3, era=2) == 0
     assert harness.configuration.team_ids_by_key == keys
     assert harness.view.configuration_version.number == 4
+
+
+def test_unreadable_document_of_a_peer_is_not_pulled_again(harness):
+    """Guards against pulls without end of a version that can't be read."""
+    read(harness, make_document(2))
+    unreadable = make_document(3, tenants=7)
+    assert pull_document(harness, unreadable, 3) == 1
+    assert pull_document(harness, unreadable, 3) == 0
+    assert pull_document(harness, make_document(4), 4) == 1
+    assert harness.configuration.sequence == 4
