--- a/soak/documents.py
+++ b/soak/documents.py
@@ -1,6 +1,6 @@
 """Gateway settings, and rows that operators and servers write to the store."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping, Sequence
 from typing import Any
 
 import orjson
@@ -76,7 +76,10 @@
 
 
 def make_configuration(
-    version: int, routes: Mapping[str, tuple[str, str]]
+    version: int,
+    routes: Mapping[str, tuple[str, str]],
+    keys: Mapping[str, Sequence[str]] | None = None,
+    anonymous: Collection[str] = (),
 ) -> dict[str, Any]:
     """
     Return the configuration that the operator writes.
@@ -84,8 +87,10 @@
     :param version: version number.
     :param routes: kind and service of each route, by its name, which is also
         the first segment of its path.
+    :param keys: keys of each team, by its name; None for no teams.
+    :param anonymous: names of the routes whose requests need no key.
     """
-    return {
+    configuration = {
         "version": f"r{version}",
         "routes": [
             {
@@ -98,6 +103,7 @@
                 "priority": 1,
                 "service": service,
                 "max-attempts": 2,
+                **({"anonymous": True} if name in anonymous else {}),
             }
             for name, (kind, service) in routes.items()
         ],
@@ -112,3 +118,9 @@
             "idle-timeout-ms": 15_000,
         },
     }
+    if keys is not None:
+        configuration["tenants"] = [
+            {"name": team_id, "api-keys": list(team_keys)}
+            for team_id, team_keys in keys.items()
+        ]
+    return configuration
