--- a/tests/services/test_credentials.py
+++ b/tests/services/test_credentials.py
@@ -3,13 +3,17 @@
 import pytest
 
 from cuminhatch.decisions.configuration import Rule, Team
+from cuminhatch.kernel import SUPERVISOR, HandlerFailed
 from cuminhatch.messages import (
     EventRecorded,
+    GaugesReported,
+    GaugesRequested,
     RequestRefused,
     ResponseStarted,
 )
 from cuminhatch.messages.loads import LoadsMeasured
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._exchange import Exchange
 from tests.services.forwarding_world import RULES, ForwardingWorld, make_server
 
 KEYS = {b"key-1": "red", b"key-2": "blue"}
@@ -175,3 +179,31 @@
     events = world.take("event_log", EventRecorded)
     received = [e.details for e in events if e.name == "received"]
     assert [details.get("team") for details in received] == ["red", None]
+
+
+def test_key_is_in_no_message_and_no_log_line(world, capfd, monkeypatch):
+    """Guards against copies of keys, also of rejected ones, after errors."""
+    marked = ((b"key", b"key-1"), (b"team", b"key-1"))
+    for rule_id in ("read", "write", "open", "broken", "none"):
+        world.request(rule_id, headers=marked)
+        world.request(rule_id, headers=((b"key", b"key-3"),))
+    for attempt in world.take_attempts():
+        assert b"key-" not in repr(attempt).encode()
+        world.fail(attempt, is_sent=attempt.attempt_id % 2 == 0)
+    world.respond(world.take_attempts()[0], request_id=b"other")
+    measured = start_waiting(world)
+    configure(world, {b"key-2": "blue"})
+    world.tell(measured)
+    world.tell(GaugesRequested("metrics", 1))
+    monkeypatch.setattr(Exchange, "get_history", None)
+    world.request("read", headers=((b"key", b"key-2"),))
+    world.fail(world.take_attempts()[-1], is_sent=True)
+    world.advance(2_000.0)
+    assert world.take(SUPERVISOR, HandlerFailed), "no handler has failed"
+    assert world.take("metrics", GaugesReported)
+    assert not world.unanswered_load_requests
+    for name, messages in world.received.items():
+        assert "key-" not in repr(messages), f"a key reaches {name}"
+    errors = capfd.readouterr().err
+    assert "handler of forwarding failed" in errors
+    assert "key-" not in errors
--- a/tests/system/gateways.py
+++ b/tests/system/gateways.py
@@ -72,12 +72,13 @@
             if line.startswith("{")
         ]
 
-    def send_request(self, route, attempt_id, wait_ms=3_000, body=None):
-        """Send a request with the headers that callers send."""
+    def send_request(self, route, attempt_id, wait_ms=3_000, body=None, **more):
+        """Send a request with the headers that callers send, and ``more``."""
         headers = {
             "Host": "desk.example",
             "Attempt-Id": attempt_id,
             "Request-Deadline": str(wait_ms),
+            **{name.replace("_", "-"): value for name, value in more.items()},
         }
         method = "POST" if body is not None else "GET"
         return self.program.request(method, f"/{route}/7?x=1", body, headers)
@@ -121,6 +122,11 @@
         chosen = {name: value for name, value in (ROUTES | routes).items() if value}
         self.write("op", "config", make_configuration(version, chosen))
 
+    def configure_teams(self, version, keys, anonymous=()):
+        """Write a configuration with keys of teams, by their names."""
+        configuration = make_configuration(version, ROUTES, keys, anonymous)
+        self.write("op", "config", configuration)
+
     def runs(self):
         """Return the attempt ids of all runs on all servers."""
         return [
