Explain refusals of credentials, and count losses by team

The event of a request that is refused on arrival names its rule, and the team if that is disabled; explain names the part that refused a request. losses --by team sums by team and cause; requests refused on arrival for their credential or a disabled entry count, which have no received line.

--- a/src/cuminhatch/cli/commands.py
+++ b/src/cuminhatch/cli/commands.py
@@ -110,8 +110,8 @@
         ("losses",),
         "FILE...",
         "Count from log files why requests were late, refused or failed.",
-        "losses front-*.log",
-        (),
+        "losses --by team front-*.log",
+        ("by",),
         plan_losses,
     ),
 )
--- a/src/cuminhatch/cli/losses.py
+++ b/src/cuminhatch/cli/losses.py
@@ -1,46 +1,76 @@
 """Command that counts late, refused and failed requests by cause."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping
+from typing import Any
 
 from cuminhatch.cli.explain import read_log_lines
 from cuminhatch.cli.plans import (
     EXIT_SUCCESS,
-    ApiFailed,
-    ApiReply,
     CommandError,
     Options,
     Output,
     Plan,
 )
 from cuminhatch.cli.tables import format_table
-from cuminhatch.decisions.losses import Losses, list_losses
+from cuminhatch.decisions.losses import Losses, list_losses, list_losses_by_team
+
+COLUMNS = ("outcome", "cause", "requests", "share")
+# Shown for requests that belong to no team.
+NO_TEAM = "-"
 
 
 def plan_losses(options: Options, arguments: list[str]) -> Plan:
     """
-    Return the plan that counts late, refused and failed requests by cause.
+    Return the plan that counts late, refused and failed requests.
 
-    :param options: values of the flags; none is used.
+    :param options: values of the flags: whether to count by team as well.
     :param arguments: names of the log files, of one or more instances.
     :raises CommandError: no file is given or a file cannot be read.
     """
     if not arguments:
         raise CommandError("losses: expected one or more log files")
     lines = (line for name in arguments for line in read_log_lines(name))
-    losses = list_losses(lines)
+    if options.loss_group == "team":
+        output = make_team_output(list_losses_by_team(lines))
+    else:
+        losses = list_losses(lines)
+        text = format_table(COLUMNS, list_rows(losses))
+        output = Output(text, make_value(losses), EXIT_SUCCESS)
+    return Plan((), False, lambda _: output)
+
+
+def make_team_output(by_team: Mapping[str, Losses]) -> Output:
+    """
+    Return the output of counts by team and cause.
+
+    The shares are those of the requests of the team.
+
+    :param by_team: counts by team.
+    """
+    rows = [
+        (team_id or NO_TEAM, *row)
+        for team_id, losses in by_team.items()
+        for row in list_rows(losses)
+    ]
+    value = [
+        {"team": team_id or None, **make_value(losses)}
+        for team_id, losses in by_team.items()
+    ]
+    return Output(format_table(["team", *COLUMNS], rows), value, EXIT_SUCCESS)
 
-    def make_output(_: Sequence[ApiReply | ApiFailed]) -> Output:
-        value = losses._asdict() | {
-            "losses": [loss._asdict() for loss in losses.losses]
-        }
-        return Output(format_losses(losses), value, EXIT_SUCCESS)
 
-    return Plan((), False, make_output)
+def make_value(losses: Losses) -> dict[str, Any]:
+    """
+    Return the counts as a value for JSON.
+
+    :param losses: counts of requests by outcome and cause.
+    """
+    return losses._asdict() | {"losses": [loss._asdict() for loss in losses.losses]}
 
 
-def format_losses(losses: Losses) -> str:
+def list_rows(losses: Losses) -> list[tuple[str, ...]]:
     """
-    Format the counts per cause as a table.
+    Return the counts per cause as rows of a table.
 
     :param losses: counts of requests by outcome and cause.
     """
@@ -56,7 +86,7 @@
     rows.append(
         ("in time", "", str(losses.in_time), format_share(losses.in_time, losses))
     )
-    return format_table(["outcome", "cause", "requests", "share"], rows)
+    return rows
 
 
 def format_share(requests: int, losses: Losses) -> str:
--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -16,6 +16,7 @@
 from cuminhatch.cli.plans import (
     EXIT_SUCCESS,
     EXIT_USAGE,
+    LOSS_GROUPS,
     CommandError,
     Options,
     Output,
@@ -45,6 +46,9 @@
 LIMIT = flags.DEFINE_integer(
     "limit", 200, "Maximum number of events or notes to show.", lower_bound=1
 )
+BY = flags.DEFINE_enum(
+    "by", LOSS_GROUPS[0], LOSS_GROUPS, "Count losses by cause, or by team and cause."
+)
 
 
 def read_options() -> Options:
@@ -57,7 +61,7 @@
         daemons = tuple(parse_address(text) for text in DAEMON.value)
     except ValueError as error:
         raise CommandError(f"--daemon: {error}") from error
-    return Options(daemons, REQUEST.value, NOTE.value, LIMIT.value)
+    return Options(daemons, REQUEST.value, NOTE.value, LIMIT.value, BY.value)
 
 
 def run_plan(plan: Plan, operators_key: str) -> Output:
@@ -108,7 +112,7 @@
             flags.FLAGS[holder.name].help.partition(";\n")[0],
             format_default(holder.default),
         )
-        for holder in (DAEMON, JSON, REQUEST, NOTE, LIMIT)
+        for holder in (DAEMON, JSON, REQUEST, NOTE, LIMIT, BY)
     }
 
 
--- a/src/cuminhatch/cli/plans.py
+++ b/src/cuminhatch/cli/plans.py
@@ -79,14 +79,20 @@
 
 
 class Options(NamedTuple):
-    """Values of the flags that commands use."""
+    """
+    Values of the flags that commands use.
+
+    ``loss_group`` is what losses are counted by, one of ``LOSS_GROUPS``.
+    """
 
     daemons: tuple[Address, ...]
     request_id: str
     note_sequence: int
     limit: int
+    loss_group: str = "cause"
 
 
+LOSS_GROUPS = ("cause", "team")
 PlanMaker = Callable[[Options, list[str]], Plan]
 
 
--- a/src/cuminhatch/decisions/credentials.py
+++ b/src/cuminhatch/decisions/credentials.py
@@ -25,6 +25,9 @@
 ROUTE_REMOVED = "route-removed"
 ROUTE_CHANGED = "route-changed"
 
+# Why a request may be refused on arrival.
+ARRIVAL_REASONS = frozenset({UNKNOWN_CREDENTIAL, RULE_DISABLED, TEAM_DISABLED})
+
 STATUS_UNAUTHORIZED = 401
 STATUS_NOT_FOUND = 404
 STATUS_UNAVAILABLE = 503
@@ -40,11 +43,13 @@
     """
     The request may not run.
 
-    ``status`` is that of the response if it has not run yet.
+    ``status`` is that of the response if it has not run yet. ``team_id`` is
+    the team it belongs to, empty if that is unknown or not the reason.
     """
 
     status: int
     reason: str
+    team_id: str = ""
 
     @property
     def is_temporary(self) -> bool:
@@ -83,7 +88,7 @@
     if team is None:
         return AccessDenied(STATUS_UNAUTHORIZED, UNKNOWN_CREDENTIAL)
     if team.fault:
-        return AccessDenied(STATUS_UNAVAILABLE, TEAM_DISABLED)
+        return AccessDenied(STATUS_UNAVAILABLE, TEAM_DISABLED, team.team_id)
     return AccessGranted(team)
 
 
--- a/src/cuminhatch/decisions/explanation.py
+++ b/src/cuminhatch/decisions/explanation.py
@@ -111,9 +111,11 @@
 
 
 def _describe_received(line: Line) -> str:
+    team = f", team {line['team']}" if "team" in line else ""
     return (
-        f"received for rule {line['rule']}, service {line['service']}, configuration "
-        f"{line['configuration']}; the caller's timeout is {line['budget_ms']:.0f} ms"
+        f"received for rule {line['rule']}, service {line['service']}{team}, "
+        f"configuration {line['configuration']}; the caller's timeout is "
+        f"{line['budget_ms']:.0f} ms"
     )
 
 
@@ -147,9 +149,16 @@
 
 
 def _describe_refused(line: Line) -> str:
-    text = f"refused with {line['status']}, the request has not run: {line['reason']}"
+    reason = line["reason"]
+    part = _REFUSING_PARTS.get(reason)
+    by_part = f" by {part}" if part is not None else ""
+    text = f"refused with {line['status']}{by_part}, the request has not run: {reason}"
     if line.get("failure"):
         text += f" after {line['failure']}"
+    if "rule" in line:
+        text += f"; rule {line['rule']} of configuration {line['configuration']}"
+    if "team" in line:
+        text += f", team {line['team']}"
     if line.get("retry_after_ms") is not None:
         text += f"; retry after {line['retry_after_ms']:.0f} ms"
     return text
@@ -209,6 +218,17 @@
     return f"the response to the caller was cut off: {line['reason']}"
 
 
+# Which part refuses requests for a reason, if the reason does not tell.
+_REFUSING_PARTS: Mapping[str, str] = {
+    "unknown-credential": "the check of credentials",
+    "credential-moved": "the check of credentials",
+    "route-removed": "the check for changes of the configuration",
+    "route-changed": "the check for changes of the configuration",
+    "rule-disabled": "the configuration",
+    "team-disabled": "the configuration",
+    "quota-exceeded": "the quota",
+    "admission-level": "admission control",
+}
 _FINAL_EVENTS = frozenset(
     {"answered", "refused", "failed", "broken_off", "caller_left"}
 )
--- a/src/cuminhatch/decisions/losses.py
+++ b/src/cuminhatch/decisions/losses.py
@@ -6,9 +6,11 @@
 """
 
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
+from cuminhatch.decisions.credentials import ARRIVAL_REASONS
+
 Line = Mapping[str, Any]
 
 # A machine with at least this slowdown counts as slow.
@@ -40,7 +42,9 @@
 class _Trace:
     """State of one request while its log lines are read."""
 
-    def __init__(self) -> None:
+    def __init__(self, first: Line) -> None:
+        # The team of the request, empty if it belongs to none.
+        self.team_id: str = first.get("team", "")
         self.target_ms = 0.0
         self.received_ms = 0.0
         self.first_sent_ms: float | None = None
@@ -92,6 +96,29 @@
     """
     Count late, refused and failed requests by cause.
 
+    :param lines: log lines of any instances, those of each in order.
+    """
+    return count_losses(read_traces(lines))
+
+
+def list_losses_by_team(lines: Iterable[Line]) -> dict[str, Losses]:
+    """
+    Count late, refused and failed requests of each team by cause.
+
+    :param lines: log lines of any instances, those of each in order.
+    :returns: counts by team, sorted; those of requests without a team under
+        an empty id.
+    """
+    by_team: dict[str, list[_Trace]] = {}
+    for trace in read_traces(lines):
+        by_team.setdefault(trace.team_id, []).append(trace)
+    return {team_id: count_losses(by_team[team_id]) for team_id in sorted(by_team)}
+
+
+def read_traces(lines: Iterable[Line]) -> list[_Trace]:
+    """
+    Return the requests that log lines tell of.
+
     :param lines: log lines of any instances, those of each in order.
     """
     traces: dict[tuple[str, str], _Trace] = {}
@@ -99,9 +126,18 @@
         if "request" in line:
             key = (line["instance"], line["request"])
             add_line(traces, key, line)
+    return list(traces.values())
+
+
+def count_losses(traces: Sequence[_Trace]) -> Losses:
+    """
+    Count late, refused and failed requests by cause.
+
+    :param traces: the requests.
+    """
     counts: Counter[tuple[str, str]] = Counter()
     in_time = 0
-    for trace in traces.values():
+    for trace in traces:
         found = find_cause(trace)
         if found is None:
             in_time += 1
@@ -117,8 +153,9 @@
     """
     Add a log line to the trace of its request.
 
-    Requests without a ``received`` line are ignored, as are those logged by
-    an older version that did not log the target latency.
+    Requests without a ``received`` line are ignored, unless they were refused
+    on arrival, as are those logged by an older version that did not log the
+    target latency.
 
     :param traces: traces so far, by instance and request.
     :param key: instance and request of the line.
@@ -126,9 +163,12 @@
     """
     event = line["event"]
     if event == "received" and "target_ms" in line:
-        trace = traces[key] = _Trace()
+        trace = traces[key] = _Trace(line)
         trace.target_ms = line["target_ms"]
         trace.received_ms = line["now_ms"]
+    elif event == "refused" and line.get("reason") in ARRIVAL_REASONS:
+        trace = traces.setdefault(key, _Trace(line))
+        trace.end = line
     elif key in traces:
         trace = traces[key]
         if event == "placed":
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -1,5 +1,9 @@
 """Accepts requests and their bodies from callers."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from cuminhatch.decisions.configuration import Rule
 from cuminhatch.decisions.credentials import AccessDenied
 from cuminhatch.decisions.routing import NoRoute
 from cuminhatch.messages import (
@@ -52,10 +56,7 @@
         return
     access = check_request(state, rule, facts)
     if isinstance(access, AccessDenied):
-        retry_after_ms = get_access_retry_after(state, access)
-        refuse_unrouted(
-            state, message, trace_id, access.status, access.reason, retry_after_ms
-        )
+        refuse_denied(state, message, trace_id, rule, access)
         return
     service_id = state.pick_service(rule)
     exchange = Exchange(message, facts, rule, service_id)
@@ -79,6 +80,28 @@
     place_exchange(state, exchange)
 
 
+def refuse_denied(
+    state: ForwardingState,
+    message: RequestReceived,
+    trace_id: str,
+    rule: Rule,
+    denied: AccessDenied,
+) -> None:
+    """Refuse a request that may not run; record its rule and team."""
+    details = {"rule": rule.rule_id}
+    if denied.team_id:
+        details["team"] = denied.team_id
+    refuse_unrouted(
+        state,
+        message,
+        trace_id,
+        denied.status,
+        denied.reason,
+        get_access_retry_after(state, denied),
+        details,
+    )
+
+
 def refuse_unrouted(
     state: ForwardingState,
     message: RequestReceived,
@@ -86,6 +109,7 @@
     status: int,
     reason: str,
     retry_after_ms: float | None = None,
+    more: Mapping[str, str] = MappingProxyType({}),
 ) -> None:
     """Refuse a request before it is assigned to a service."""
     if status == 503 and retry_after_ms is None:
@@ -98,6 +122,7 @@
         "status": status,
         "reason": reason,
         "configuration": state.configuration.sequence,
+        **more,
     }
     state.record("refused", trace_id, details)
     state.increment("requests_refused_total", {"reason": reason})
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -109,6 +109,40 @@
         is_hedge=False,
         is_caller_gone=False,
     ),
+    make_line("front-1", 30.0, "received", "d0c1", **RECEIVED, team="red"),
+    make_line(
+        "front-1",
+        30.2,
+        "refused",
+        "d0c1",
+        status=429,
+        reason="quota-exceeded",
+        waited_ms=0.2,
+        sends=[],
+        failure="",
+        retry_after_ms=800.0,
+    ),
+    make_line(
+        "front-1",
+        31.0,
+        "refused",
+        "a7f0",
+        status=503,
+        reason="team-disabled",
+        configuration=7,
+        rule="r-1",
+        team="red",
+    ),
+    make_line(
+        "front-1",
+        32.0,
+        "refused",
+        "a7f1",
+        status=401,
+        reason="unknown-credential",
+        configuration=7,
+        rule="r-1",
+    ),
     make_line("front-1", 20.0, "received", "51d7", **RECEIVED),
     make_line(
         "front-1",
@@ -145,7 +179,9 @@
     return str(path)
 
 
-@pytest.mark.parametrize("request_id", ["9c41", "77aa", "be09", "51d7"])
+@pytest.mark.parametrize(
+    "request_id", ["9c41", "77aa", "be09", "51d7", "d0c1", "a7f0", "a7f1"]
+)
 def test_request_is_explained(log_file, request_id, snapshot):
     """Guards against events that the explanation omits or misstates."""
     output = make_plan(OPTIONS, ["explain", request_id, log_file]).make_output(())
@@ -180,3 +216,24 @@
     assert output.value["requests"] == 1
     with pytest.raises(CommandError):
         make_plan(OPTIONS, ["losses"])
+
+
+def test_losses_are_counted_by_team(tmp_path, snapshot):
+    """Guards against sums of a team that miss requests or mix teams."""
+    log = tmp_path / "day.log"
+    lines = [
+        make_line("front-1", 1.0, "received", "a", target_ms=400.0, team="red"),
+        make_line("front-1", 9.0, "refused", "a", reason="quota-exceeded"),
+        make_line("front-1", 1.0, "received", "b", target_ms=400.0, team="red"),
+        make_line("front-1", 9.0, "answered", "b", took_ms=8.0),
+        make_line("front-1", 1.0, "received", "c", target_ms=400.0),
+        make_line("front-1", 9.0, "failed", "c", reason="timeout"),
+        make_line("front-1", 9.0, "refused", "d", reason="team-disabled", team="blue"),
+        make_line("front-1", 9.0, "refused", "e", reason="unknown-credential"),
+        make_line("front-1", 9.0, "refused", "f", reason="servers-full", team="red"),
+    ]
+    log.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    options = OPTIONS._replace(loss_group="team")
+    output = make_plan(options, ["losses", str(log)]).make_output([])
+    assert output.text == snapshot
+    assert output.value == snapshot
