--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -6,7 +6,12 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.codecs.catalog_thrift import CatalogMember
-from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
+from cuminhatch.decisions.catalog import (
+    EMPTY_CATALOG,
+    Catalog,
+    ConfigurationDocument,
+    RefusedEntry,
+)
 from cuminhatch.decisions.change_history import ChangeHistory
 from cuminhatch.decisions.read_span import NO_READS
 from cuminhatch.decisions.reader_selection import LatestReads
@@ -24,6 +29,7 @@
 PORT_NAME = "catalog_port"
 
 DecodeConfiguration = Callable[[bytes], ConfigurationDocument]
+RedactConfiguration = Callable[[bytes], bytes]
 SendBytes = Callable[[tuple[str, int], bytes], None]
 
 
@@ -81,6 +87,7 @@
         send_bytes: SendBytes,
         rng: Random,
         heartbeat_ms: float,
+        redact_configuration: RedactConfiguration,
     ) -> None:
         """
         Start with an empty catalog.
@@ -93,6 +100,8 @@
         :param send_bytes: sends a datagram.
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
+        :param redact_configuration: removes from a document what instances
+            must not keep.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -101,6 +110,7 @@
         self.failure_domain = failure_domain
         self.key = key
         self.decode_configuration = decode_configuration
+        self.redact_configuration = redact_configuration
         self.send_bytes = send_bytes
         self.rng = rng
         self.heartbeat_ms = heartbeat_ms
@@ -115,6 +125,13 @@
         self.catalog: Catalog = EMPTY_CATALOG
         self.document: ConfigurationDocument | None = None
         self.document_bytes = b""
+        # Digests of documents that cannot be read, the latest last.
+        self.refused_documents: dict[bytes, None] = {}
+        # The latest version whose document was pulled and cannot be used.
+        self.unusable_version = NO_CONFIGURATION
+        # Entries of this version that were recorded as refused.
+        self.refused_entries: set[RefusedEntry] = set()
+        self.refused_entries_version = 0
         # Era of the store that the configuration in force was read in.
         self.document_era = 0
         # Earliest time of the first read of the store.
@@ -159,6 +176,15 @@
             self.document.configuration.sequence, self.document_era
         )
 
+    def is_behind(self, version: ConfigurationVersion) -> bool:
+        """
+        Tell whether a version is newer, and may be used here.
+
+        :param version: version of the configuration at another instance.
+        """
+        is_newer = version > self.configuration_version
+        return is_newer and version != self.unusable_version
+
     @property
     def is_store_unavailable(self) -> bool:
         """Tell whether the store has not responded, or was not understood."""
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -97,7 +97,13 @@
         exchange.attempted_server_ids.count(server.server_id) > 1,
         state.settings.active_connection_ms if is_reliable else 0.0,
     )
-    forwarding = ForwardingMetadata(server.server_id, left_ms)
+    team = exchange.team
+    forwarding = ForwardingMetadata(
+        server.server_id,
+        left_ms,
+        team.team_id if team is not None else "",
+        team is not None or state.configuration.teams is not None,
+    )
     head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
     return AttemptRequested(
         attempt.attempt_id,
