Let a request leave a reserve of slots to more urgent ones

A placement treats all requests alike, so a burst of uploads fills the servers that declarations need. A request with a reserve takes a server only if its reserve stays free, and never queues. Requests without one are placed as before; no caller sets one yet. A reserve of part of a slot is kept by that part of the servers: kept by part of the requests, the others would use it up.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -52,12 +52,28 @@
 COST_JITTER = 0.02
 # Share of the time to the deadline that the predicted response may use.
 REMAINING_TIME_SHARE = 0.9
+# Less urgent requests leave at most this share of a server's slots free.
+RESERVE_SHARE_MAX = 0.5
+# Reason of a refusal for the sake of more urgent requests.
+SLOTS_RESERVED = "slots-reserved"
 # Minimum Retry-After: a slot is unlikely to be free earlier. Callers retry
 # after at most a third of the time that they have left, even if Retry-After is
 # longer.
 RETRY_AFTER_MIN_MS = 60.0
 
 
+class SlotReserve(NamedTuple):
+    """
+    Free slots that a request leaves at a server for more urgent ones.
+
+    ``share`` is the share of recent demand that is more urgent: that share of
+    the slots is kept free, up to ``slots_max`` slots of each server.
+    """
+
+    share: float
+    slots_max: int
+
+
 class RequestProfile(NamedTuple):
     """
     What is known about a request when it is placed.
@@ -66,6 +82,8 @@
     it has waited already, and ``left_ms`` is the time to its deadline.
     ``far_charge_ms`` is the penalty for a response that crosses failure
     domains. ``is_resend`` tells that an earlier send has failed or is late.
+    ``reserve`` is None if the request need not leave slots to others; one that
+    has to never queues at a server.
     """
 
     usual_ms: float
@@ -75,6 +93,7 @@
     far_charge_ms: float
     is_idempotent: bool
     is_resend: bool = False
+    reserve: SlotReserve | None = None
 
 
 class Placed(NamedTuple):
@@ -185,6 +204,44 @@
     return outstanding_requests(record, now_ms) < limit
 
 
+def reserved_slots(record: ServerRecord, reserve: SlotReserve) -> int:
+    """
+    Return how many slots of a server stay free for more urgent requests.
+
+    A reserve of part of a slot is kept by that part of the servers, the same
+    ones for all instances. If it were kept by part of the requests, the others
+    would fill all servers.
+
+    :param record: the backend server.
+    :param reserve: the reserve.
+    """
+    slots = record.server.slots
+    wanted = min(slots * reserve.share, reserve.slots_max, slots * RESERVE_SHARE_MAX)
+    return min(slots - 1, int(wanted + record.reserve_fraction))
+
+
+def leaves_reserve(record: ServerRecord, reserve: SlotReserve, now_ms: float) -> bool:
+    """
+    Tell whether a server has its reserve free after one more request.
+
+    :param record: the backend server.
+    :param reserve: the reserve.
+    :param now_ms: current time.
+    """
+    free_slots = record.server.slots - outstanding_requests(record, now_ms)
+    return free_slots >= 1 + reserved_slots(record, reserve)
+
+
+def misses_target(chosen: Placed, work: RequestProfile) -> bool:
+    """
+    Tell whether a placed request is expected to miss its target latency.
+
+    :param chosen: the placement.
+    :param work: the request.
+    """
+    return work.waited_ms + chosen.predicted_ms > work.target_ms
+
+
 def choose_server(
     records: Sequence[ServerRecord], work: RequestProfile, now_ms: float, rng: Random
 ) -> Placed | Wait | NotPlaced:
@@ -211,6 +268,13 @@
     """
     if not records:
         return NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
+    if work.reserve is not None:
+        reserve = work.reserve
+        records = [r for r in records if leaves_reserve(r, reserve, now_ms)]
+        if not records:
+            if work.waited_ms < max_wait_ms(work, False):
+                return Wait(SLOTS_RESERVED)
+            return NotPlaced(SLOTS_RESERVED, RETRY_AFTER_MIN_MS)
     near = find_near_server(records, work, now_ms, rng)
     if near is not None:
         return near
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Sequence
 from typing import NamedTuple
+from zlib import crc32
 
 from cuminhatch.decisions.configuration import BackendServer
 
@@ -55,6 +56,7 @@
         "is_near",
         "is_unhealthy",
         "load",
+        "reserve_fraction",
         "sent_since_load",
         "server",
         "warm_at_ms",
@@ -70,6 +72,8 @@
         """
         self.server = server
         self.is_near = is_near
+        # From 0 to 1 and the same at all instances, see placement.
+        self.reserve_fraction = crc32(server.server_id.encode()) / 2**32
         self.warm_at_ms = now_ms + server.warmup_left_ms
         self.in_flight = 0
         self.load: ServerLoad | None = None
