Refuse less urgent requests while a service is short of capacity

Active while the configuration has teams. A request is counted on arrival, leaves its reserve when it is placed, and is checked against the level each time it is placed, before more servers are asked for their load. A refusal tells rank, level and occupancy in its events; metrics count by service and rank what was admitted and refused. Refusals of full servers count as load reports; a closed connection of a health check doesn't, as idle connections are closed too.

--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -12,6 +12,7 @@
     StopScheduled,
 )
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._admission import describe_admission
 from cuminhatch.services.forwarding._attempts import cancel_attempts
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import ForwardingState
@@ -90,6 +91,8 @@
         "failure": exchange.last_failure,
         "retry_after_ms": retry_after_ms,
     }
+    if outcome is Outcome.NOT_RUN:
+        details |= describe_admission(state, exchange)
     name = "refused" if outcome is Outcome.NOT_RUN else "failed"
     state.record(name, exchange.trace_id, details)
     if not exchange.is_caller_gone:
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -5,11 +5,12 @@
 
 from cuminhatch.codecs.dialect import RequestMetadata, ResponseMetadata
 from cuminhatch.codecs.http1 import ResponseHead
-from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.configuration import Rule, Team
 from cuminhatch.decisions.resending import SendHistory
 from cuminhatch.decisions.response_copies import CopyFinder
 from cuminhatch.decisions.response_origin import ResponseEvidence
 from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.decisions.service_admission import AdmissionTicket
 from cuminhatch.errors import ServiceError
 from cuminhatch.messages import RequestReceived
 
@@ -109,6 +110,7 @@
         "facts",
         "head",
         "hedge_timer",
+        "is_admitted",
         "is_body_buffered",
         "is_body_complete",
         "is_caller_gone",
@@ -124,6 +126,8 @@
         "rule",
         "service_id",
         "streaming_attempt",
+        "team",
+        "ticket",
     )
 
     def __init__(
@@ -146,6 +150,12 @@
         self.facts = facts
         self.rule = rule
         self.service_id = service_id
+        # None if the configuration has no teams or the rule is anonymous.
+        self.team: Team | None = None
+        # Place in admission control; None while it is not active.
+        self.ticket: AdmissionTicket | None = None
+        # It has been sent to a server, or was about to be.
+        self.is_admitted = False
         self.received_ms = message.received_ms
         timeout_ms = facts.budget_ms
         if timeout_ms is None:
--- a/src/cuminhatch/services/forwarding/_gauges.py
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -35,3 +35,7 @@
         yield Gauge("servers_left_out", labels, left_out)
         yield Gauge("sends_in_flight", labels, in_flight)
         yield Gauge("resend_budget_left", labels, pool.budget.left)
+        if pool.admission is not None:
+            found = pool.admission.get_state(now_ms)
+            yield Gauge("admission_level", labels, found.level)
+            yield Gauge("admission_occupancy", labels, found.occupancy)
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -19,6 +19,13 @@
 from cuminhatch.decisions.stopping import can_end_before_stop
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
+from cuminhatch.services.forwarding._admission import (
+    adjust_refusal,
+    check_admission,
+    count_admitted,
+    describe_admission,
+    find_reserve,
+)
 from cuminhatch.services.forwarding._attempts import estimate_request, start_attempt
 from cuminhatch.services.forwarding._completion import STOPPING, refuse_unplaced
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
@@ -120,7 +127,10 @@
     work = estimate_work(state, exchange, now_ms)
     records = select_candidates(pool, exchange, now_ms) if pool is not None else []
     chosen = choose_server(records, work, now_ms, state.rng)
-    if isinstance(chosen, Placed):
+    refusal = check_admission(state, exchange, work, chosen)
+    if refusal is not None:
+        fail_placement(state, exchange, refusal)
+    elif isinstance(chosen, Placed):
         if can_end_before_stop(
             state.stop,
             exchange.received_ms,
@@ -128,6 +138,7 @@
             now_ms,
             chosen.predicted_ms,
         ):
+            count_admitted(state, exchange)
             start_attempt(state, exchange, chosen)
         else:
             refusal = NotPlaced(STOPPING, RETRY_AFTER_MIN_MS)
@@ -195,6 +206,7 @@
         usual.response_bytes / BYTES_PER_KB * per_kb,
         exchange.is_idempotent,
         exchange.placement_retries > 0 or exchange.is_hedging,
+        find_reserve(state, exchange),
     )
 
 
@@ -205,6 +217,7 @@
     if exchange.is_hedging or exchange.attempts:
         exchange.is_hedging = False
         return
+    refusal = adjust_refusal(state, exchange, refusal)
     record_not_placed(state, exchange, refusal)
     refuse_unplaced(state, exchange, refusal)
 
@@ -232,5 +245,5 @@
         "usual_ms": round(estimate_request(state, exchange).usual_ms, 1),
         "servers": len(pool.records) if pool is not None else 0,
         "freshest": sorted(loads, key=lambda load: load[-1])[:LOGGED_LOADS_MAX],
-    }
+    } | describe_admission(state, exchange)
     state.record("not_placed", exchange.trace_id, details)
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -10,6 +10,7 @@
     RequestRefused,
 )
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._admission import count_demand
 from cuminhatch.services.forwarding._attempts import cancel_attempts
 from cuminhatch.services.forwarding._completion import STOPPING, finish_exchange
 from cuminhatch.services.forwarding._exchange import (
@@ -58,6 +59,7 @@
         pool.budget.count_request(state.clock.now_ms)
     timed_out = ExchangeTimedOut(exchange.request_id)
     exchange.deadline_timer = state.call_at(exchange.deadline_ms, timed_out)
+    count_demand(state, exchange)
     place_exchange(state, exchange)
 
 
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -28,6 +28,10 @@
 )
 from cuminhatch.messages.attempts import CONNECTION_LIMIT
 from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
+from cuminhatch.services.forwarding._admission import (
+    record_full_server,
+    record_load_sample,
+)
 from cuminhatch.services.forwarding._attempts import (
     cancel_attempt,
     cancel_attempts,
@@ -78,7 +82,9 @@
         reject_response(state, exchange, attempt, fault)
         return
     if facts.load is not None:
-        record_load(attempt.record, ServerLoad(*facts.load, state.clock.now_ms))
+        load = ServerLoad(*facts.load, state.clock.now_ms)
+        record_load(attempt.record, load)
+        record_load_sample(state, attempt.record, load)
     attempt.body_length = message.body_length
     attempt.find_copy = make_copy_finder(
         exchange.facts.request_id,
@@ -168,6 +174,7 @@
         reason = "another-server"
     else:
         record_failure(attempt.record, now_ms)
+        record_full_server(state, attempt.record)
         reason = "server-full"
     if message.is_complete:
         end_attempt(state, exchange, attempt)
@@ -349,7 +356,8 @@
         record_failure(attempt.record, state.clock.now_ms)
         abort_response(state, exchange, reason)
         return
-    note_attempt_failure(state, attempt, message)
+    if note_attempt_failure(state, attempt, message):
+        record_full_server(state, attempt.record)
     if message.is_sent:
         exchange.may_have_run = True
     else:
@@ -360,19 +368,21 @@
 
 def note_attempt_failure(
     state: ForwardingState, attempt: Attempt, message: AttemptFailed
-) -> None:
-    """Update the record of a server after a failed attempt."""
+) -> bool:
+    """Update the record of a server, and tell whether it was full."""
     now_ms = state.clock.now_ms
     if message.reason == CONNECTION_LIMIT or message.is_reused:
         # A server is not at fault if this instance has no connection left, or
         # if a reused connection ends.
-        return
+        return False
     is_connection_closed = message.reason in (CONNECTION_FAILED, CONNECTION_CLOSED)
     if is_connection_closed and (
         not message.is_sent or is_full(attempt.record, now_ms)
     ):
         record_rejected_connection(attempt.record, now_ms)
-    elif message.is_sent:
+        return True
+    if message.is_sent:
         record_failure(attempt.record, now_ms)
     else:
         record_unreachable(attempt.record, now_ms)
+    return False
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -18,6 +18,10 @@
     HealthCheckConnectionClosed,
     HealthCheckFailed,
 )
+from cuminhatch.services.forwarding._admission import (
+    record_load_sample,
+    update_admissions,
+)
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
@@ -34,6 +38,7 @@
             state.pools[service_id] = ServicePool(budget)
     for service_id in state.pools.keys() - message.configuration.services.keys():
         del state.pools[service_id]
+    update_admissions(state, previous)
     servers: dict[str, dict[str, BackendServer]] = {}
     for server_id, server in message.configuration.servers.items():
         servers.setdefault(server.service_id, {})[server_id] = server
@@ -97,6 +102,8 @@
         state.record("server_health_changed", "", details)
     if message.load is not None:
         record_load(record, message.load)
+        if message.is_healthy:
+            record_load_sample(state, record, message.load)
 
 
 def on_health_check_failed(state: ForwardingState, message: HealthCheckFailed) -> None:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -11,6 +11,7 @@
 from cuminhatch.decisions.resending import ResendBudget, ResendLimits
 from cuminhatch.decisions.routing import make_router
 from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.decisions.service_admission import ServiceAdmission
 from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.decisions.traffic_split import weighted_round_robin
 from cuminhatch.kernel import Kernel
@@ -52,6 +53,8 @@
         # By server id, in this instance's order of preference.
         self.records: dict[str, ServerRecord] = {}
         self.budget = budget
+        # None while the configuration has no teams.
+        self.admission: ServiceAdmission | None = None
 
     @property
     def usable(self) -> list[ServerRecord]:
