Reserve half of the urgent share of the demand

The tests were seen to fail with a reserve that doesn't depend on demand, and with requests that may queue where no slot is reserved.

--- a/src/cuminhatch/decisions/placement.py
+++ b/src/cuminhatch/decisions/placement.py
@@ -52,9 +52,15 @@
 COST_JITTER = 0.02
 # Share of the time to the deadline that the predicted response may use.
 REMAINING_TIME_SHARE = 0.9
+# Slots kept free for more urgent requests, as a multiple of their share of the
+# demand. These requests use slots of their own besides, and half of their
+# share is enough for them to find one at once.
+RESERVE_FACTOR = 0.5
 # Less urgent requests leave at most this share of a server's slots free.
 RESERVE_SHARE_MAX = 0.5
-# Reason of a refusal for the sake of more urgent requests.
+# Reasons of a refusal for lack of a slot, the second one for the sake of more
+# urgent requests.
+SERVERS_FULL = "servers-full"
 SLOTS_RESERVED = "slots-reserved"
 # Minimum Retry-After: a slot is unlikely to be free earlier. Callers retry
 # after at most a third of the time that they have left, even if Retry-After is
@@ -66,8 +72,8 @@
     """
     Free slots that a request leaves at a server for more urgent ones.
 
-    ``share`` is the share of recent demand that is more urgent: that share of
-    the slots is kept free, up to ``slots_max`` slots of each server.
+    ``share`` is the share of recent demand that is more urgent, ``slots_max``
+    the largest reserve of a server.
     """
 
     share: float
@@ -216,7 +222,8 @@
     :param reserve: the reserve.
     """
     slots = record.server.slots
-    wanted = min(slots * reserve.share, reserve.slots_max, slots * RESERVE_SHARE_MAX)
+    share = min(RESERVE_FACTOR * reserve.share, RESERVE_SHARE_MAX)
+    wanted = min(slots * share, reserve.slots_max)
     return min(slots - 1, int(wanted + record.reserve_fraction))
 
 
@@ -292,10 +299,10 @@
     if work.waited_ms < max_wait_ms(work, is_late and not is_best_full):
         return Wait("no-server-in-time" if is_late else "servers-nearly-full")
     if is_late and is_best_full:
-        return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
+        return NotPlaced(SERVERS_FULL, max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
     if may_queue(best, work, now_ms):
         return Placed(best, predicted_ms)
-    return NotPlaced("servers-full", max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
+    return NotPlaced(SERVERS_FULL, max(RETRY_AFTER_MIN_MS, predicted_ms / 2.0))
 
 
 def find_near_server(
