--- a/src/cuminhatch/decisions/demand_history.py
+++ b/src/cuminhatch/decisions/demand_history.py
@@ -7,17 +7,16 @@
 times the rate of the others is recognized far more often than these.
 """
 
-from itertools import accumulate
 from random import Random
 
 HALF_LIFE_MS = 5_000.0
 # A team's requests beyond this multiple of the equal share are deferred.
-EXCESS_FACTOR = 2.0
+EXCESS_FACTOR = 1.5
 # So many recent requests of a team are never too many.
-EXCESS_MIN = 2.0
+EXCESS_MIN = 1.5
 # No team may be served less than a quarter as often as all, so the larger part
 # of the requests of a large team is deferred at most.
-EXCESS_SHARE_MAX = 0.6
+EXCESS_SHARE_MAX = 0.75
 # The equal share is calculated anew after this time. With 74 teams that takes
 # some 20 microseconds.
 LIMIT_INTERVAL_MS = 250.0
@@ -35,9 +34,9 @@
 
 
 class RankDemand:
-    """Recent requests of each rank."""
+    """Recent requests of each rank, and how many of them were admitted."""
 
-    __slots__ = ("_at_ms", "_counts")
+    __slots__ = ("_admitted", "_at_ms", "_counts")
 
     def __init__(self, rank_count: int) -> None:
         """
@@ -46,6 +45,7 @@
         :param rank_count: number of ranks of the service.
         """
         self._counts = [0.0] * rank_count
+        self._admitted = [0.0] * rank_count
         self._at_ms = 0.0
 
     def count(self, rank: int, now_ms: float) -> None:
@@ -55,18 +55,41 @@
         :param rank: its rank.
         :param now_ms: current time.
         """
-        left = decay(now_ms - self._at_ms)
-        self._counts = [count * left for count in self._counts]
+        self._decay(now_ms)
         self._counts[rank] += 1.0
-        self._at_ms = now_ms
+
+    def count_admitted(self, rank: int, now_ms: float) -> None:
+        """
+        Count a request that was admitted.
+
+        :param rank: its rank.
+        :param now_ms: current time.
+        """
+        self._decay(now_ms)
+        self._admitted[rank] += 1.0
 
     def list_urgent_shares(self) -> list[float]:
-        """Return, by rank, the share of requests that were more urgent."""
-        total = sum(self._counts)
-        if total == 0.0:
-            return [0.0] * len(self._counts)
-        more_urgent = accumulate(self._counts[:-1], initial=0.0)
-        return [count / total for count in more_urgent]
+        """
+        Return, by rank, the share of requests that were more urgent.
+
+        Of the other requests only those that were admitted count. Otherwise
+        callers that repeat refused requests would make the more urgent ones
+        look few.
+        """
+        shares = []
+        more_urgent, others = 0.0, sum(self._admitted)
+        for count, admitted in zip(self._counts, self._admitted, strict=True):
+            total = more_urgent + others
+            shares.append(more_urgent / total if total > 0.0 else 0.0)
+            more_urgent += count
+            others -= admitted
+        return shares
+
+    def _decay(self, now_ms: float) -> None:
+        left = decay(now_ms - self._at_ms)
+        self._counts = [count * left for count in self._counts]
+        self._admitted = [count * left for count in self._admitted]
+        self._at_ms = now_ms
 
 
 class _TeamCount:
--- a/src/cuminhatch/decisions/service_admission.py
+++ b/src/cuminhatch/decisions/service_admission.py
@@ -114,7 +114,9 @@
         :param ticket: its place.
         :param now_ms: current time.
         """
-        self._teams[self._clamp_rank(ticket.rank)].count_admitted(now_ms)
+        rank = self._clamp_rank(ticket.rank)
+        self._rank_demand.count_admitted(rank, now_ms)
+        self._teams[rank].count_admitted(now_ms)
 
     def is_admitted(
         self, ticket: AdmissionTicket, is_late: bool, now_ms: float
