Don't let callers gain much by repeating refused requests at once

Requests keep their urgency instead of a rank, which a new configuration may shift. Retry-After is bounded by what the caller waits, not by the timeout of the route. The ranks are not listed again when only servers have changed.

--- a/src/cuminhatch/decisions/admission_level.py
+++ b/src/cuminhatch/decisions/admission_level.py
@@ -179,11 +179,43 @@
     :param rank: rank of the request.
     :param occupancy: average occupancy of the service.
     :param rank_count: number of ranks of the service.
-    :param left_ms: time to the deadline. Callers don't wait for longer than a
-        third of it; without this bound, all that were told more would return
-        at the same moment.
+    :param left_ms: time to the caller's deadline. Callers don't wait for
+        longer than a third of it; without this bound, all that were told more
+        would return at the same moment.
     """
-    excess = max(1.0, occupancy / band_start(rank, rank_count))
-    delay_ms = RETRY_AFTER_MIN_MS + HALF_LIFE_MS * (rank + log2(excess))
+    start = band_start(rank, rank_count)
+    delay_ms = decay_time_ms(occupancy, start) + HALF_LIFE_MS * rank
+    return _limit_retry_after(delay_ms, left_ms)
+
+
+def slot_retry_after_ms(
+    rank: int, occupancy: float, rank_count: int, left_ms: float
+) -> float:
+    """
+    Return when a request that is admitted is likely to find a free slot.
+
+    It is short: one that comes back at once has about the same chance of a
+    slot as one that waits for so long.
+
+    :param rank: rank of the request.
+    :param occupancy: average occupancy of the service.
+    :param rank_count: number of ranks of the service.
+    :param left_ms: time to the caller's deadline.
+    """
+    delay_ms = decay_time_ms(occupancy, band_start(0, rank_count))
+    return _limit_retry_after(delay_ms * (1 + rank), left_ms)
+
+
+def decay_time_ms(occupancy: float, start: float) -> float:
+    """
+    Return when the average will have fallen to the start of a band.
+
+    :param occupancy: average occupancy of the service.
+    :param start: start of the band.
+    """
+    return RETRY_AFTER_MIN_MS + HALF_LIFE_MS * log2(max(1.0, occupancy / start))
+
+
+def _limit_retry_after(delay_ms: float, left_ms: float) -> float:
     longest_ms = left_ms * RETRY_SHARE_OF_LEFT / RETRY_SPREAD_FACTOR
     return max(RETRY_AFTER_MIN_MS, min(delay_ms, longest_ms))
--- a/src/cuminhatch/services/forwarding/_admission.py
+++ b/src/cuminhatch/services/forwarding/_admission.py
@@ -9,6 +9,7 @@
 
 from cuminhatch.decisions.configuration import Configuration
 from cuminhatch.decisions.placement import (
+    SERVERS_FULL,
     SLOTS_RESERVED,
     NotPlaced,
     Placed,
@@ -29,11 +30,12 @@
 def update_admissions(state: ForwardingState, previous: Configuration) -> None:
     """Apply changed rules and teams; the state of other services is kept."""
     configuration = state.configuration
-    is_unchanged = (
-        previous.rules is configuration.rules and previous.teams is configuration.teams
-    )
-    has_all = all(pool.admission is not None for pool in state.pools.values())
-    if is_unchanged and (configuration.teams is None or has_all):
+    if (
+        previous.services is configuration.services
+        and previous.rules is configuration.rules
+        and previous.teams is configuration.teams
+    ):
+        # Only the registered servers have changed.
         return
     urgencies = {} if configuration.teams is None else list_urgencies(configuration)
     for service_id, pool in state.pools.items():
@@ -73,10 +75,12 @@
     if admission is None:
         return
     team = exchange.team
+    now_ms = state.clock.now_ms
     exchange.ticket = admission.count_request(
         find_urgency(exchange.rule, team),
         team.team_id if team is not None else None,
-        state.clock.now_ms,
+        state.clock.wall_ms + exchange.caller_deadline_ms - now_ms,
+        now_ms,
     )
 
 
@@ -110,27 +114,27 @@
     is_late = isinstance(chosen, Placed) and misses_target(chosen, work)
     if admission.is_admitted(ticket, is_late, now_ms):
         return None
-    retry_after_ms = admission.get_retry_after_ms(ticket, work.left_ms, now_ms)
+    count_decision(state, exchange, admission, "admission_refused_total")
+    left_ms = exchange.caller_deadline_ms - now_ms
+    retry_after_ms = admission.get_retry_after_ms(ticket, left_ms, now_ms)
     return NotPlaced(ADMISSION_LEVEL, retry_after_ms)
 
 
-def adjust_refusal(
+def adjust_retry_after(
     state: ForwardingState, exchange: Exchange, refusal: NotPlaced
 ) -> NotPlaced:
-    """Return a refusal with the Retry-After of the rank, and count it."""
+    """Return a refusal with a Retry-After that depends on the rank."""
     admission = find_admission(state, exchange.service_id)
-    ticket = exchange.ticket
-    if admission is None or ticket is None:
+    if admission is None or exchange.ticket is None or len(admission.urgencies) == 1:
         return refusal
-    if refusal.reason == ADMISSION_LEVEL:
-        count_decision(state, exchange, "admission_refused_total")
-    if refusal.reason != SLOTS_RESERVED:
+    if refusal.reason not in (SERVERS_FULL, SLOTS_RESERVED):
         return refusal
     now_ms = state.clock.now_ms
-    left_ms = exchange.deadline_ms - now_ms
-    return refusal._replace(
-        capacity_in_ms=admission.get_retry_after_ms(ticket, left_ms, now_ms)
+    left_ms = exchange.caller_deadline_ms - now_ms
+    retry_after_ms = admission.get_retry_after_ms(
+        exchange.ticket, left_ms, now_ms, is_admitted=True
     )
+    return refusal._replace(capacity_in_ms=retry_after_ms)
 
 
 def count_admitted(state: ForwardingState, exchange: Exchange) -> None:
@@ -140,12 +144,15 @@
         return
     exchange.is_admitted = True
     admission.count_admitted(exchange.ticket, state.clock.now_ms)
-    count_decision(state, exchange, "admission_admitted_total")
+    count_decision(state, exchange, admission, "admission_admitted_total")
 
 
-def count_decision(state: ForwardingState, exchange: Exchange, name: str) -> None:
+def count_decision(
+    state: ForwardingState, exchange: Exchange, admission: ServiceAdmission, name: str
+) -> None:
     """Increment a metric by service and rank."""
-    labels = {"service": exchange.service_id, "rank": str(exchange.ticket.rank)}
+    rank = admission.find_rank(exchange.ticket.urgency)
+    labels = {"service": exchange.service_id, "rank": str(rank)}
     state.increment(name, labels)
 
 
@@ -156,7 +163,7 @@
         return {}
     found = admission.get_state(state.clock.now_ms)
     return {
-        "rank": exchange.ticket.rank,
+        "rank": admission.find_rank(exchange.ticket.urgency),
         "level": round(found.level, 2),
         "occupancy": round(found.occupancy, 2),
     }
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -20,7 +20,7 @@
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
 from cuminhatch.services.forwarding._admission import (
-    adjust_refusal,
+    adjust_retry_after,
     check_admission,
     count_admitted,
     describe_admission,
@@ -217,7 +217,7 @@
     if exchange.is_hedging or exchange.attempts:
         exchange.is_hedging = False
         return
-    refusal = adjust_refusal(state, exchange, refusal)
+    refusal = adjust_retry_after(state, exchange, refusal)
     record_not_placed(state, exchange, refusal)
     refuse_unplaced(state, exchange, refusal)
 
