--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -10,6 +10,7 @@
 from cuminhatch.decisions.response_copies import CopyFinder
 from cuminhatch.decisions.response_origin import ResponseEvidence
 from cuminhatch.decisions.server_records import ServerRecord
+from cuminhatch.decisions.service_admission import AdmissionTicket
 from cuminhatch.errors import ServiceError
 from cuminhatch.messages import RequestReceived
 
@@ -110,6 +111,7 @@
         "facts",
         "head",
         "hedge_timer",
+        "is_admitted",
         "is_body_buffered",
         "is_body_complete",
         "is_caller_gone",
@@ -126,6 +128,7 @@
         "service_id",
         "streaming_attempt",
         "team",
+        "ticket",
         "wide_searches",
     )
 
@@ -153,6 +156,10 @@
         self.team: Team | None = None
         # ``ForwardingState.access_version`` of the last check of access.
         self.access_version = 0
+        # Place in admission control; None while it is not active.
+        self.ticket: AdmissionTicket | None = None
+        # It has been sent to a server, or was about to be.
+        self.is_admitted = False
         self.received_ms = message.received_ms
         timeout_ms = facts.budget_ms
         if timeout_ms is None:
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -21,6 +21,10 @@
     HealthCheckFailed,
 )
 from cuminhatch.services.forwarding._credentials import note_access_change
+from cuminhatch.services.forwarding._admission import (
+    record_load_sample,
+    update_admissions,
+)
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
@@ -38,6 +42,7 @@
             state.pools[service_id] = ServicePool(budget)
     for service_id in state.pools.keys() - message.configuration.services.keys():
         del state.pools[service_id]
+    update_admissions(state, previous)
     servers: dict[str, dict[str, BackendServer]] = {}
     for server_id, server in message.configuration.servers.items():
         servers.setdefault(server.service_id, {})[server_id] = server
@@ -101,6 +106,8 @@
         state.record("server_health_changed", "", details)
     if message.load is not None:
         record_load(record, message.load)
+        if message.is_healthy:
+            record_load_sample(state, record, message.load)
 
 
 def on_health_check_failed(state: ForwardingState, message: HealthCheckFailed) -> None:
