--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -20,11 +20,11 @@
     HealthCheckConnectionClosed,
     HealthCheckFailed,
 )
-from cuminhatch.services.forwarding._credentials import note_access_change
 from cuminhatch.services.forwarding._admission import (
     record_load_sample,
     update_admissions,
 )
+from cuminhatch.services.forwarding._credentials import note_access_change
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
