Withdraw attempts that are denied before a byte is sent

An attempt whose connection opens slowly, as after a lost packet, was sent up to seconds after its check, also if its key had been removed meanwhile. When access changes, attempts that would not be made as they are now are withdrawn unless a byte was sent; their requests are checked again, and refused with 401 if the key is gone. The server does not count as failing. Ruled out: to cancel attempts that were sent, since running requests end by themselves.

--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -15,6 +15,8 @@
 # Failure reason of an attempt that was not sent because this instance's share
 # of connections to the backend server is in use.
 CONNECTION_LIMIT = "connection limit"
+# Failure reason of an attempt that was withdrawn before a byte was sent.
+ATTEMPT_WITHDRAWN = "withdrawn"
 
 # To ``backends``.
 
@@ -59,6 +61,17 @@
     attempt_id: int
 
 
+class UnsentAttemptWithdrawn(NamedTuple):
+    """
+    The request may no longer be sent.
+
+    The attempt fails if no byte was sent, as its connection is still being
+    opened; otherwise it goes on.
+    """
+
+    attempt_id: int
+
+
 class AttemptReadPaused(NamedTuple):
     """The caller is too slow; reading the response is to be paused."""
 
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -24,6 +24,7 @@
     ConfigurationChanged,
     ValueObserved,
 )
+from cuminhatch.messages.attempts import ATTEMPT_WITHDRAWN, UnsentAttemptWithdrawn
 from cuminhatch.messages.loads import ProbeRequested, ProbeResponseRejected
 from cuminhatch.services._stream import CONNECTION_CLOSED, Stream
 from cuminhatch.services.backends._pool import (
@@ -93,6 +94,7 @@
             AttemptRequested: self._on_attempt_requested,
             AttemptRequestBody: self._on_attempt_request_body,
             AttemptCancelled: self._on_attempt_cancelled,
+            UnsentAttemptWithdrawn: self._on_unsent_attempt_withdrawn,
             AttemptReadPaused: self._on_read_paused,
             AttemptReadResumed: self._on_read_resumed,
             ProbeRequested: self._on_probe_requested,
@@ -319,6 +321,13 @@
         self._pool.close(connection)
         attempt.reports.on_failed(reason, is_sent, connection.is_reused)
 
+    def _on_unsent_attempt_withdrawn(self, message: UnsentAttemptWithdrawn) -> None:
+        connection = self._find(message.attempt_id)
+        if connection is not None:
+            sent_bytes = connection.stream.sent_bytes
+            if sent_bytes == connection.attempt.sent_bytes_at_start:
+                self._fail_attempt(connection, ATTEMPT_WITHDRAWN)
+
     # Flow control and time
 
     def _on_attempt_cancelled(self, message: AttemptCancelled) -> None:
--- a/src/cuminhatch/services/forwarding/_credentials.py
+++ b/src/cuminhatch/services/forwarding/_credentials.py
@@ -10,6 +10,7 @@
     recheck_access,
 )
 from cuminhatch.decisions.routing import NoRoute
+from cuminhatch.messages.attempts import UnsentAttemptWithdrawn
 from cuminhatch.services.forwarding._exchange import Exchange
 from cuminhatch.services.forwarding._state import ForwardingState
 
@@ -80,3 +81,26 @@
         or previous.team_ids_by_key is not current.team_ids_by_key
     ):
         state.access_version += 1
+
+
+def withdraw_outdated_attempts(state: ForwardingState) -> None:
+    """
+    Withdraw attempts that would not be made as they are now, unless sent.
+
+    A connection may take seconds to open if packets are lost. A request whose
+    attempt is withdrawn is checked again before it is resent.
+    """
+    if state.configuration.teams is None:
+        return
+    for exchange in state.exchanges.values():
+        if exchange.attempts and is_outdated(state, exchange):
+            for attempt_id in exchange.attempts:
+                state.send("backends", UnsentAttemptWithdrawn(attempt_id))
+
+
+def is_outdated(state: ForwardingState, exchange: Exchange) -> bool:
+    """Check a request again, and tell whether it would be sent otherwise."""
+    head, team = exchange.head, exchange.team
+    if find_denial(state, exchange) is not None:
+        return True
+    return exchange.head is not head or (exchange.team is None) != (team is None)
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -18,7 +18,10 @@
     HealthCheckConnectionClosed,
     HealthCheckFailed,
 )
-from cuminhatch.services.forwarding._credentials import note_access_change
+from cuminhatch.services.forwarding._credentials import (
+    note_access_change,
+    withdraw_outdated_attempts,
+)
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
 
@@ -41,6 +44,7 @@
         servers.setdefault(server.service_id, {})[server_id] = server
     for service_id, pool in state.pools.items():
         update_pool(state, pool, servers.get(service_id, {}))
+    withdraw_outdated_attempts(state)
 
 
 def update_pool(
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -27,6 +27,7 @@
     AttemptWriteStalled,
     ConfigurationChanged,
 )
+from cuminhatch.messages.attempts import ATTEMPT_WITHDRAWN, UnsentAttemptWithdrawn
 from cuminhatch.services._stream import Stream
 from cuminhatch.services.backends import IDLE_TIMEOUT_MS, BackendConnections
 from tests.services._loopback import Peer, run_until
@@ -398,3 +399,39 @@
     assert harness.connections == 1
     harness.send(ConfigurationChanged(EMPTY_CONFIGURATION))
     assert harness.connections == 0
+
+
+def withdraw(harness, attempt_id):
+    harness.kernel.send("backends", UnsentAttemptWithdrawn(attempt_id))
+    run_ticks(harness.kernel)
+
+
+def test_attempt_is_withdrawn_while_its_connection_opens(harness):
+    """Guards against a request that is sent once a lost packet is repeated."""
+    # With a full backlog the system drops the first packet of a connection.
+    listener = socket.create_server(("127.0.0.1", 0), backlog=0)
+    address = Address(*listener.getsockname())
+    fillers = [socket.socket() for _ in range(4)]
+    for filler in fillers:
+        filler.setblocking(False)
+        filler.connect_ex(address)
+    attempt_id = harness.request(address=address)
+    run_ticks(harness.kernel)
+    assert not harness.failures_of(attempt_id)
+    withdraw(harness, attempt_id)
+    (failed,) = harness.failures_of(attempt_id)
+    assert (failed.reason, failed.is_sent) == (ATTEMPT_WITHDRAWN, False)
+    assert harness.connections == 0
+    for sock in (listener, *fillers):
+        sock.close()
+
+
+def test_attempt_that_was_sent_is_not_withdrawn(harness):
+    """Guards against a request that counts as not run, and runs."""
+    attempt_id = harness.request()
+    peer = harness.accept()
+    peer.run_until(lambda: peer.received)
+    withdraw(harness, attempt_id)
+    assert not harness.failures_of(attempt_id)
+    peer.send(OK)
+    harness.wait_for_ok(attempt_id)
