--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -285,3 +285,15 @@
         )
     )
     assert dict(world.take().members) == {"a": ("10.0.0.2", 80)}
+
+
+def test_keys_of_teams_leave_the_store_client_as_digests(world):
+    """Guards against keys in the document that instances keep and relay."""
+    document = {"tenants": [{"name": "red", "api-keys": ["marked-key"]}]}
+    value = b64encode(json.dumps(document).encode()).decode()
+    world.request_configuration()
+    row = make_row("config", 90, table="op") | {"value": value}
+    world.reply(make_page(100, row))
+    read = world.take()
+    assert b"key-digests" in read.document
+    assert b"marked-key" not in read.document
--- a/tests/services/test_credentials.py
+++ b/tests/services/test_credentials.py
@@ -94,19 +94,33 @@
 
 
 @pytest.mark.parametrize(
-    ("rule_id", "teams", "reason"),
+    ("rule_id", "teams", "reason", "entry"),
     [
-        ("broken", (), "rule-disabled"),
-        ("read", (Team("red", fault="burst"),), "team-disabled"),
+        ("broken", (), "rule-disabled", {"rule": "broken"}),
+        (
+            "read",
+            (Team("red", fault="burst"),),
+            "team-disabled",
+            {"rule": "read", "team": "red"},
+        ),
     ],
 )
-def test_disabled_entry_is_503(world, rule_id, teams, reason):
+def test_disabled_entry_is_503(world, rule_id, teams, reason, entry):
     """Guards against a 404 or 401 for an entry that cannot be used."""
     configure(world, teams=teams)
     world.request(rule_id, headers=KEY_1)
     refusal = take_refusal(world)
     assert (refusal.status, refusal.reason) == (503, reason)
     assert refusal.retry_after_ms > 0
+    (event,) = world.take("event_log", EventRecorded)
+    assert entry.items() <= event.details.items()
+
+
+def test_disabled_rule_is_503_where_there_are_no_teams(world):
+    """Guards against a disabled rule that is only noticed with teams."""
+    configure(world, keys=None)
+    world.request("broken")
+    assert take_refusal(world).reason == "rule-disabled"
 
 
 @pytest.mark.parametrize(
