--- a/tests/services/test_credentials.py
+++ b/tests/services/test_credentials.py
@@ -116,6 +116,16 @@
     assert entry.items() <= event.details.items()
 
 
+def test_route_to_a_disabled_service_is_503(world):
+    """Guards against a failure where a rule names a service that is gone."""
+    rules = {"read": RULES["read"]._replace(service_id="disabled")}
+    configure(world, rules=rules)
+    world.request("read", headers=KEY_1)
+    refusal = take_refusal(world)
+    assert (refusal.status, refusal.reason) == (503, "no-backend-server")
+    assert refusal.retry_after_ms > 0
+
+
 def test_disabled_rule_is_503_where_there_are_no_teams(world):
     """Guards against a disabled rule that is only noticed with teams."""
     configure(world, keys=None)
