Test that late requests give way under pressure

Seen to fail when lateness was not taken into account. The queue model applies the Retry-After of a missing slot only where there are several ranks, as forwarding does.

--- a/tests/decisions/admission_model.py
+++ b/tests/decisions/admission_model.py
@@ -149,7 +149,8 @@
     def refuse(self, admission, ticket, request, left_ms, is_admitted):
         """Refuse a request; its caller repeats it while there is time."""
         kind, retry_ms = request.kind, 100.0
-        if admission is not None:
+        has_ranks = admission is not None and len(admission.urgencies) > 1
+        if has_ranks or (admission is not None and not is_admitted):
             retry_ms = admission.get_retry_after_ms(
                 ticket, left_ms, self.now_ms, is_admitted
             )
--- a/tests/decisions/test_service_admission.py
+++ b/tests/decisions/test_service_admission.py
@@ -101,6 +101,28 @@
     assert all(0 <= a - b < 0.1 for a, b in pairwise(levels))
 
 
+@pytest.mark.parametrize("occupancy", [0.85, 0.95])
+def test_late_request_gives_way_to_others_of_its_rank(occupancy):
+    """
+    Guards against late requests that make others of their rank late as well.
+
+    Load: servers that are nearly full.
+    """
+    admission = ServiceAdmission(BOTH, Random(1))
+    for _ in range(20):
+        urgent = admission.count_request(SHORT, "a", 0.0, 0.0)
+        admission.record_load(round(400 * occupancy), 0, 400, 0.0)
+    admitted = [0, 0, 0]
+    for n in range(100):
+        ticket = admission.count_request(UPLOAD, "b", 1.97 * n, 0.0)
+        ticket = ticket._replace(is_excess=False)
+        admitted[0] += admission.is_admitted(ticket, True, 0.0)
+        admitted[1] += admission.is_admitted(ticket, False, 0.0)
+        admitted[2] += admission.is_admitted(urgent, True, 0.0)
+    assert admitted[0] < admitted[1]
+    assert admitted[2] == 100
+
+
 def test_more_urgent_callers_are_told_to_return_sooner():
     """
     Guards against urgent callers that come back after all slots are taken.
