Report the end of a stream after a failed write as a failure

A send that meets a reset takes the error off the socket. The stream is read on for a response that may have arrived before, and the read after the last byte then returns the end of the stream as after a regular close.

Ruled out: a fault of the parser, which knows that the body ends with the connection, and of the buffer of forwarding. The two other users of Stream, http_listener and note_transfer, don't use the reason; request bodies always have a length or chunks.

--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -80,7 +80,8 @@
 
     ``on_data(data)`` is called with bytes read, ``on_lost(reason)`` once when
     the peer has closed the connection or it has failed, and ``on_drained()``
-    when the write buffer has become empty.
+    when the write buffer has become empty. The reason is ``CONNECTION_CLOSED``
+    only if no write has failed before.
     """
 
     def __init__(
@@ -109,6 +110,10 @@
         self._is_open = True
         self._is_reading = False
         self._sent_bytes = 0
+        # Why the stream ends when no more data can be read. A failed write
+        # takes the error off the socket, which then reads like one that the
+        # peer has closed.
+        self._end_reason = CONNECTION_CLOSED
 
     @property
     def sent_bytes(self) -> int:
@@ -200,7 +205,7 @@
         if data:
             self._on_data(data)
         else:
-            self._close_and_report(CONNECTION_CLOSED)
+            self._close_and_report(self._end_reason)
 
     def _flush(self) -> None:
         try:
@@ -218,6 +223,7 @@
 
     def _handle_write_error(self, error: OSError) -> None:
         self._buffer.clear()
+        self._end_reason = CONNECTION_FAILED
         if not self._is_reading or isinstance(error, ConnectionRefusedError):
             self._close_and_report(_reason_from_error(error))
             return
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -27,7 +27,7 @@
     AttemptWriteStalled,
     ConfigurationChanged,
 )
-from cuminhatch.services._stream import Stream
+from cuminhatch.services._stream import RESET_ON_CLOSE, Stream
 from cuminhatch.services.backends import IDLE_TIMEOUT_MS, BackendConnections
 from tests.services._loopback import Peer, run_until
 from tests.support import Recorder, run_ticks
@@ -324,6 +324,40 @@
     assert harness.connections == 0
 
 
+@pytest.mark.parametrize(
+    ("data", "is_complete"),
+    [
+        (b"HTTP/1.1 200 OK\r\n\r\nok", False),
+        (OK, True),
+        (CHUNKED + b"2\r\nok\r\n0\r\n\r\n", True),
+        (OK[:-1], False),
+    ],
+    ids=["until close", "length", "chunked", "length cut"],
+)
+def test_reset_that_a_write_meets_first_proves_no_end(harness, peer, data, is_complete):
+    """
+    Guards against a broken-off response that passes for complete (MIXED).
+
+    The failed write takes the reset off the socket, so the next read ends as
+    if the server had closed the connection.
+    """
+    attempt_id = harness.request(b"POST", body_length=1 << 30, is_complete=False)
+    peer.run_until(lambda: b"content-length: 1073741824\r\n" in peer.received)
+    peer.sock.send(data)
+    peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    peer.sock.close()
+    part = AttemptRequestBody(attempt_id, b"x" * 1000, False)
+    for _ in range(2):
+        # Delivered before the socket is read.
+        harness.kernel.send("backends", part)
+    run_until(harness.kernel, lambda: harness.connections == 0)
+    run_ticks(harness.kernel)
+    reports = harness.find_messages(attempt_id, AttemptResponse)
+    reports += harness.find_messages(attempt_id, AttemptResponseBody)
+    assert any(m.is_complete for m in reports) == is_complete
+    assert bool(harness.failures_of(attempt_id)) != is_complete
+
+
 def test_connection_is_not_used_again_after_an_early_response(harness, peer):
     """Guards against a request where the rest of a body is due (UNASKED)."""
     attempt_id = harness.request(
