Reset a connection that is lost within a response without a length

An HTTP/1.0 caller that shuts down its sending side during a streamed response ended its request, and the listener closed the connection regularly: the caller takes that for the end of the body (MIXED). SO_LINGER is now set from the head of such a response until its last byte is sent, which also covers the death of the process.

Ruled out: the request side. A request body has a length or chunks, so the end of the connection completes no request.

The new test failed before (regular close). Tests of the listener, of planned stops and of truncated and endless responses pass.

--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -30,8 +30,10 @@
 CONNECTION_REFUSED = "connection refused"
 CONNECTION_FAILED = "connection failed"
 CONNECTION_CLOSED = "connection closed"
-# Value of SO_LINGER (on, 0 s) that makes close() reset the connection.
+# Values of SO_LINGER: (on, 0 s) makes close() reset the connection, (off, 0 s)
+# is the default.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_REGULARLY = struct.pack("ii", 0, 0)
 
 
 def set_stream_options(sock: socket) -> None:
@@ -187,9 +189,21 @@
 
     def abort(self) -> None:
         """Close with a reset, so that the peer sees an incomplete stream."""
+        self.set_reset_on_close(True)
+        self.close()
+
+    def set_reset_on_close(self, is_on: bool) -> None:
+        """
+        Set how the connection ends if it is closed from now on.
+
+        It is reset however it comes to its end, the death of the process
+        included, if the peer would take a regular close for the end of a body.
+
+        :param is_on: whether closing resets the connection.
+        """
         if self._is_open:
-            self._sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-            self.close()
+            value = RESET_ON_CLOSE if is_on else CLOSE_REGULARLY
+            self._sock.setsockopt(SOL_SOCKET, SO_LINGER, value)
 
     def read(self) -> None:
         """Read once, if data or the end of the stream has arrived."""
--- a/src/cuminhatch/services/http_listener/_connections.py
+++ b/src/cuminhatch/services/http_listener/_connections.py
@@ -71,6 +71,8 @@
     """Shut down writing, and read until the peer closes its side."""
     if connection.linger_started_ms is None:
         connection.linger_started_ms = state.clock.now_ms
+        # All bytes of the last response have been sent.
+        connection.stream.set_reset_on_close(False)
         connection.stream.finish_writing()
 
 
--- a/src/cuminhatch/services/http_listener/_responses.py
+++ b/src/cuminhatch/services/http_listener/_responses.py
@@ -93,6 +93,8 @@
     exchange.is_chunked = message.body_length is None and not exchange.is_http_1_0
     if message.body_length is None and exchange.is_http_1_0:
         exchange.is_keep_alive = False
+        # The caller takes a regular close for the end of the body.
+        connection.stream.set_reset_on_close(True)
     head = encode_response_head(
         message.head,
         message.body_length,
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -1,6 +1,7 @@
 """Tests of the HTTP listener over loopback connections."""
 
 import re
+import socket
 
 import h11
 import pytest
@@ -371,6 +372,21 @@
     assert peer.is_reset
 
 
+def test_half_closed_caller_sees_a_truncated_response_reset(harness):
+    """
+    Guards against a truncated response that looks complete (MIXED).
+
+    The request of a caller that shuts down its sending side ends. A regular
+    close would be the end of a response to HTTP/1.0 that has no length.
+    """
+    peer = harness.begin(b"GET / HTTP/1.0\r\n\r\n")
+    harness.target.respond(1, b"part", is_complete=False, length=None)
+    peer.run_until(lambda: b"part" in peer.received)
+    peer.sock.shutdown(socket.SHUT_WR)
+    peer.run_until(lambda: peer.is_closed)
+    assert peer.is_reset
+
+
 def test_response_without_length_to_http_1_0_ends_with_the_connection(harness):
     """Guards against chunked encoding sent to an HTTP/1.0 caller."""
     peer = harness.begin(b"GET / HTTP/1.0\r\nConnection: keep-alive\r\n\r\n")
