Pass a refusal of unsafe work on only with proof that nothing ran

Backend servers give 408, 421, 429 and 503 for requests that have run, too. Both front ends passed any status on; only decisions/response_origin looked at the header, and only where it was there.

What such a status means is decided in decisions/not_run_promise. Unsafe work without proof ends with 502 (forwarding) or with 504 and outcome unknown (dispatch, as all its unknown outcomes). It is decided by the head, before a long response is streamed. Interim responses never reach the check, late ones belong to no attempt, and hedges and resends exist for idempotent work only.

Ruled out: a repeated refusal on a kept connection, which is covered by is_refusal_proven; the servers did give these answers.

--- a/src/cuminhatch/services/dispatch/_attempt_failures.py
+++ b/src/cuminhatch/services/dispatch/_attempt_failures.py
@@ -40,6 +40,7 @@
 # Failure reason of a timeout. An attempt that failed for another reason, apart
 # from CONNECTION_LIMIT, before it sent a byte was refused the connection.
 TIMEOUT_REASON = "timeout"
+REFUSAL_NOT_PROVEN = "refusal-not-proven"
 
 
 def handle_shed(
@@ -63,6 +64,18 @@
     start_waiting_requests(state, record.pool)
 
 
+def handle_unproven_refusal(
+    state: DispatchState, record: RequestRecord, message: AttemptResponse
+) -> None:
+    """End a request that its server refuses as not run, without proof."""
+    if message.is_complete:
+        end_attempt(state, record)
+    else:
+        cancel_attempt(state, record)
+    give_up(state, record, True, REFUSAL_NOT_PROVEN)
+    start_waiting_requests(state, record.pool)
+
+
 def reject_response(state: DispatchState, record: RequestRecord, reason: str) -> None:
     """
     Drop a response that is not valid for its request, and its connection.
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -2,6 +2,7 @@
 
 from cuminhatch.codecs.http1 import ResponseHead
 from cuminhatch.decisions.leaving import apply_observation
+from cuminhatch.decisions.not_run_promise import is_unproven_promise
 from cuminhatch.decisions.response_copies import make_copy_finder
 from cuminhatch.decisions.response_origin import (
     ResponseEvidence,
@@ -27,7 +28,9 @@
     start_waiting_requests,
 )
 from cuminhatch.services.dispatch._attempt_failures import (
+    REFUSAL_NOT_PROVEN,
     handle_shed,
+    handle_unproven_refusal,
     reject_response,
 )
 from cuminhatch.services.dispatch._attempts import cancel_attempt, end_attempt
@@ -76,6 +79,9 @@
     if parsed.is_shed:
         handle_shed(state, record, parsed, message)
         return
+    if is_unproven_promise(message.head.status, record.rule.is_idempotent, False):
+        handle_unproven_refusal(state, record, message)
+        return
     if not message.is_complete:
         # A complete response refreshes the view when its attempt ends.
         refresh_and_start_waiting(state, record.pool, record.view)
@@ -99,7 +105,7 @@
     if not is_own_response(evidence):
         return "response-of-another-request"
     if parsed.is_shed and not is_refusal_proven(evidence):
-        return "refusal-not-proven"
+        return REFUSAL_NOT_PROVEN
     return ""
 
 
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -4,6 +4,7 @@
 
 from cuminhatch.codecs.dialect import ResponseMetadata
 from cuminhatch.codecs.http1 import Header, ResponseHead
+from cuminhatch.decisions.not_run_promise import is_unproven_promise
 from cuminhatch.decisions.placement import is_full
 from cuminhatch.decisions.response_copies import make_copy_finder
 from cuminhatch.decisions.response_origin import (
@@ -43,6 +44,7 @@
 RESPONSE_BUFFER_MAX_BYTES = 256 * 1024
 # Reason for which a response is rejected or aborted.
 ANOTHER_RESPONSE_IN_BODY = "another-response-in-body"
+REFUSAL_NOT_PROVEN = "refusal-not-proven"
 STATUS_OK = 200
 SERVER_ERROR_MIN_STATUS = 500
 SUCCESS_STATUSES = range(200, 300)
@@ -88,6 +90,10 @@
     if facts.is_not_executed:
         handle_not_run(state, exchange, attempt, facts, message)
         return
+    # A refusal that is proven has been handled above.
+    if is_unproven_promise(message.head.status, exchange.is_idempotent, False):
+        handle_unproven_refusal(state, exchange, attempt, message)
+        return
     add_response_data(state, exchange, attempt, message.data, message.is_complete)
 
 
@@ -97,7 +103,7 @@
     if not is_own_response(attempt.evidence):
         return "answer-of-another-request"
     if facts.is_not_executed and not is_refusal_proven(attempt.evidence):
-        return "refusal-not-proven"
+        return REFUSAL_NOT_PROVEN
     if attempt.head.status in SUCCESS_STATUSES and not facts.is_authenticated:
         return "answer-not-vouched"
     return ""
@@ -177,6 +183,25 @@
     resend_or_give_up(state, exchange, reason)
 
 
+def handle_unproven_refusal(
+    state: ForwardingState,
+    exchange: Exchange,
+    attempt: Attempt,
+    message: AttemptResponse,
+) -> None:
+    """End a request that its server refuses as not run, without proof."""
+    record_rejection(state, exchange, attempt, REFUSAL_NOT_PROVEN)
+    if message.head.status >= SERVER_ERROR_MIN_STATUS:
+        record_failure(attempt.record, state.clock.now_ms)
+    if message.is_complete:
+        end_attempt(state, exchange, attempt)
+    else:
+        cancel_attempt(state, exchange, attempt)
+    exchange.may_have_run = True
+    exchange.last_failure = f"status-{message.head.status}"
+    resend_or_give_up(state, exchange, REFUSAL_NOT_PROVEN)
+
+
 def on_attempt_response_body(
     state: ForwardingState, message: AttemptResponseBody
 ) -> None:
