Fill durations of the settings template in their own unit

The template appended 000 to the platform's seconds, so 6.5 s became 6.5000 and was read as 6.5 ms: a budget window of some milliseconds, and a stop that cuts off all requests at once. The settings had no key in seconds and accept any number of milliseconds.

resends.window_s and drain.total_s stand beside the keys in milliseconds, which stay valid; setting both is an error. A stop shorter than its announcement and the time to exit is refused.

Ruled out: rounding in the template, which knows values and sections only.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -14,6 +14,7 @@
     read_boolean,
     read_milliseconds,
     read_non_negative_number,
+    read_seconds,
     read_sections,
     read_string,
 )
@@ -136,6 +137,12 @@
 
 # Stands for a key that is not set in a section that is left out.
 NO_ADDRESS = Address("", 0)
+# Stands for a duration that is not set in this unit.
+NO_DURATION = -1.0
+DEFAULT_RESEND_WINDOW_MS = 10_000.0
+DEFAULT_STOP_TOTAL_MS = 6_000.0
+# Time for the process to exit before the platform kills it.
+EXIT_RESERVE_MS = 300.0
 
 _SECTIONS: Sections = {
     "instance": {
@@ -159,7 +166,8 @@
     "resends": {
         "ratio": SettingsKey(read_non_negative_number, 0.1),
         "extra": SettingsKey(read_non_negative_number, 10.0),
-        "window_ms": SettingsKey(read_milliseconds, 10_000.0),
+        "window_ms": SettingsKey(read_milliseconds, NO_DURATION),
+        "window_s": SettingsKey(read_seconds, NO_DURATION),
     },
     "placement": {
         "probes_per_s": SettingsKey(read_non_negative_number, 10.0),
@@ -168,7 +176,8 @@
     },
     "drain": {
         "announce_ms": SettingsKey(read_milliseconds, 2_300.0),
-        "total_ms": SettingsKey(read_milliseconds, 6_000.0),
+        "total_ms": SettingsKey(read_milliseconds, NO_DURATION),
+        "total_s": SettingsKey(read_seconds, NO_DURATION),
     },
     "log": {"level": SettingsKey(make_choice_reader(*LEVELS), "INFO")},
     "quota": {
@@ -209,9 +218,9 @@
         PeersSettings(*values["peers"]),
         values["start"][0],
         StoreSettings(*values["store"]),
-        ResendSettings(*values["resends"]),
+        _make_resend_settings(values["resends"], file_name),
         PlacementSettings(probes_per_s, max(1, int(candidates)), far_charge),
-        StopSettings(*values["drain"]),
+        _make_stop_settings(values["drain"], file_name),
         values["log"][0],
         _make_quota_settings(values["quota"], file_name),
         _make_warmup_settings(values["warmup"]),
@@ -220,6 +229,42 @@
     )
 
 
+def _make_resend_settings(values: list[Any], file_name: str) -> ResendSettings:
+    ratio, extra, *window_ms = values
+    path = f"{file_name}: resends.window"
+    return ResendSettings(
+        ratio, extra, _choose_duration(path, *window_ms, DEFAULT_RESEND_WINDOW_MS)
+    )
+
+
+def _make_stop_settings(values: list[Any], file_name: str) -> StopSettings:
+    announce_ms, *total_ms = values
+    path = f"{file_name}: drain.total"
+    stop = StopSettings(
+        announce_ms, _choose_duration(path, *total_ms, DEFAULT_STOP_TOTAL_MS)
+    )
+    # Otherwise every request in progress would be cut off at once.
+    needed_ms = stop.announce_ms + EXIT_RESERVE_MS
+    if stop.total_ms < needed_ms:
+        key = "total_ms" if total_ms[1] == NO_DURATION else "total_s"
+        raise SettingsError(
+            f"{file_name}: drain.{key}: a stop in {stop.total_ms:g} ms is shorter than"
+            f" drain.announce_ms and {EXIT_RESERVE_MS:g} ms to exit, {needed_ms:g} ms"
+        )
+    return stop
+
+
+def _choose_duration(
+    path: str, value_ms: float, value_from_s_ms: float, default_ms: float
+) -> float:
+    """Return a duration that is set in one unit at most, in milliseconds."""
+    if value_ms != NO_DURATION and value_from_s_ms != NO_DURATION:
+        raise SettingsError(f"{path}_ms: set beside {path.split()[-1]}_s; remove one")
+    if value_from_s_ms != NO_DURATION:
+        return value_from_s_ms
+    return default_ms if value_ms == NO_DURATION else value_ms
+
+
 def _make_quota_settings(values: list[Any], file_name: str) -> QuotaSettings | None:
     quota = QuotaSettings(*values)
     if not quota.window_s:
--- a/src/cuminhatch/codecs/settings_keys.py
+++ b/src/cuminhatch/codecs/settings_keys.py
@@ -11,6 +11,7 @@
 from typing import Any, NamedTuple
 
 from cuminhatch.address import Address
+from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.errors import SettingsError
 
 
@@ -69,6 +70,19 @@
     return float(value)
 
 
+def read_seconds(value: Any) -> float:
+    """
+    Read a duration in seconds.
+
+    :param value: value from a settings file.
+    :returns: the duration in milliseconds.
+    :raises ValueError: the value is not a number or is negative.
+    """
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError("expected a number of seconds, 0 or more")
+    return value * MS_PER_SECOND
+
+
 def read_addresses(value: Any) -> tuple[Address, ...]:
     """
     Read a list of addresses of the form ``IP:PORT``.
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -10,6 +10,7 @@
 from cuminhatch.address import Address
 from cuminhatch.arguments import EXIT_USAGE
 from cuminhatch.codecs.gateway_toml import (
+    EXIT_RESERVE_MS,
     GatewaySettings,
     StopSettings,
     parse_gateway_settings,
@@ -38,8 +39,6 @@
 
 # Services to drain before the daemon exits.
 DRAINED_SERVICES = ("callers",)
-# Time for the process to exit before the platform kills it.
-EXIT_RESERVE_MS = 300.0
 
 
 def build_kernel(settings: GatewaySettings, file_name: str) -> Kernel:
--- a/tests/codecs/test_gateway_toml.py
+++ b/tests/codecs/test_gateway_toml.py
@@ -110,6 +110,36 @@
     assert str(caught.value).startswith("boot.toml: ")
 
 
+@pytest.mark.parametrize(
+    ("section", "named"),
+    [
+        ("[drain]\ntotal_s = 2.5\n", "drain.total_s: a stop in 2500 ms"),
+        ("[drain]\ntotal_ms = 2599\n", "drain.total_ms: a stop in 2599 ms"),
+        ("[drain]\nannounce_ms = 6000\n", "drain.total_ms: a stop in 6000 ms"),
+        ("[drain]\ntotal_s = 6\ntotal_ms = 6000\n", "drain.total_ms: set beside"),
+        ("[drain]\ntotal_s = -1\n", "drain.total_s: expected a number of seconds"),
+    ],
+)
+def test_stop_that_is_too_short_or_ambiguous_is_refused(section, named):
+    """Guards against a stop that cuts off all requests in progress."""
+    with pytest.raises(SettingsError, match=named):
+        parse(TEXT + section)
+
+
+def test_window_in_two_units_is_refused():
+    """Guards against one of two contradicting values that is ignored."""
+    with pytest.raises(SettingsError, match="resends.window_ms: set beside"):
+        parse(TEXT.replace("window_ms = 10000", "window_ms = 1\nwindow_s = 1"))
+
+
+def test_durations_have_defaults():
+    """Guards against a stop or a window of no time where none is set."""
+    settings = parse(TEXT.replace("window_ms = 10000\n", ""))
+    assert settings.resends.window_ms == 10_000.0
+    assert settings.drain == (2_300.0, 6_000.0)
+    assert parse(TEXT + "[drain]\ntotal_ms = 2600\n").drain.total_ms == 2600.0
+
+
 def test_drain_ends_before_the_process_is_killed():
     """Guards against a shutdown that exceeds the platform's kill timeout."""
     stop = parse(TEXT + "[drain]\nannounce_ms = 2300\ntotal_ms = 4000\n").drain
