Pause between pulls that fail in a row

A failed pull was sent to another instance at once, without a limit, so an instance whose others all refuse connections pulled in a busy loop. The first retry still follows at once: it is there for one overloaded instance.

Ruled out: a limit of pulls per news, since a lost datagram of news would leave the instance behind.

--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -13,6 +13,7 @@
 from cuminhatch.codecs.http1 import Header
 from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.catalog import CatalogChange
+from cuminhatch.decisions.pull_retries import pull_pause_ms
 from cuminhatch.decisions.reader_selection import should_yield
 from cuminhatch.decisions.store_version import NO_VERSION, StoreVersion
 from cuminhatch.log import logger
@@ -30,7 +31,7 @@
 )
 from cuminhatch.services.catalog._read_spans import get_reported_span, note_reads
 from cuminhatch.services.catalog._store_reads import schedule_read
-from cuminhatch.services.catalog._timers import PULL_TIMEOUT_MS
+from cuminhatch.services.catalog._timers import PULL_TIMEOUT_MS, PullRetryDue
 from cuminhatch.services.catalog._updates import (
     apply_catalog_change,
     apply_document,
@@ -181,6 +182,9 @@
 def on_pull_replied(view: CatalogView, message: HttpReplied) -> None:
     """Apply the state that has arrived, or follow the referral."""
     pull = view.active_pull
+    view.pull_failures = 0
+    view.kernel.cancel(view.pull_retry_timer)
+    view.pull_retry_timer = None
     try:
         reply = decode_message(message.body, view.key)
     except PeerMessageError as error:
@@ -253,8 +257,28 @@
     view.active_pull = None
     # Instances whose pulls were deferred ask the first instance themselves.
     answer_deferred_pulls(view)
-    # The first instance may be overloaded by pulls of all, and another
-    # instance may have the state by now. If not, the next news message
-    # starts another pull.
+    view.pull_failures += 1
+    pause_ms = pull_pause_ms(view.pull_failures, view.rng.random())
+    if pause_ms:
+        view.kernel.cancel(view.pull_retry_timer)
+        due_ms = view.clock.now_ms + pause_ms
+        view.pull_retry_timer = view.call_at(due_ms, PullRetryDue())
+    else:
+        retry_pull(view)
+
+
+def on_pull_retry_due(view: CatalogView, message: PullRetryDue) -> None:
+    """Send a pull again unless one that news has started is in progress."""
+    view.pull_retry_timer = None
+    retry_pull(view)
+
+
+def retry_pull(view: CatalogView) -> None:
+    """
+    Pull from any instance.
+
+    The first instance may be overloaded by pulls of all, and another instance
+    may have the state by now.
+    """
     if view.members:
         start_pull(view, view.rng.choice(list(view.members.values())))
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -36,6 +36,10 @@
     """Timer: store the record of this instance if others depend on it."""
 
 
+class PullRetryDue(NamedTuple):
+    """Timer: the pause after a failed pull has ended."""
+
+
 class GreetingDue(NamedTuple):
     """
     Timer: greet the seeds, unless the catalog is known by now.
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -146,6 +146,9 @@
         self.announced_configuration: (
             tuple[ConfigurationVersion, CatalogMember] | None
         ) = None
+        # Pulls that have failed in a row, and the timer of the next one.
+        self.pull_failures = 0
+        self.pull_retry_timer: int | None = None
         # Pulls of other instances that wait until the one in progress ends.
         self.deferred_pulls: list[RequestReceived] = []
         self.cached_responses: dict[MissingParts, PullResponse] = {}
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -38,7 +38,12 @@
     send_message,
 )
 from cuminhatch.services.catalog._pull_responses import on_pull_requested
-from cuminhatch.services.catalog._pulls import on_news, on_pull_failed, on_pull_replied
+from cuminhatch.services.catalog._pulls import (
+    on_news,
+    on_pull_failed,
+    on_pull_replied,
+    on_pull_retry_due,
+)
 from cuminhatch.services.catalog._store_reads import (
     on_configuration_read,
     on_read_due,
@@ -56,6 +61,7 @@
     RESTART_READ_DELAY_MS,
     GreetingDue,
     InstanceRecordDue,
+    PullRetryDue,
     ReadDue,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, DecodeConfiguration
@@ -138,6 +144,7 @@
             RequestReceived: on_pull_requested,
             HttpReplied: on_pull_replied,
             HttpFailed: on_pull_failed,
+            PullRetryDue: on_pull_retry_due,
         }
         table = {kind: partial(handle, self._view) for kind, handle in handlers.items()}
         return table | {
