Close a connection whose request body was dropped by a failed write

An early response may be read after a write has failed. The failed write discards the rest of the body, so nothing was pending any more, and the connection went back to the pool until its end was read. The next request was saved only by the read before it is sent. Now a connection with a failed write is never kept.

--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -127,6 +127,11 @@
         """Tell whether the connection has not been closed."""
         return self._is_open
 
+    @property
+    def is_intact(self) -> bool:
+        """Tell whether the connection is open and no write has failed."""
+        return self._is_open and self._end_reason == CONNECTION_CLOSED
+
     @property
     def is_reading(self) -> bool:
         """Tell whether the socket is read whenever data arrives."""
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -281,7 +281,7 @@
             not attempt.is_keep_alive
             or not attempt.is_request_complete
             or attempt.parser.has_trailing_data
-            or not connection.stream.is_open
+            or not connection.stream.is_intact
             or connection.stream.pending_bytes
         ):
             self._pool.close(connection)
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -262,7 +262,7 @@
         if (
             exchange.is_keep_alive
             and not exchange.parser.has_trailing_data
-            and stream.is_open
+            and stream.is_intact
             and not stream.pending_bytes
         ):
             connection.is_reused = True
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -370,6 +370,29 @@
     assert harness.connections == 0
 
 
+def test_connection_is_not_kept_if_a_part_of_the_body_was_dropped(harness, peer):
+    """
+    Guards against a request where the rest of a body is due (UNASKED).
+
+    The failed write discards the rest, so nothing is pending any more when the
+    early response is read.
+    """
+    attempt_id = harness.request(
+        b"POST", body_length=1 << 24, data=b"x" * (1 << 24), is_complete=True
+    )
+    peer.run_until(lambda: b"content-length: 16777216\r\n" in peer.received)
+    connection = harness.backends._find(attempt_id)
+    assert connection.stream.pending_bytes
+    peer.sock.send(OK)
+    peer.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    peer.sock.close()
+    connection.stream._flush()
+    assert not connection.stream.pending_bytes
+    connection.stream.read()
+    assert connection.is_closed
+    harness.wait_for_ok(attempt_id)
+
+
 def test_cancelled_attempt_closes_its_connection(harness, peer):
     """Guards against servers that work on cancelled requests."""
     attempt_id = harness.request()
