Receive the body of an upload before a server is chosen

A caller with a slow link held a slot of a server while its body arrived. The body of a rule with is_upload is now received first (stage RECEIVING), if the declared length is at most 512 KB and all bodies together stay within 24 MB; bodies in chunks count as they arrive. Beyond either bound the body is streamed as before. The whole body is kept until the request ends, so that one of which no byte was sent, or which a server provably rejected, can go to another server; any other failure ends the request.

The route is looked up again when the body has arrived, which may be seconds after the head. The time that the body took counts against the deadline and the target, but not as a wait for a server: a slow caller would else be refused at once by nearly full servers.

Ruled out: counting only what has arrived, since uploads that begin together would exceed the bound together; and a longer body for all routes, since only uploads are kept for seconds.

--- a/src/cuminhatch/decisions/explanation.py
+++ b/src/cuminhatch/decisions/explanation.py
@@ -168,6 +168,17 @@
     )
 
 
+def _describe_upload_received(line: Line) -> str:
+    return f"its body of {line['bytes']} bytes arrived within {line['took_ms']} ms"
+
+
+def _describe_upload_streamed(line: Line) -> str:
+    return (
+        f"its body is passed on as it arrives, {line['received_bytes']} bytes so far: "
+        f"{line['reason']}"
+    )
+
+
 def _describe_failed(line: Line) -> str:
     return (
         f"answered with {line['status']}, the outcome is unknown: {line['reason']}; "
@@ -217,6 +228,8 @@
     "placed": _describe_placed,
     "send_failed": _describe_send_failed,
     "resend_denied": _describe_resend_denied,
+    "upload_received": _describe_upload_received,
+    "upload_streamed": _describe_upload_streamed,
     "not_placed": _describe_not_placed,
     "refused": _describe_refused,
     "failed": _describe_failed,
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -39,9 +39,10 @@
     record_placement(state, exchange, attempt, placed)
     record_sent(record)
     state.send("backends", make_attempt_request(state, exchange, attempt, now_ms))
-    if len(exchange.body) > REQUEST_BUFFER_MAX_BYTES:
+    if len(exchange.body) > REQUEST_BUFFER_MAX_BYTES and not exchange.is_received_ahead:
         exchange.is_body_buffered = False
         exchange.body = bytearray()
+        state.uploads.release(exchange.request_id)
     if not exchange.is_body_complete:
         exchange.is_read_paused = False
         state.send("callers", RequestReadResumed(exchange.request_id))
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -21,6 +21,8 @@
 RETRY_AFTER_JITTER_RATIO = 0.3
 # Reason of requests that end because the process does.
 STOPPING = "stopping"
+# Reason of uploads whose body has not arrived by their deadline.
+BODY_NOT_RECEIVED = "body-not-received"
 
 
 def refuse_unplaced(
@@ -105,6 +107,7 @@
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
     del state.exchanges[exchange.request_id]
+    state.uploads.release(exchange.request_id)
     labels = {"service": exchange.service_id, "end": reason}
     state.increment("requests_total", labels)
     duration_ms = state.clock.now_ms - exchange.received_ms
@@ -125,7 +128,8 @@
     if exchange.attempts:
         exchange.may_have_run = True
     if not exchange.may_have_run:
-        give_up(state, exchange, "timeout")
+        is_receiving = exchange.stage is Stage.RECEIVING
+        give_up(state, exchange, BODY_NOT_RECEIVED if is_receiving else "timeout")
         return
     cancel_attempts(state, exchange)
     end_with_unknown_outcome(state, exchange, 504, "timeout")
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -29,6 +29,8 @@
     The names of the members are label values of a metric.
     """
 
+    # The body of an upload is received before a server is chosen.
+    RECEIVING = auto()
     # The load of candidate servers has been requested.
     MEASURING = auto()
     # No server has free capacity; placement is retried.
@@ -114,10 +116,12 @@
         "is_caller_gone",
         "is_hedging",
         "is_read_paused",
+        "is_received_ahead",
         "is_search_widened",
         "last_failure",
         "may_have_run",
         "measurement_id",
+        "placeable_ms",
         "placement_retries",
         "received_ms",
         "request_id",
@@ -147,6 +151,8 @@
         self.rule = rule
         self.service_id = service_id
         self.received_ms = message.received_ms
+        # When a server could be chosen: later if the body was received first.
+        self.placeable_ms = message.received_ms
         timeout_ms = facts.budget_ms
         if timeout_ms is None:
             timeout_ms = DEFAULT_TIMEOUT_MS
@@ -155,10 +161,12 @@
             timeout_ms = min(timeout_ms, rule.timeout_ms)
         # By then the caller gets the head of a response or an error response.
         self.deadline_ms = self.received_ms + timeout_ms
-        self.body = bytearray(message.data)
+        self.body: bytearray | bytes = bytearray(message.data)
         self.body_length = message.body_length
         self.is_body_complete = message.is_complete
         self.is_body_buffered = True
+        # The whole body is kept until the request ends, whatever its length.
+        self.is_received_ahead = False
         self.is_read_paused = False
         self._stage = Stage.MEASURING
         self.measurement_id = 0
--- a/src/cuminhatch/services/forwarding/_gauges.py
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -16,11 +16,22 @@
 
 
 def list_request_gauges(state: ForwardingState) -> Iterator[Gauge]:
-    """Yield the number of requests in each stage."""
+    """Yield how many requests are in each stage, and the memory of uploads."""
+    has_uploads = state.has_uploads
     stages = Counter(exchange.stage for exchange in state.exchanges.values())
     for stage in Stage:
+        if stage is Stage.RECEIVING and not has_uploads:
+            continue
         labels = {"stage": stage.name.lower()}
         yield Gauge("requests_in_progress", labels, stages[stage])
+    if has_uploads:
+        held = sum(
+            len(exchange.body)
+            for exchange in state.exchanges.values()
+            if exchange.rule.is_upload
+        )
+        yield Gauge("upload_bytes_held", {}, held)
+        yield Gauge("upload_bytes_reserved", {}, state.uploads.reserved_bytes)
 
 
 def list_pool_gauges(state: ForwardingState) -> Iterator[Gauge]:
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -184,13 +184,18 @@
     state: ForwardingState, exchange: Exchange, now_ms: float
 ) -> RequestProfile:
     """Return the properties of a request that the choice of a server uses."""
-    target_ms = exchange.rule.target_latency_ms
     usual = estimate_request(state, exchange)
+    # What the body took to arrive is no wait for a server, and the target is
+    # nearer by it.
+    receiving_ms = exchange.placeable_ms - exchange.received_ms
+    target_ms = exchange.rule.target_latency_ms
+    if receiving_ms:
+        target_ms = max(usual.usual_ms, target_ms - receiving_ms)
     per_kb = state.settings.far_charge_ms_per_kb
     return RequestProfile(
         usual.usual_ms,
         target_ms,
-        now_ms - exchange.received_ms,
+        now_ms - exchange.placeable_ms,
         exchange.deadline_ms - now_ms,
         usual.response_bytes / BYTES_PER_KB * per_kb,
         exchange.is_idempotent,
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -17,7 +17,11 @@
     Exchange,
     Stage,
 )
-from cuminhatch.services.forwarding._placement import place_exchange
+from cuminhatch.services.forwarding._receiving import (
+    find_rule,
+    receive_or_place,
+    receive_part,
+)
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import ExchangeTimedOut
 
@@ -36,9 +40,7 @@
     if not state.has_configuration:
         refuse_unrouted(state, message, trace_id, 503, "no-configuration")
         return
-    path = message.head.target.partition(b"?")[0].decode("latin-1")
-    method = message.head.method.decode("latin-1")
-    rule = state.match_rule(method, path, facts.host)
+    rule = find_rule(state, message.head, facts)
     if isinstance(rule, NoRoute):
         refuse_unrouted(state, message, trace_id, 404, rule.reason)
         return
@@ -58,7 +60,7 @@
         pool.budget.count_request(state.clock.now_ms)
     timed_out = ExchangeTimedOut(exchange.request_id)
     exchange.deadline_timer = state.call_at(exchange.deadline_ms, timed_out)
-    place_exchange(state, exchange)
+    receive_or_place(state, exchange)
 
 
 def refuse_unrouted(
@@ -89,6 +91,9 @@
     if exchange is None or exchange.is_body_complete:
         return
     exchange.is_body_complete = message.is_complete
+    if exchange.stage is Stage.RECEIVING:
+        receive_part(state, exchange, message)
+        return
     if exchange.is_body_buffered:
         exchange.body += message.data
     if exchange.attempts:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -13,6 +13,7 @@
 from cuminhatch.decisions.server_records import ServerRecord
 from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.decisions.traffic_split import weighted_round_robin
+from cuminhatch.decisions.uploads import UploadMemory
 from cuminhatch.kernel import Kernel
 from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
 from cuminhatch.services.forwarding._exchange import Exchange
@@ -99,12 +100,18 @@
         self.pick_service = weighted_round_robin(rng)
         self.pools: dict[str, ServicePool] = {}
         self.request_estimates = RequestEstimates()
+        self.uploads = UploadMemory()
         self.exchanges: dict[int, Exchange] = {}
         self.exchanges_by_attempt: dict[int, Exchange] = {}
         self.exchanges_by_measurement: dict[int, Exchange] = {}
         # Ids of attempts and measurements.
         self.ids = count(1)
 
+    @property
+    def has_uploads(self) -> bool:
+        """Tell whether the configuration has routes for uploads."""
+        return any(rule.is_upload for rule in self.configuration.rules.values())
+
     @property
     def has_configuration(self) -> bool:
         """Tell whether a configuration is known."""
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -149,7 +149,9 @@
         else:
             self._add_fake("backends", self.received["backends"].append)
         self._add_fake("loads", self._on_load_request)
-        self.kernel.register(Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed)))
+        self.forwarding = self.kernel.register(
+            Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed))
+        )
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
         # If False, load requests are kept instead of answered.
@@ -216,15 +218,24 @@
         self.tell(ConfigurationChanged(configuration))
 
     def request(
-        self, rule_id, wait_ms=1_200, body=b"", host=b"h", path=None, body_length=None
+        self,
+        rule_id,
+        wait_ms=1_200,
+        body=b"",
+        host=b"h",
+        path=None,
+        body_length=None,
+        is_chunked=False,
     ):
         """
         Send a request of a caller and return its id.
 
-        With a longer ``body_length`` the rest of the body is still to come.
+        With a longer ``body_length``, or in chunks, the rest of the body is
+        still to come.
         """
         length = len(body) if body_length is None else body_length
-        is_complete = length == len(body)
+        is_complete = length == len(body) and not is_chunked
+        length = None if is_chunked else length
         self.last_request_id += 1
         request_id = self.last_request_id
         head = RequestHead(
