--- a/src/cuminhatch/services/_stream.py
+++ b/src/cuminhatch/services/_stream.py
@@ -30,8 +30,10 @@
 CONNECTION_REFUSED = "connection refused"
 CONNECTION_FAILED = "connection failed"
 CONNECTION_CLOSED = "connection closed"
-# Value of SO_LINGER (on, 0 s) that makes close() reset the connection.
+# Values of SO_LINGER: (on, 0 s) makes close() reset the connection, (off, 0 s)
+# is the default.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CLOSE_REGULARLY = struct.pack("ii", 0, 0)
 
 
 def set_stream_options(sock: socket) -> None:
@@ -80,7 +82,8 @@
 
     ``on_data(data)`` is called with bytes read, ``on_lost(reason)`` once when
     the peer has closed the connection or it has failed, and ``on_drained()``
-    when the write buffer has become empty.
+    when the write buffer has become empty. The reason is ``CONNECTION_CLOSED``
+    only if no write has failed before.
     """
 
     def __init__(
@@ -109,6 +112,10 @@
         self._is_open = True
         self._is_reading = False
         self._sent_bytes = 0
+        # Why the stream ends when no more data can be read. A failed write
+        # takes the error off the socket, which then reads like one that the
+        # peer has closed.
+        self._end_reason = CONNECTION_CLOSED
 
     @property
     def sent_bytes(self) -> int:
@@ -120,6 +127,11 @@
         """Tell whether the connection has not been closed."""
         return self._is_open
 
+    @property
+    def is_intact(self) -> bool:
+        """Tell whether the connection is open and no write has failed."""
+        return self._is_open and self._end_reason == CONNECTION_CLOSED
+
     @property
     def is_reading(self) -> bool:
         """Tell whether the socket is read whenever data arrives."""
@@ -182,9 +194,21 @@
 
     def abort(self) -> None:
         """Close with a reset, so that the peer sees an incomplete stream."""
+        self.set_reset_on_close(True)
+        self.close()
+
+    def set_reset_on_close(self, is_on: bool) -> None:
+        """
+        Set how the connection ends if it is closed from now on.
+
+        It is reset however it comes to its end, the death of the process
+        included, if the peer would take a regular close for the end of a body.
+
+        :param is_on: whether closing resets the connection.
+        """
         if self._is_open:
-            self._sock.setsockopt(SOL_SOCKET, SO_LINGER, RESET_ON_CLOSE)
-            self.close()
+            value = RESET_ON_CLOSE if is_on else CLOSE_REGULARLY
+            self._sock.setsockopt(SOL_SOCKET, SO_LINGER, value)
 
     def read(self) -> None:
         """Read once, if data or the end of the stream has arrived."""
@@ -200,7 +224,7 @@
         if data:
             self._on_data(data)
         else:
-            self._close_and_report(CONNECTION_CLOSED)
+            self._close_and_report(self._end_reason)
 
     def _flush(self) -> None:
         try:
@@ -218,6 +242,7 @@
 
     def _handle_write_error(self, error: OSError) -> None:
         self._buffer.clear()
+        self._end_reason = CONNECTION_FAILED
         if not self._is_reading or isinstance(error, ConnectionRefusedError):
             self._close_and_report(_reason_from_error(error))
             return
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -26,6 +26,8 @@
 # Retry-After of a request for an entry of the configuration that cannot be
 # used, or that has changed: the configuration is read about once a second.
 CONFIGURATION_RETRY_AFTER_MS = 1_000.0
+# Reason of uploads whose body has not arrived by their deadline.
+BODY_NOT_RECEIVED = "body-not-received"
 
 
 def refuse_unplaced(
@@ -145,6 +147,7 @@
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
     del state.exchanges[exchange.request_id]
+    state.uploads.release(exchange.request_id)
     labels = {"service": exchange.service_id, "end": reason}
     state.increment("requests_total", labels)
     duration_ms = state.clock.now_ms - exchange.received_ms
@@ -165,7 +168,8 @@
     if exchange.attempts:
         exchange.may_have_run = True
     if not exchange.may_have_run:
-        give_up(state, exchange, "timeout")
+        is_receiving = exchange.stage is Stage.RECEIVING
+        give_up(state, exchange, BODY_NOT_RECEIVED if is_receiving else "timeout")
         return
     cancel_attempts(state, exchange)
     end_with_unknown_outcome(state, exchange, 504, "timeout")
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -32,7 +32,10 @@
     Exchange,
     Stage,
 )
-from cuminhatch.services.forwarding._placement import place_exchange
+from cuminhatch.services.forwarding._receiving import (
+    receive_or_place,
+    receive_part,
+)
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import ExchangeTimedOut
 
@@ -79,7 +82,7 @@
     timed_out = ExchangeTimedOut(exchange.request_id)
     exchange.deadline_timer = state.call_at(exchange.deadline_ms, timed_out)
     count_demand(state, exchange)
-    place_exchange(state, exchange)
+    receive_or_place(state, exchange)
 
 
 def refuse_denied(
@@ -136,6 +139,9 @@
     if exchange is None or exchange.is_body_complete:
         return
     exchange.is_body_complete = message.is_complete
+    if exchange.stage is Stage.RECEIVING:
+        receive_part(state, exchange, message)
+        return
     if exchange.is_body_buffered:
         exchange.body += message.data
     if exchange.attempts:
