Read evacuated failure domains with the configuration, and relay them

Operators evacuate a failure domain by a row of the store. The configuration was read as a range of one key; with evacuations enabled the same call reads the rows of evacuations as well, so that they cost no call. A second call per read was ruled out, as each is charged. The set carries the version of its read, goes with all news and pulls, and a later one replaces it. Servers of an evacuated domain get no request, resend, hedge or probe; an attempt whose connection is not established yet is not sent any more. An instance that has just started holds its configuration back until it knows the set, or until 2 s have passed in which neither the store nor another instance told it.

Messages without the fields are as before, byte for byte (compared with the encoding of the version before).

--- a/idl/catalog.thrift
+++ b/idl/catalog.thrift
@@ -43,6 +43,9 @@
   11: i64 configuration_era
   12: i32 latest_read_age_ms
   13: i32 read_span_ms
+  14: list<string> evacuated_domains
+  15: i64 evacuation_version
+  16: i64 evacuation_era
 }
 
 struct Greeting {
@@ -63,6 +66,9 @@
   9: i64 previous_era
   10: i64 era
   11: i64 configuration_era
+  12: list<string> evacuated_domains
+  13: i64 evacuation_version
+  14: i64 evacuation_era
 }
 
 struct CatalogReferral {
--- a/src/cuminhatch/codecs/catalog_thrift.py
+++ b/src/cuminhatch/codecs/catalog_thrift.py
@@ -18,6 +18,7 @@
 from cuminhatch.codecs.signing import PeerMessageError, decode_struct, encode_struct
 from cuminhatch.decisions.catalog import CatalogChange, Registration
 from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.evacuation import Evacuation
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 
 MAX_PORT = 65535
@@ -59,7 +60,8 @@
     ``is_pull_needed`` is set if the change is too long for a datagram, so that
     the receiver has to pull it. ``instances`` is the number of instances that
     the sender knows, including itself. ``reads`` is None if the sender knows
-    of none, or is of an earlier version.
+    of none, or is of an earlier version. ``evacuation`` is None if it knows of
+    no read of the evacuated failure domains.
     """
 
     sender: CatalogMember
@@ -68,6 +70,7 @@
     is_pull_needed: bool
     instances: int
     reads: ReadReport | None = None
+    evacuation: Evacuation | None = None
 
 
 class Greeting(NamedTuple):
@@ -87,7 +90,7 @@
     those of the receiver. ``configuration`` is the JSON document from the
     store, unchanged, and empty if the receiver has that version. ``members``
     are the instances that the sender knows, empty if the receiver has not
-    asked for them.
+    asked for them. ``evacuation`` is as in :class:`CatalogNews`.
     """
 
     change: CatalogChange | None
@@ -95,6 +98,7 @@
     configuration_version: ConfigurationVersion
     configuration: bytes
     members: tuple[CatalogMember, ...] = ()
+    evacuation: Evacuation | None = None
 
 
 class CatalogReferral(NamedTuple):
@@ -158,7 +162,7 @@
     age_ms = span_ms = None
     if message.reads is not None:
         age_ms, span_ms = (min(ms, MAX_REPORTED_MS) for ms in message.reads)
-    return ThriftNews(
+    news = ThriftNews(
         ThriftMember(*message.sender),
         change.previous_version.number,
         change.version.number,
@@ -173,6 +177,24 @@
         age_ms,
         span_ms,
     )
+    _add_evacuation(news, message.evacuation)
+    return news
+
+
+def _add_evacuation(
+    data: ThriftNews | ThriftState, evacuation: Evacuation | None
+) -> None:
+    if evacuation is not None:
+        data.evacuated_domains = sorted(evacuation.domains)
+        data.evacuation_version = evacuation.version.number
+        data.evacuation_era = evacuation.version.era
+
+
+def _evacuation_from_thrift(data: ThriftNews | ThriftState) -> Evacuation | None:
+    if data.evacuation_version is None:
+        return None
+    version = StoreVersion(data.evacuation_era or 0, data.evacuation_version)
+    return Evacuation(version, frozenset(data.evacuated_domains or ()))
 
 
 def _change_from_thrift(
@@ -194,6 +216,7 @@
         data.is_pull_needed,
         data.instances or 0,
         _reads_from_thrift(data),
+        _evacuation_from_thrift(data),
     )
 
 
@@ -239,6 +262,7 @@
         state.previous_era = change.previous_version.era
         state.removed_ids = list(change.removed_ids)
         state.is_whole = message.is_whole
+    _add_evacuation(state, message.evacuation)
     return state
 
 
@@ -252,6 +276,7 @@
         ConfigurationVersion(data.configuration_version, data.configuration_era or 0),
         _decompress_configuration(data.configuration),
         tuple(_member_from_thrift(member) for member in data.members or ()),
+        _evacuation_from_thrift(data),
     )
 
 
--- a/src/cuminhatch/codecs/gen/catalog/ttypes.py
+++ b/src/cuminhatch/codecs/gen/catalog/ttypes.py
@@ -322,11 +322,14 @@
      - configuration_era
      - latest_read_age_ms
      - read_span_ms
+     - evacuated_domains
+     - evacuation_version
+     - evacuation_era
 
     """
 
 
-    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None, instances=None, previous_era=None, era=None, configuration_era=None, latest_read_age_ms=None, read_span_ms=None,):
+    def __init__(self, sender=None, previous_version=None, version=None, configuration_version=None, changed=None, removed_ids=None, is_pull_needed=None, instances=None, previous_era=None, era=None, configuration_era=None, latest_read_age_ms=None, read_span_ms=None, evacuated_domains=None, evacuation_version=None, evacuation_era=None,):
         self.sender = sender
         self.previous_version = previous_version
         self.version = version
@@ -340,6 +343,9 @@
         self.configuration_era = configuration_era
         self.latest_read_age_ms = latest_read_age_ms
         self.read_span_ms = read_span_ms
+        self.evacuated_domains = evacuated_domains
+        self.evacuation_version = evacuation_version
+        self.evacuation_era = evacuation_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -427,6 +433,26 @@
                     self.read_span_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.evacuated_domains = []
+                    (_etype15, _size12) = iprot.readListBegin()
+                    for _i16 in range(_size12):
+                        _elem17 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem17)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I64:
+                    self.evacuation_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.I64:
+                    self.evacuation_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -456,15 +482,15 @@
         if self.changed is not None:
             oprot.writeFieldBegin('changed', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.changed))
-            for iter12 in self.changed:
-                iter12.write(oprot)
+            for iter18 in self.changed:
+                iter18.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.removed_ids is not None:
             oprot.writeFieldBegin('removed_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed_ids))
-            for iter13 in self.removed_ids:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter19 in self.removed_ids:
+                oprot.writeString(iter19.encode('utf-8') if sys.version_info[0] == 2 else iter19)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_pull_needed is not None:
@@ -495,6 +521,21 @@
             oprot.writeFieldBegin('read_span_ms', TType.I32, 13)
             oprot.writeI32(self.read_span_ms)
             oprot.writeFieldEnd()
+        if self.evacuated_domains is not None:
+            oprot.writeFieldBegin('evacuated_domains', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
+            for iter20 in self.evacuated_domains:
+                oprot.writeString(iter20.encode('utf-8') if sys.version_info[0] == 2 else iter20)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.evacuation_version is not None:
+            oprot.writeFieldBegin('evacuation_version', TType.I64, 15)
+            oprot.writeI64(self.evacuation_version)
+            oprot.writeFieldEnd()
+        if self.evacuation_era is not None:
+            oprot.writeFieldBegin('evacuation_era', TType.I64, 16)
+            oprot.writeI64(self.evacuation_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -546,11 +587,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = CatalogMember()
-                        _elem19.read(iprot)
-                        self.members.append(_elem19)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = CatalogMember()
+                        _elem26.read(iprot)
+                        self.members.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -576,8 +617,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter20 in self.members:
-                iter20.write(oprot)
+            for iter27 in self.members:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_reply_wanted is not None:
@@ -616,11 +657,14 @@
      - previous_era
      - era
      - configuration_era
+     - evacuated_domains
+     - evacuation_version
+     - evacuation_era
 
     """
 
 
-    def __init__(self, version=None, registrations=None, configuration_version=None, configuration=None, previous_version=None, removed_ids=None, is_whole=None, members=None, previous_era=None, era=None, configuration_era=None,):
+    def __init__(self, version=None, registrations=None, configuration_version=None, configuration=None, previous_version=None, removed_ids=None, is_whole=None, members=None, previous_era=None, era=None, configuration_era=None, evacuated_domains=None, evacuation_version=None, evacuation_era=None,):
         self.version = version
         self.registrations = registrations
         self.configuration_version = configuration_version
@@ -632,6 +676,9 @@
         self.previous_era = previous_era
         self.era = era
         self.configuration_era = configuration_era
+        self.evacuated_domains = evacuated_domains
+        self.evacuation_version = evacuation_version
+        self.evacuation_era = evacuation_era
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -650,11 +697,11 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.registrations = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = ServerRegistration()
-                        _elem26.read(iprot)
-                        self.registrations.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = ServerRegistration()
+                        _elem33.read(iprot)
+                        self.registrations.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -676,10 +723,10 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.removed_ids = []
-                    (_etype30, _size27) = iprot.readListBegin()
-                    for _i31 in range(_size27):
-                        _elem32 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.removed_ids.append(_elem32)
+                    (_etype37, _size34) = iprot.readListBegin()
+                    for _i38 in range(_size34):
+                        _elem39 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.removed_ids.append(_elem39)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -691,11 +738,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype36, _size33) = iprot.readListBegin()
-                    for _i37 in range(_size33):
-                        _elem38 = CatalogMember()
-                        _elem38.read(iprot)
-                        self.members.append(_elem38)
+                    (_etype43, _size40) = iprot.readListBegin()
+                    for _i44 in range(_size40):
+                        _elem45 = CatalogMember()
+                        _elem45.read(iprot)
+                        self.members.append(_elem45)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -714,6 +761,26 @@
                     self.configuration_era = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.LIST:
+                    self.evacuated_domains = []
+                    (_etype49, _size46) = iprot.readListBegin()
+                    for _i50 in range(_size46):
+                        _elem51 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.evacuated_domains.append(_elem51)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I64:
+                    self.evacuation_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.evacuation_era = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -731,8 +798,8 @@
         if self.registrations is not None:
             oprot.writeFieldBegin('registrations', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.registrations))
-            for iter39 in self.registrations:
-                iter39.write(oprot)
+            for iter52 in self.registrations:
+                iter52.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.configuration_version is not None:
@@ -750,8 +817,8 @@
         if self.removed_ids is not None:
             oprot.writeFieldBegin('removed_ids', TType.LIST, 6)
             oprot.writeListBegin(TType.STRING, len(self.removed_ids))
-            for iter40 in self.removed_ids:
-                oprot.writeString(iter40.encode('utf-8') if sys.version_info[0] == 2 else iter40)
+            for iter53 in self.removed_ids:
+                oprot.writeString(iter53.encode('utf-8') if sys.version_info[0] == 2 else iter53)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.is_whole is not None:
@@ -761,8 +828,8 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter41 in self.members:
-                iter41.write(oprot)
+            for iter54 in self.members:
+                iter54.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.previous_era is not None:
@@ -777,6 +844,21 @@
             oprot.writeFieldBegin('configuration_era', TType.I64, 11)
             oprot.writeI64(self.configuration_era)
             oprot.writeFieldEnd()
+        if self.evacuated_domains is not None:
+            oprot.writeFieldBegin('evacuated_domains', TType.LIST, 12)
+            oprot.writeListBegin(TType.STRING, len(self.evacuated_domains))
+            for iter55 in self.evacuated_domains:
+                oprot.writeString(iter55.encode('utf-8') if sys.version_info[0] == 2 else iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.evacuation_version is not None:
+            oprot.writeFieldBegin('evacuation_version', TType.I64, 13)
+            oprot.writeI64(self.evacuation_version)
+            oprot.writeFieldEnd()
+        if self.evacuation_era is not None:
+            oprot.writeFieldBegin('evacuation_era', TType.I64, 14)
+            oprot.writeI64(self.evacuation_era)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -893,6 +975,9 @@
     (11, TType.I64, 'configuration_era', None, None, ),  # 11
     (12, TType.I32, 'latest_read_age_ms', None, None, ),  # 12
     (13, TType.I32, 'read_span_ms', None, None, ),  # 13
+    (14, TType.LIST, 'evacuated_domains', (TType.STRING, 'UTF8', False), None, ),  # 14
+    (15, TType.I64, 'evacuation_version', None, None, ),  # 15
+    (16, TType.I64, 'evacuation_era', None, None, ),  # 16
 )
 all_structs.append(Greeting)
 Greeting.thrift_spec = (
@@ -915,6 +1000,9 @@
     (9, TType.I64, 'previous_era', None, None, ),  # 9
     (10, TType.I64, 'era', None, None, ),  # 10
     (11, TType.I64, 'configuration_era', None, None, ),  # 11
+    (12, TType.LIST, 'evacuated_domains', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.I64, 'evacuation_version', None, None, ),  # 13
+    (14, TType.I64, 'evacuation_era', None, None, ),  # 14
 )
 all_structs.append(CatalogReferral)
 CatalogReferral.thrift_spec = (
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -52,6 +52,7 @@
         "failure_rate_at_ms",
         "failures",
         "in_flight",
+        "is_evacuated",
         "is_near",
         "is_unhealthy",
         "load",
@@ -70,6 +71,8 @@
         """
         self.server = server
         self.is_near = is_near
+        # Its failure domain is evacuated, so it gets no new requests.
+        self.is_evacuated = False
         self.warm_at_ms = now_ms + server.warmup_left_ms
         self.in_flight = 0
         self.load: ServerLoad | None = None
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -67,7 +67,9 @@
             kernel, file_name, settings, load_settings, consumers=("loads",)
         ),
         HttpClient(kernel),
-        PlatformStore(kernel, settings.store.address),
+        PlatformStore(
+            kernel, settings.store.address, has_evacuations=settings.evacuation_ms > 0
+        ),
         CatalogService(
             kernel,
             instance.instance_id,
@@ -78,6 +80,7 @@
             decode_configuration,
             settings.is_first_start,
             heartbeat_ms=settings.store.heartbeat_ms,
+            has_evacuations=settings.evacuation_ms > 0,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel, gauge_parts=("forwarding", "catalog")),
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -16,6 +16,10 @@
 # of connections to the backend server is in use.
 CONNECTION_LIMIT = "connection limit"
 
+# Failure reason of an attempt that was not sent because the failure domain of
+# its server has been evacuated since.
+SERVER_EVACUATED = "server evacuated"
+
 # To ``backends``.
 
 
--- a/src/cuminhatch/messages/catalog.py
+++ b/src/cuminhatch/messages/catalog.py
@@ -9,6 +9,7 @@
 from typing import NamedTuple
 
 from cuminhatch.decisions.catalog import Registration
+from cuminhatch.decisions.evacuation import Evacuation
 from cuminhatch.decisions.store_version import StoreVersion
 from cuminhatch.messages.address import Address
 
@@ -72,12 +73,14 @@
     """
     The operator's configuration as stored; empty if there is none yet.
 
-    ``era`` is the era of the store at the read.
+    ``era`` is the era of the store at the read. ``evacuation`` is None if
+    operators do not evacuate failure domains.
     """
 
     token: int
     document: bytes
     era: int
+    evacuation: Evacuation | None = None
 
 
 class InstanceRecordStored(NamedTuple):
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -364,6 +364,19 @@
     return text.isascii() and _is_visible(text) and 0 < len(text) <= NAME_MAX_BYTES
 
 
+def is_failure_domain(text: str) -> bool:
+    """
+    Tell whether a text can be the failure domain of a registration.
+
+    :param text: text from a key of the store.
+    """
+    try:
+        return 0 < len(text.encode()) <= NAME_MAX_BYTES
+    except UnicodeEncodeError:
+        # A lone surrogate, which JSON allows in a key.
+        return False
+
+
 def parse_address(text: str) -> Address | None:
     """
     Parse an address such as ``10.1.64.31:8384``.
--- a/src/cuminhatch/platform/store.py
+++ b/src/cuminhatch/platform/store.py
@@ -11,6 +11,7 @@
 
 from cuminhatch.address import Address
 from cuminhatch.codecs.http1 import Header, find_header
+from cuminhatch.decisions.evacuation import Evacuation, make_evacuation
 from cuminhatch.decisions.store_version import NO_VERSION, StoreVersion
 from cuminhatch.errors import CodecError
 from cuminhatch.kernel import Kernel, MessageTable, Service
@@ -33,6 +34,7 @@
     NAME_MAX_BYTES,
     DocumentError,
     decode_registration,
+    is_failure_domain,
     is_server_id,
     parse_address,
     redact_configuration,
@@ -41,6 +43,10 @@
 SERVERS_TABLE = "servers"
 OPERATOR_TABLE = "op"
 CONFIGURATION_KEY = "config"
+# The rest of such a key names an evacuated failure domain.
+EVACUATION_PREFIX = "evacuate/"
+# Sorts after all keys with that prefix: "0" follows "/".
+EVACUATION_END_KEY = "evacuate0"
 # Written by the daemons, unlike the other tables.
 INSTANCES_TABLE = "instances"
 ROWS_PER_READ = 500
@@ -139,14 +145,19 @@
 
     name = "store"
 
-    def __init__(self, kernel: Kernel, address: Address) -> None:
+    def __init__(
+        self, kernel: Kernel, address: Address, has_evacuations: bool = False
+    ) -> None:
         """
         Create the service.
 
         :param kernel: kernel of the process.
         :param address: address of the store.
+        :param has_evacuations: whether the evacuated failure domains are read
+            with the configuration.
         """
         super().__init__(kernel)
+        self._has_evacuations = has_evacuations
         self._address = address
         self._pending_calls: dict[int, Callable[[HttpReplied | HttpFailed], None]] = {}
         self._tokens = count(1)
@@ -193,17 +204,25 @@
 
     def _on_configuration_requested(self, message: ConfigurationRequested) -> None:
         end_key = CONFIGURATION_KEY + "\0"
+        if self._has_evacuations:
+            end_key = EVACUATION_END_KEY
         range_read = _RangeRead(message, OPERATOR_TABLE, CONFIGURATION_KEY, end_key)
         self._read(range_read, self._finish_configuration)
 
     def _finish_configuration(self, range_read: _RangeRead) -> None:
-        document = b""
-        if range_read.rows:
-            _check_row(range_read.rows[0])
-            document = redact_configuration(range_read.rows[0].value)
         request = range_read.request
-        era = range_read.version.era
-        self.send(request.reply_to, ConfigurationRead(request.token, document, era))
+        read = ConfigurationRead(request.token, b"", range_read.version.era)
+        if self._has_evacuations:
+            read = read._replace(evacuation=_decode_evacuation(range_read))
+        for row in range_read.rows:
+            if self._has_evacuations and row.key != CONFIGURATION_KEY:
+                continue
+            if row.fault and read.evacuation is not None:
+                # It applies even if the configuration can't be read.
+                self.send(request.reply_to, read)
+            _check_row(row)
+            read = read._replace(document=redact_configuration(row.value))
+        self.send(request.reply_to, read)
 
     def _on_instance_records_requested(self, message: InstanceRecordsRequested) -> None:
         range_read = _RangeRead(message, INSTANCES_TABLE, "", LAST_KEY)
@@ -366,6 +385,18 @@
     return StoreVersion(era, value) if is_integer and 0 <= value <= INT64_MAX else None
 
 
+def _decode_evacuation(range_read: _RangeRead) -> Evacuation:
+    """Return the evacuated domains; the values of the rows don't matter."""
+    names = [
+        row.key.removeprefix(EVACUATION_PREFIX)
+        for row in range_read.rows
+        if row.key.startswith(EVACUATION_PREFIX)
+    ]
+    # Other names are those of no server, and may not be encodable.
+    domains = [name for name in names if is_failure_domain(name)]
+    return make_evacuation(range_read.version, domains)
+
+
 def _check_row(row: _Row) -> None:
     """
     Check that a row can be used.
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -12,6 +12,7 @@
     encode_request_head,
 )
 from cuminhatch.codecs.http1_parsers import BodyParsed, HeadParsed, MessageParsed
+from cuminhatch.decisions.configuration import Configuration
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
     AttemptCancelled,
@@ -24,6 +25,7 @@
     ConfigurationChanged,
     ValueObserved,
 )
+from cuminhatch.messages.attempts import SERVER_EVACUATED
 from cuminhatch.messages.loads import ProbeRequested, ProbeResponseRejected
 from cuminhatch.services._stream import CONNECTION_CLOSED, Stream
 from cuminhatch.services.backends._pool import (
@@ -401,6 +403,24 @@
 
     def _on_configuration_changed(self, message: ConfigurationChanged) -> None:
         self._pool.apply_configuration(message.configuration)
+        if message.configuration.evacuated_domains:
+            self._fail_unsent_to_evacuated(message.configuration)
+
+    def _fail_unsent_to_evacuated(self, configuration: Configuration) -> None:
+        """
+        Fail attempts that would reach an evacuated server later.
+
+        Their connection is not established yet, which may take seconds if a
+        packet was lost.
+        """
+        for connection in list(self._by_attempt.values()):
+            server = configuration.servers.get(connection.key.server_id)
+            if server is None:
+                continue
+            sent_bytes = connection.stream.sent_bytes
+            is_unsent = sent_bytes == connection.attempt.sent_bytes_at_start
+            if is_unsent and server.failure_domain in configuration.evacuated_domains:
+                self._fail_attempt(connection, SERVER_EVACUATED)
 
     def _on_sweep_timer_expired(self, message: SweepTimerExpired) -> None:
         self._pool.close_unused(self.kernel.clock.now_ms - self._idle_timeout_ms)
--- a/src/cuminhatch/services/catalog/_gauges.py
+++ b/src/cuminhatch/services/catalog/_gauges.py
@@ -1,5 +1,8 @@
 """Gauges of the catalog: versions, ages and counts."""
 
+from collections.abc import Iterator
+
+from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.messages import Gauge, GaugesReported, GaugesRequested
 from cuminhatch.services.catalog._view import CatalogView
 
@@ -21,4 +24,12 @@
         "store_lost": view.is_store_unavailable,
     }
     gauges = tuple(Gauge(name, {}, float(value)) for name, value in values.items())
+    gauges += tuple(list_evacuation_gauges(view))
     view.send(message.reply_to, GaugesReported(message.token, gauges))
+
+
+def list_evacuation_gauges(view: CatalogView) -> Iterator[Gauge]:
+    """Yield for each evacuated domain how long it is known to be so."""
+    for domain, since_ms in view.evacuated_since_ms.items():
+        age_s = (view.clock.now_ms - since_ms) / MS_PER_SECOND
+        yield Gauge("evacuated_since_s", {"domain": domain}, age_s)
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -130,6 +130,7 @@
         is_pull_needed,
         view.instance_count,
         make_read_report(view),
+        view.evacuation,
     )
 
 
--- a/src/cuminhatch/services/catalog/_pull_responses.py
+++ b/src/cuminhatch/services/catalog/_pull_responses.py
@@ -147,6 +147,7 @@
             if missing.configuration_version != NO_CONFIGURATION
             else b"",
             (view.own, *view.members.values()) if missing.instances else (),
+            view.evacuation,
         )
         response = PullResponse(encode_message(state, view.key), Referrals())
         if len(view.cached_responses) >= CACHED_RESPONSES_MAX:
--- a/src/cuminhatch/services/catalog/_pulls.py
+++ b/src/cuminhatch/services/catalog/_pulls.py
@@ -17,6 +17,7 @@
 from cuminhatch.decisions.store_version import NO_VERSION, StoreVersion
 from cuminhatch.log import logger
 from cuminhatch.messages import HttpFailed, HttpReplied, HttpRequested
+from cuminhatch.services.catalog._evacuations import request_missing_evacuation
 from cuminhatch.services.catalog._members import (
     ANSWER_PROBABILITY,
     add_members,
@@ -34,6 +35,7 @@
 from cuminhatch.services.catalog._updates import (
     apply_catalog_change,
     apply_document,
+    apply_evacuation,
     apply_whole_catalog,
     is_whole_catalog_needed,
 )
@@ -50,6 +52,8 @@
     sender = message.sender
     add_members(view, (sender,))
     compare_instance_counts(view, message)
+    apply_evacuation(view, message.evacuation, sender.instance_id)
+    request_missing_evacuation(view)
     now_ms = view.clock.now_ms
     own_id = view.own.instance_id
     is_reader = view.latest_reads.reader_id == own_id
@@ -221,6 +225,7 @@
 def apply_state(view: CatalogView, state: CatalogState) -> None:
     """Apply the state of another instance."""
     add_members(view, state.members)
+    apply_evacuation(view, state.evacuation, "peer")
     era = state.configuration_version.era
     apply_document(view, state.configuration, "peer", era)
     if state.change is None:
--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -22,6 +22,7 @@
 )
 from cuminhatch.services.catalog._updates import (
     apply_document,
+    apply_evacuation,
     detect_restore,
     is_after_restore,
     replace_catalog,
@@ -92,8 +93,15 @@
 
 
 def on_configuration_read(view: CatalogView, message: ConfigurationRead) -> None:
-    """Apply a newer configuration, and announce its version to the others."""
-    if apply_document(view, message.document, "store", message.era):
+    """
+    Apply a newer configuration, and announce its version to the others.
+
+    Evacuated domains come first, so that no configuration is in force without
+    them.
+    """
+    is_changed = apply_evacuation(view, message.evacuation, "store")
+    is_changed |= apply_document(view, message.document, "store", message.era)
+    if is_changed:
         broadcast_change(view, make_empty_change(view))
 
 
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -12,6 +12,7 @@
     list_change_events,
     replace_registrations,
 )
+from cuminhatch.decisions.evacuation import Evacuation, choose_later
 from cuminhatch.decisions.read_span import ReadSpan
 from cuminhatch.decisions.store_version import ConfigurationVersion, StoreVersion
 from cuminhatch.errors import CodecError
@@ -190,11 +191,59 @@
     replace_catalog(view, catalog, source)
 
 
+def apply_evacuation(
+    view: CatalogView, evacuation: Evacuation | None, source: str
+) -> bool:
+    """
+    Put the evacuated domains in force if they were read later.
+
+    :param view: state of the catalog.
+    :param evacuation: the domains as read or received, None if unknown.
+    :param source: ``store``, ``peer`` or an instance id, for the event log.
+    :returns: whether other domains are evacuated than before.
+    """
+    if not view.has_evacuations:
+        return False
+    before = view.evacuation
+    view.evacuation = choose_later(before, evacuation)
+    if view.evacuation is before:
+        return False
+    domains = view.evacuation.domains
+    if before is not None and domains == before.domains:
+        return False
+    record_evacuation(view, source)
+    # They hold the domains evacuated before.
+    view.cached_responses.clear()
+    publish_configuration(view)
+    return True
+
+
+def record_evacuation(view: CatalogView, source: str) -> None:
+    """Record each domain whose evacuation has started or ended."""
+    version, domains = view.evacuation
+    known = view.evacuated_since_ms
+    details = {"version": version.number, "era": version.era, "source": source}
+    for domain in sorted(domains - known.keys()):
+        view.record("evacuation_started", {"domain": domain} | details)
+    for domain in sorted(known.keys() - domains):
+        view.record("evacuation_ended", {"domain": domain} | details)
+    now_ms = view.clock.now_ms
+    view.evacuated_since_ms = {d: known.get(d, now_ms) for d in sorted(domains)}
+
+
 def publish_configuration(view: CatalogView) -> None:
     """Send the configuration in force to the services of this daemon."""
     if view.document is None:
         return
+    if view.is_evacuation_awaited:
+        if view.evacuation_missed_ms is None:
+            view.evacuation_missed_ms = view.clock.now_ms
+        return
+    view.is_published = True
     configuration = add_registered_servers(view.document, view.catalog)
+    if view.evacuation is not None:
+        domains = view.evacuation.domains
+        configuration = configuration._replace(evacuated_domains=domains)
     changed = ConfigurationChanged(configuration)
     for name in CONFIGURATION_CONSUMERS:
         view.send(name, changed)
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -8,6 +8,7 @@
 from cuminhatch.codecs.catalog_thrift import CatalogMember
 from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
 from cuminhatch.decisions.change_history import ChangeHistory
+from cuminhatch.decisions.evacuation import Evacuation
 from cuminhatch.decisions.read_span import NO_READS
 from cuminhatch.decisions.reader_selection import LatestReads
 from cuminhatch.decisions.referrals import Referrals
@@ -22,6 +23,8 @@
 
 NAME = "catalog"
 PORT_NAME = "catalog_port"
+# Four messages of the reader, so that the loss of some does not matter.
+EVACUATION_WAIT_MS = 2_000.0
 
 DecodeConfiguration = Callable[[bytes], ConfigurationDocument]
 SendBytes = Callable[[tuple[str, int], bytes], None]
@@ -81,6 +84,7 @@
         send_bytes: SendBytes,
         rng: Random,
         heartbeat_ms: float,
+        has_evacuations: bool = False,
     ) -> None:
         """
         Start with an empty catalog.
@@ -93,6 +97,7 @@
         :param send_bytes: sends a datagram.
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
+        :param has_evacuations: whether operators evacuate failure domains.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -104,6 +109,7 @@
         self.send_bytes = send_bytes
         self.rng = rng
         self.heartbeat_ms = heartbeat_ms
+        self.has_evacuations = has_evacuations
         self.request_tokens = count(1)
         self.members: dict[str, CatalogMember] = {}
         # Highest number of known instances that another one has reported.
@@ -117,6 +123,14 @@
         self.document_bytes = b""
         # Era of the store that the configuration in force was read in.
         self.document_era = 0
+        # The latest known read of the evacuated failure domains, and since
+        # when each of them is known to be evacuated.
+        self.evacuation: Evacuation | None = None
+        self.evacuated_since_ms: dict[str, float] = {}
+        # Since when a configuration is held back, because it is not known yet
+        # which domains are evacuated.
+        self.evacuation_missed_ms: float | None = None
+        self.is_published = False
         # Earliest time of the first read of the store.
         self.first_read_ms = 0.0
         # The instance that reads the store for all, and when it last did.
@@ -174,6 +188,19 @@
         """
         return self.heartbeat_ms
 
+    @property
+    def is_evacuation_awaited(self) -> bool:
+        """
+        Tell whether the evacuated domains are not known but may be soon.
+
+        Instances that know them tell them in each message, so that an
+        instance in touch with one of these hears of them in time.
+        """
+        if not self.has_evacuations or self.evacuation is not None:
+            return False
+        since_ms = self.evacuation_missed_ms
+        return since_ms is None or self.clock.now_ms - since_ms < EVACUATION_WAIT_MS
+
     @property
     def instance_count(self) -> int:
         """Return the number of known instances, this one included."""
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -85,6 +85,7 @@
         is_first_start: bool = False,
         rng: Random | None = None,
         heartbeat_ms: float = HEARTBEAT_MS,
+        has_evacuations: bool = False,
     ) -> None:
         """
         Start with an empty catalog.
@@ -101,6 +102,7 @@
             time, so that no caller waits yet.
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
+        :param has_evacuations: whether operators evacuate failure domains.
         """
         super().__init__(kernel)
         self._address = address
@@ -116,6 +118,7 @@
             self._send_bytes,
             rng or Random(),
             heartbeat_ms,
+            has_evacuations,
         )
         self._view.is_seed = address in seeds or not seeds
 
--- a/src/cuminhatch/services/forwarding/_gauges.py
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -30,8 +30,11 @@
         labels = {"service": service_id}
         records = pool.records.values()
         left_out = sum(is_excluded(record, now_ms) for record in records)
+        evacuated = sum(record.is_evacuated for record in records)
         in_flight = sum(record.in_flight for record in records)
         yield Gauge("servers_known", labels, len(records))
         yield Gauge("servers_left_out", labels, left_out)
+        if evacuated:
+            yield Gauge("servers_evacuated", labels, evacuated)
         yield Gauge("sends_in_flight", labels, in_flight)
         yield Gauge("resend_budget_left", labels, pool.budget.left)
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -42,8 +42,11 @@
     pool = state.pools.get(exchange.service_id)
     records = pool.usable if pool is not None else []
     if not records:
-        no_server = NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
-        fail_placement(state, exchange, no_server)
+        is_evacuated = pool is not None and any(
+            record.is_evacuated for record in pool.records.values()
+        )
+        reason = "failure-domain-evacuated" if is_evacuated else "no-backend-server"
+        fail_placement(state, exchange, NotPlaced(reason, RETRY_AFTER_MIN_MS))
         return
     # The first search prefers this instance's failure domain. Servers of other
     # domains are added if none of its candidates is good enough.
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -26,7 +26,7 @@
     ResponseBody,
     ResponseStarted,
 )
-from cuminhatch.messages.attempts import CONNECTION_LIMIT
+from cuminhatch.messages.attempts import CONNECTION_LIMIT, SERVER_EVACUATED
 from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
 from cuminhatch.services.forwarding._attempts import (
     cancel_attempt,
@@ -363,9 +363,10 @@
 ) -> None:
     """Update the record of a server after a failed attempt."""
     now_ms = state.clock.now_ms
-    if message.reason == CONNECTION_LIMIT or message.is_reused:
-        # A server is not at fault if this instance has no connection left, or
-        # if a reused connection ends.
+    not_at_fault = (CONNECTION_LIMIT, SERVER_EVACUATED)
+    if message.reason in not_at_fault or message.is_reused:
+        # A server is not at fault if this instance has no connection left or
+        # may not use it, or if a reused connection ends.
         return
     is_connection_closed = message.reason in (CONNECTION_FAILED, CONNECTION_CLOSED)
     if is_connection_closed and (
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -49,6 +49,7 @@
         # Attempts in progress keep a reference to the record.
         del pool.records[server_id]
     known_count = len(pool.records)
+    evacuated = state.configuration.evacuated_domains
     for server_id, server in servers.items():
         record = pool.records.get(server_id)
         if record is None or is_restarted(record.server, server):
@@ -57,6 +58,7 @@
             pool.records[server_id] = record
         else:
             record.server = server
+        record.is_evacuated = server.failure_domain in evacuated
     if len(pool.records) > known_count:
         sort_by_preference(pool, state.settings.instance_id)
 
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -55,12 +55,16 @@
 
     @property
     def usable(self) -> list[ServerRecord]:
-        """Return the servers that are not draining, healthy or not."""
-        return [r for r in self.records.values() if not r.server.is_draining]
+        """Return servers neither draining nor evacuated, healthy or not."""
+        return [
+            record
+            for record in self.records.values()
+            if not (record.server.is_draining or record.is_evacuated)
+        ]
 
     def list_untried(self, tried: Set[str]) -> list[ServerRecord]:
         """
-        Return the servers, not draining, that have not received a request.
+        Return the usable servers that have not received a request.
 
         :param tried: ids of the servers that may have received it.
         """
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -13,7 +13,7 @@
     HttpReplied,
     SettingsChanged,
 )
-from cuminhatch.messages.attempts import CONNECTION_LIMIT
+from cuminhatch.messages.attempts import CONNECTION_LIMIT, SERVER_EVACUATED
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
@@ -199,7 +199,7 @@
         probe = self._probes.pop(message.token)
         self.send("metrics", CounterIncremented("probe_failures_total", {}))
         reason = message.reason
-        if reason == CONNECTION_LIMIT:
+        if reason in (CONNECTION_LIMIT, SERVER_EVACUATED):
             # This says nothing about the server.
             self._end_probe(probe)
             return
--- a/tests/codecs/test_catalog_thrift.py
+++ b/tests/codecs/test_catalog_thrift.py
@@ -16,6 +16,7 @@
 from cuminhatch.codecs.signing import PeerMessageError
 from cuminhatch.decisions.catalog import CatalogChange, Registration
 from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.evacuation import Evacuation
 from cuminhatch.decisions.store_version import (
     NO_VERSION,
     ConfigurationVersion,
@@ -57,6 +58,17 @@
     ),
     CatalogState(None, False, CONFIGURATION, b"{}", (MEMBER,)),
     CatalogReferral(MEMBER),
+    CatalogNews(
+        MEMBER,
+        CatalogChange(BEFORE, AFTER, (), ()),
+        CONFIGURATION,
+        False,
+        7,
+        evacuation=Evacuation(AFTER, frozenset(("north", "söuth"))),
+    ),
+    CatalogState(
+        None, False, CONFIGURATION, b"", evacuation=Evacuation(BEFORE, frozenset())
+    ),
 ]
 
 
@@ -117,3 +129,18 @@
     """Guards against a limit that refuses a proper configuration."""
     state = CatalogState(None, False, CONFIGURATION, b"0" * CONFIGURATION_MAX_BYTES)
     assert decode_message(encode_message(state, KEY), KEY) == state
+
+
+# Encoded by the version before evacuations were added, with ``KEY``.
+OLD_NEWS = bytes.fromhex(
+    "82a9c449125d8b4d3ecf7abec290dd2796d288272cd25d5e24028d5b6391950a101c1807"
+    "66726f6e742d31180831302e302e302e3115c07018000016061612160a190c191803692d"
+    "3811150e16021604160200"
+)
+
+
+def test_message_without_evacuation_is_as_before():
+    """Guards against bytes that a deployment without evacuations pays for."""
+    news = MESSAGES[1]
+    assert encode_message(news, KEY) == OLD_NEWS
+    assert decode_message(OLD_NEWS, KEY).evacuation is None
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -31,9 +31,11 @@
 class StoreWorld:
     """The store client, its requester, and the calls that it makes."""
 
-    def __init__(self):
+    def __init__(self, has_evacuations=False):
         self.kernel = Kernel(ManualClock())
-        store = PlatformStore(self.kernel, Address("127.0.0.1", 1))
+        store = PlatformStore(
+            self.kernel, Address("127.0.0.1", 1), has_evacuations=has_evacuations
+        )
         self.kernel.register(store)
         self.requester = self.kernel.register(
             Recorder(self.kernel, "catalog", *REPLIES)
@@ -285,3 +287,47 @@
         )
     )
     assert dict(world.take().members) == {"a": ("10.0.0.2", 80)}
+
+
+def make_evacuation_rows(*names):
+    return [make_row(f"evacuate/{name}", 95, table="op") for name in names]
+
+
+def test_evacuated_domains_are_read_with_the_configuration():
+    """Guards against another charged call, and against a missed row."""
+    world = StoreWorld(has_evacuations=True)
+    world.request_configuration()
+    (call,) = world.http_client.received
+    assert b"from=config&to=evacuate0&" in call.target
+    config = make_row("config", 90, table="op")
+    between = make_row("config-old", 91, table="op") | {"value": 7}
+    # The second page begins within the rows of evacuations.
+    world.reply(
+        make_page(100, config, between, *make_evacuation_rows("", "a"), has_more=1)
+    )
+    malformed = make_evacuation_rows("b")[0] | {"value": "?", "ver": -1}
+    unusable = make_evacuation_rows("c" * 201, "\ud800")
+    world.reply(make_page(104, malformed, *unusable))
+    read = world.take()
+    assert read.document
+    assert read.evacuation == (StoreVersion(0, 100), {"a", "b"})
+
+
+def test_evacuation_holds_without_a_usable_configuration():
+    """Guards against a malformed configuration that hides an evacuation."""
+    world = StoreWorld(has_evacuations=True)
+    world.request_configuration()
+    config = make_row("config", 90, table="op") | {"value": 7}
+    world.reply(make_page(100, config, *make_evacuation_rows("a")))
+    read, unavailable = world.requester.received
+    assert (read.document, read.evacuation.domains) == (b"", {"a"})
+    assert isinstance(unavailable, StoreUnavailable)
+
+
+def test_deployment_without_evacuations_reads_only_the_configuration(world):
+    """Guards against rows that are read and charged for nothing."""
+    world.request_configuration()
+    (call,) = world.http_client.received
+    assert b"from=config&to=config%00&" in call.target
+    world.reply(make_page(100, make_row("config", 90, table="op")))
+    assert world.take().evacuation is None
