--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -204,7 +204,7 @@
             ms -= step
             self.run()
 
-    def configure(self, *servers, rules=RULES):
+    def configure(self, *servers, rules=RULES, evacuated=()):
         """Apply a configuration."""
         self.sequence += 1
         configuration = Configuration(
@@ -212,6 +212,7 @@
             MappingProxyType({"s": ServiceSpec("s")}),
             MappingProxyType({server.server_id: server for server in servers}),
             MappingProxyType(rules),
+            evacuated_domains=frozenset(evacuated),
         )
         self.tell(ConfigurationChanged(configuration))
 
