Limit the requests to servers that warm up, over all instances

A cold server got what all instances sent it: up to 18 requests a second where it tolerates 3.1. Only the first instances of the rendezvous order for a server now send to it, each at most once in 1.1 s. Their number is half of the bound, so that the first ones of two views that differ entirely stay within it. As a server may become cold at any moment, an instance needs a health check answer younger than 100 ms before it sends. The age counts from the moment the check was sent: an answer may have waited for an instance that was frozen. Answers of up to 300 ms were ruled out: at 18 requests a second they let 5 requests arrive after the server has become cold.

The reader relays a registration whose warm-up time rises between two reads; one that falls is not sent, as before. Without the settings or the rate of the service nothing is sent or decided differently.

--- a/src/cuminhatch/codecs/dialect.py
+++ b/src/cuminhatch/codecs/dialect.py
@@ -67,12 +67,15 @@
 
     ``has_request_id`` is set if the response claims to belong to a request: a
     faulty server may repeat an earlier response in place of this one.
+    ``warmup_left_ms`` is the time until the server is warmed up, None if it
+    does not tell.
     """
 
     server_id: str
     is_healthy: bool
     load: ReportedLoad | None
     has_request_id: bool = False
+    warmup_left_ms: float | None = None
 
 
 class ForwardingMetadata(NamedTuple):
--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -80,7 +80,9 @@
     restored store and that may be those of servers that have left since.
     ``read_era`` is the era of the latest read by this instance itself.
     ``departed`` holds the last registrations of servers that were removed, the
-    latest ones last.
+    latest ones last. ``warmups_read_ms`` maps the ids of cold servers to the
+    remaining warm-up in the latest read by this instance itself, None if it
+    has not read them.
     """
 
     version: StoreVersion
@@ -90,6 +92,7 @@
     unconfirmed: Mapping[str, Registration] = MappingProxyType({})
     read_era: int = 0
     departed: Mapping[str, Registration] = MappingProxyType({})
+    warmups_read_ms: Mapping[str, float] | None = None
 
     @property
     def is_known(self) -> bool:
@@ -127,6 +130,7 @@
     now_ms: float,
     is_after_outage: bool,
     is_after_restore: bool = False,
+    is_warmup_sent: bool = False,
 ) -> tuple[Catalog, CatalogChange]:
     """
     Update the catalog from a complete read of the store.
@@ -149,6 +153,8 @@
         servers may not have renewed their registration yet.
     :param is_after_restore: whether the store was restored so recently that
         some rows may still be those of the copy.
+    :param is_warmup_sent: whether other instances are told of a server that
+        becomes cold again under the same start.
     :returns: the new catalog and the change to send to other instances.
     """
     previous = catalog.registrations
@@ -164,6 +170,8 @@
                 unconfirmed[server_id] = registration
                 continue
         merged = _merge_row(registration, known, is_after_restore)
+        if is_warmup_sent and known is not None and not merged.is_sent:
+            merged = _merge_warmup(registration, known, catalog.warmups_read_ms)
         kept[server_id] = merged.registration
         if merged.is_sent:
             changed.append(merged.registration)
@@ -192,6 +200,7 @@
         unconfirmed,
         version.era,
         _add_departed(catalog, kept),
+        _read_warmups(rows) if is_warmup_sent else catalog.warmups_read_ms,
     )
     return after, change
 
@@ -263,6 +272,36 @@
     return _MergedRow(known._replace(row_version=row_version), True)
 
 
+def _merge_warmup(
+    registration: Registration,
+    known: Registration,
+    warmups_read_ms: Mapping[str, float] | None,
+) -> _MergedRow:
+    """
+    Return the row read if its server has become cold again, else the known.
+
+    The remaining warm-up falls from read to read, so that each time that a
+    server becomes cold is sent once. The known row has the value that was sent
+    last: for an instance that has not read before it tells whether the others
+    know.
+    """
+    left_ms = registration.server.warmup_left_ms
+    before_ms = known.server.warmup_left_ms
+    if warmups_read_ms is not None:
+        before_ms = warmups_read_ms.get(registration.server.server_id, 0.0)
+    if left_ms <= before_ms or _is_older_row(registration, known):
+        return _MergedRow(known, False)
+    return _MergedRow(registration, True)
+
+
+def _read_warmups(rows: Mapping[str, Registration]) -> Mapping[str, float]:
+    return {
+        server_id: row.server.warmup_left_ms
+        for server_id, row in rows.items()
+        if row.server.warmup_left_ms > 0.0
+    }
+
+
 def _is_unconfirmed(
     catalog: Catalog, version: StoreVersion, registration: Registration
 ) -> bool:
--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Sequence
+from math import inf
 from typing import NamedTuple
 
 from cuminhatch.decisions.configuration import BackendServer
@@ -47,6 +48,7 @@
     """State of one backend server."""
 
     __slots__ = (
+        "answer_asked_ms",
         "excluded_until_ms",
         "failure_rate",
         "failure_rate_at_ms",
@@ -56,6 +58,7 @@
         "is_near",
         "is_unhealthy",
         "load",
+        "sent_ms",
         "sent_since_load",
         "server",
         "warm_at_ms",
@@ -79,6 +82,10 @@
         # Requests of this instance that the last load report does not include.
         self.sent_since_load = 0
         self.is_unhealthy = False
+        # When the health check was sent whose answer is the latest one, and
+        # when the latest request was.
+        self.answer_asked_ms = -inf
+        self.sent_ms = -inf
         # Failures in a row.
         self.failures = 0
         # Moving average, as of failure_rate_at_ms.
@@ -99,12 +106,14 @@
         record.sent_since_load = 0
 
 
-def record_sent(record: ServerRecord) -> None:
+def record_sent(record: ServerRecord, now_ms: float) -> None:
     """
     Count a request sent to a backend server.
 
     :param record: the backend server.
+    :param now_ms: current time.
     """
+    record.sent_ms = now_ms
     record.in_flight += 1
     record.sent_since_load += 1
 
--- /dev/null
+++ b/src/cuminhatch/decisions/warmup.py
@@ -0,0 +1,232 @@
+"""
+Which instances may send requests to a server that warms up.
+
+A cold server tolerates few requests a second from all instances together, and
+no instance sees what the others send. So only the first few instances of an
+order that all compute alike may send to it, each at most one request in
+``SEND_INTERVAL_MS``. Instances in the failure domain of the server come first.
+
+Views differ. Known instances are never forgotten, so that an instance that was
+frozen or cut off only takes itself for one of the first if it is one of the
+first among those known then. Whoever sends is therefore one of the first in an
+earlier or in the present view, and ``VIEWS`` of them may differ entirely.
+
+A server may become cold at any moment, so no registration proves that it is
+warm. An instance therefore also needs a health check answer that is younger
+than ``ANSWER_MAX_AGE_MS`` before it sends to any server of such a service.
+
+Load that this module handles: one check of each server of a service per
+placement. The order is computed once for a server and a set of instances, and
+only for cold servers: about 35 hashes where 1,900 instances are known.
+"""
+
+from collections.abc import Mapping
+from math import inf
+from typing import NamedTuple
+
+from cuminhatch.decisions.rendezvous import rank
+from cuminhatch.decisions.server_records import ServerRecord
+
+# A little more than a second, so that two requests of one instance are never
+# in the same second.
+SEND_INTERVAL_MS = 1_100.0
+# Sets of instances that may take themselves for the first ones at once.
+VIEWS = 2
+# Instances probe a server just before they send. With an older answer a server
+# that has just become cold would get the requests of this time from all.
+ANSWER_MAX_AGE_MS = 100.0
+# After the start of all instances they know each other within about two
+# messages of the reader of the store, 500 ms apart, and one pull.
+START_MS = 3_000.0
+# Time without news of further instances after which all seem to be known.
+QUIET_MS = 2_000.0
+# An instance that hears of no other one for so long is the only one.
+ALONE_MS = 10_000.0
+
+
+class WarmupLimit(NamedTuple):
+    """
+    Limit on the requests to a cold server, over all instances.
+
+    In any second it gets at most ``overshoot`` times the rate that its service
+    tolerates, plus ``slack`` requests.
+    """
+
+    overshoot: float
+    slack: float
+
+
+def count_senders(limit: WarmupLimit, rate_per_s: float) -> int:
+    """
+    Return how many instances may send to a cold server.
+
+    :param limit: limit of the deployment.
+    :param rate_per_s: requests per second that the server tolerates.
+    """
+    bound = rate_per_s * limit.overshoot + limit.slack
+    return max(int(bound / VIEWS), min(1, int(bound)))
+
+
+class Senders:
+    """
+    State of what this instance knows of the others, and of its own places.
+
+    An instance that may not know all others yet is none of the first.
+    """
+
+    def __init__(self, own_id: str, now_ms: float) -> None:
+        """
+        Start without other instances.
+
+        :param own_id: id of this instance.
+        :param now_ms: current time.
+        """
+        self._own_id = own_id
+        self._started_ms = now_ms
+        # Failure domains by instance id, empty where it is unknown.
+        self._domains: Mapping[str, str] = {}
+        self._reported = 0
+        self._grown_ms = now_ms
+        self._is_settled = False
+        # Whether this instance is one of the first, by server and number.
+        self._places: dict[tuple[str, int], bool] = {}
+
+    def set_instances(
+        self, domains: Mapping[str, str], reported: int, now_ms: float
+    ) -> None:
+        """
+        Replace what is known of the instances.
+
+        :param domains: failure domains of all known instances, this one
+            included, by instance id.
+        :param reported: highest number of instances that another one knows, 0
+            if none was heard of.
+        :param now_ms: current time.
+        """
+        if len(domains) > len(self._domains) or reported > self._reported:
+            self._grown_ms = now_ms
+        if domains != self._domains:
+            self._domains = domains
+            self._places = {}
+        self._reported = reported
+
+    def knows_all(self, now_ms: float) -> bool:
+        """
+        Tell whether this instance seems to know all others.
+
+        :param now_ms: current time.
+        """
+        if len(self._domains) < self._reported:
+            return False
+        if not self._is_settled:
+            age_ms = now_ms - self._started_ms
+            is_alone = not self._reported
+            self._is_settled = (
+                age_ms >= (ALONE_MS if is_alone else START_MS)
+                and now_ms - self._grown_ms >= QUIET_MS
+            )
+        return self._is_settled
+
+    def is_sender(self, server_id: str, domain: str, count: int) -> bool:
+        """
+        Tell whether this instance is one of the first for a server.
+
+        :param server_id: id of the server.
+        :param domain: failure domain of the server.
+        :param count: number of the first instances.
+        """
+        place = self._places.get((server_id, count))
+        if place is None:
+            place = self._find_preceding(server_id, domain, count) < count
+            self._places[server_id, count] = place
+        return place
+
+    def _find_preceding(self, server_id: str, domain: str, limit: int) -> int:
+        """Return how many instances precede this one, up to a limit."""
+        own_key = self._make_key(server_id, domain, self._own_id)
+        preceding = 0
+        for instance_id in self._domains:
+            if instance_id == self._own_id:
+                continue
+            if self._make_key(server_id, domain, instance_id) < own_key:
+                preceding += 1
+                if preceding == limit:
+                    break
+        return preceding
+
+    def _make_key(self, server_id: str, domain: str, instance_id: str) -> tuple:
+        # One of an unknown failure domain may be in that of the server.
+        is_far = self._domains.get(instance_id, "") not in (domain, "")
+        return is_far, rank(server_id, instance_id)
+
+
+def is_cold(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether a server warms up, as far as is known.
+
+    :param record: the server.
+    :param now_ms: current time.
+    """
+    return now_ms < record.warm_at_ms
+
+
+def has_fresh_answer(record: ServerRecord, now_ms: float) -> bool:
+    """
+    Tell whether a health check answer is recent enough to send a request.
+
+    :param record: the server.
+    :param now_ms: current time.
+    """
+    return now_ms - record.answer_asked_ms <= ANSWER_MAX_AGE_MS
+
+
+def may_send_to_cold(
+    record: ServerRecord, senders: Senders, count: int, now_ms: float
+) -> bool:
+    """
+    Tell whether this instance may send a request to a cold server now.
+
+    :param record: the server.
+    :param senders: what this instance knows of the others.
+    :param count: number of instances that may send to it.
+    :param now_ms: current time.
+    """
+    if now_ms - record.sent_ms < SEND_INTERVAL_MS or not senders.knows_all(now_ms):
+        return False
+    server = record.server
+    return senders.is_sender(server.server_id, server.failure_domain, count)
+
+
+def record_warmup(
+    record: ServerRecord, left_ms: float | None, asked_ms: float, now_ms: float
+) -> None:
+    """
+    Record what a server says of its warm-up in a health check answer.
+
+    :param record: the server.
+    :param left_ms: time left, None if it says nothing.
+    :param asked_ms: when the health check was sent. The answer of a server may
+        have waited for an instance that was frozen.
+    :param now_ms: current time.
+    """
+    if asked_ms < record.answer_asked_ms:
+        return
+    record.answer_asked_ms = asked_ms
+    if left_ms is not None:
+        record.warm_at_ms = now_ms + left_ms if left_ms > 0.0 else -inf
+
+
+def record_registered_warmup(
+    record: ServerRecord, left_ms: float, now_ms: float
+) -> None:
+    """
+    Record the remaining warm-up of a changed registration.
+
+    It may be some seconds old, so it does not make a cold server warm.
+
+    :param record: the server.
+    :param left_ms: time left when the server registered.
+    :param now_ms: current time.
+    """
+    if left_ms > 0.0:
+        record.warm_at_ms = max(record.warm_at_ms, now_ms + left_ms)
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -15,6 +15,7 @@
     parse_gateway_settings,
 )
 from cuminhatch.decisions.resending import ResendLimits
+from cuminhatch.decisions.warmup import WarmupLimit
 from cuminhatch.errors import AddressError, SettingsError
 from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.log import logger
@@ -81,6 +82,7 @@
             settings.is_first_start,
             heartbeat_ms=settings.store.heartbeat_ms,
             has_evacuations=settings.evacuation_ms > 0,
+            has_warmup_limit=settings.warmup is not None,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel, gauge_parts=("forwarding", "catalog")),
@@ -120,6 +122,7 @@
         ResendLimits(*settings.resends),
         placement.candidates,
         placement.far_charge_ms_per_kb,
+        WarmupLimit(*settings.warmup) if settings.warmup is not None else None,
     )
 
 
--- a/src/cuminhatch/messages/catalog.py
+++ b/src/cuminhatch/messages/catalog.py
@@ -116,3 +116,17 @@
 
     instances: int
     near_instances: int
+
+
+class InstancesChanged(NamedTuple):
+    """
+    The known instances have changed, or another one knows more.
+
+    ``domains`` maps the ids of all known instances, this one included, to
+    their failure domains, empty where they are unknown. ``reported`` is the
+    highest number of instances that another one knows. The message is sent
+    only if requests to servers that warm up are limited.
+    """
+
+    domains: Mapping[str, str]
+    reported: int
--- a/src/cuminhatch/messages/loads.py
+++ b/src/cuminhatch/messages/loads.py
@@ -6,6 +6,7 @@
 a daemon, ``probes`` does it by probes; see ``cuminhatch.messages.peers``.
 """
 
+from math import inf
 from typing import NamedTuple
 
 from cuminhatch.decisions.server_records import ServerLoad
@@ -71,12 +72,16 @@
     """
     A backend server has answered a health check.
 
-    ``load`` is None if the response reports none.
+    ``load`` is None if the response reports none, as is ``warmup_left_ms``,
+    the time until the server is warmed up. ``asked_ms`` is when the health
+    check was sent.
     """
 
     server_id: str
     is_healthy: bool
     load: ServerLoad | None
+    warmup_left_ms: float | None = None
+    asked_ms: float = -inf
 
 
 class HealthCheckFailed(NamedTuple):
--- a/src/cuminhatch/platform/headers.py
+++ b/src/cuminhatch/platform/headers.py
@@ -25,6 +25,7 @@
 INSTANCE_ID = b"instance-id"
 NOT_EXECUTED = b"not-executed"
 BACKEND_LOAD = b"backend-load"
+WARMUP_REMAINING = b"warmup-remaining"
 
 STATUS_MISDIRECTED = 421
 STATUS_OK = 200
@@ -128,6 +129,7 @@
     server_id = ""
     load = None
     has_request_id = False
+    warmup_left_ms = None
     for name, value in headers:
         if name == INSTANCE_ID:
             server_id = value.strip().decode("latin-1")
@@ -135,7 +137,11 @@
             load = parse_load(value)
         elif name == ATTEMPT_ID:
             has_request_id = True
-    return HealthCheckMetadata(server_id, status == STATUS_OK, load, has_request_id)
+        elif name == WARMUP_REMAINING:
+            warmup_left_ms = _parse_number(value)
+    return HealthCheckMetadata(
+        server_id, status == STATUS_OK, load, has_request_id, warmup_left_ms
+    )
 
 
 # Every response has a load header, with few distinct values.
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -15,11 +15,14 @@
     InstanceRecordsRead,
     InstanceRecordsRequested,
     InstanceRecordStored,
+    InstancesChanged,
 )
 from cuminhatch.services.catalog._read_spans import make_read_report
 from cuminhatch.services.catalog._timers import (
     INSTANCE_RECORD_RETRY_MS,
+    INSTANCES_DELAY_MS,
     InstanceRecordDue,
+    InstancesDue,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView
 
@@ -62,6 +65,7 @@
             view, Address(member.host, member.port), Greeting(view.own, (), False)
         )
     if is_added:
+        schedule_instances(view)
         # The key of a response that lists the instances holds only their
         # number, which a changed address leaves as it is.
         view.cached_responses = {
@@ -76,6 +80,25 @@
             )
 
 
+def schedule_instances(view: CatalogView) -> None:
+    """
+    Tell the known instances to forwarding soon, if it has a use for them.
+
+    :param view: state of the catalog.
+    """
+    if view.has_warmup_limit and not view.is_instances_due:
+        view.is_instances_due = True
+        view.call_at(view.clock.now_ms + INSTANCES_DELAY_MS, InstancesDue())
+
+
+def on_instances_due(view: CatalogView, message: InstancesDue) -> None:
+    """Tell the known instances and their failure domains to forwarding."""
+    view.is_instances_due = False
+    domains = {id_: member.failure_domain for id_, member in view.members.items()}
+    domains[view.own.instance_id] = view.failure_domain
+    view.send("forwarding", InstancesChanged(domains, view.instances_reported))
+
+
 def is_news(view: CatalogView, member: CatalogMember) -> bool:
     """
     Tell whether an instance is unknown here or has changed.
@@ -162,7 +185,9 @@
     :param view: state of the catalog.
     :param news: message of the other instance.
     """
-    view.instances_reported = max(view.instances_reported, news.instances)
+    if news.instances > view.instances_reported:
+        view.instances_reported = news.instances
+        schedule_instances(view)
     if news.instances < view.instance_count and view.rng.random() < ANSWER_PROBABILITY:
         sender = news.sender
         greeting = Greeting(view.own, sample_members(view), False)
--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -82,6 +82,7 @@
         now_ms,
         is_after_outage and view.catalog.is_known,
         is_after_restore(view),
+        view.has_warmup_limit,
     )
     record_refused_rows(view, message)
     record_unconfirmed(view, catalog)
--- a/src/cuminhatch/services/catalog/_timers.py
+++ b/src/cuminhatch/services/catalog/_timers.py
@@ -15,6 +15,8 @@
 # Delay before an instance stores a record of itself, which is not needed if
 # other instances have answered by then.
 INSTANCE_RECORD_DELAY_MS = 1_500.0
+# Instances that become known within this time are told at once.
+INSTANCES_DELAY_MS = 50.0
 GREETING_INTERVAL_MS = 250.0
 # The interval between greetings doubles up to this limit, because seeds that
 # cannot reach the store have no state to send.
@@ -36,6 +38,10 @@
     """Timer: store the record of this instance if others depend on it."""
 
 
+class InstancesDue(NamedTuple):
+    """Timer: tell the known instances to forwarding."""
+
+
 class GreetingDue(NamedTuple):
     """
     Timer: greet the seeds, unless the catalog is known by now.
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -85,6 +85,7 @@
         rng: Random,
         heartbeat_ms: float,
         has_evacuations: bool = False,
+        has_warmup_limit: bool = False,
     ) -> None:
         """
         Start with an empty catalog.
@@ -98,6 +99,8 @@
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
         :param has_evacuations: whether operators evacuate failure domains.
+        :param has_warmup_limit: whether requests to servers that warm up are
+            limited.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -110,6 +113,8 @@
         self.rng = rng
         self.heartbeat_ms = heartbeat_ms
         self.has_evacuations = has_evacuations
+        self.has_warmup_limit = has_warmup_limit
+        self.is_instances_due = False
         self.request_tokens = count(1)
         self.members: dict[str, CatalogMember] = {}
         # Highest number of known instances that another one has reported.
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -35,6 +35,8 @@
     on_instance_record_due,
     on_instance_record_stored,
     on_instance_records_read,
+    on_instances_due,
+    schedule_instances,
     send_message,
 )
 from cuminhatch.services.catalog._pull_responses import on_pull_requested
@@ -56,6 +58,7 @@
     RESTART_READ_DELAY_MS,
     GreetingDue,
     InstanceRecordDue,
+    InstancesDue,
     ReadDue,
 )
 from cuminhatch.services.catalog._view import NAME, CatalogView, DecodeConfiguration
@@ -86,6 +89,7 @@
         rng: Random | None = None,
         heartbeat_ms: float = HEARTBEAT_MS,
         has_evacuations: bool = False,
+        has_warmup_limit: bool = False,
     ) -> None:
         """
         Start with an empty catalog.
@@ -103,6 +107,8 @@
         :param rng: source of randomness.
         :param heartbeat_ms: interval at which backend servers register.
         :param has_evacuations: whether operators evacuate failure domains.
+        :param has_warmup_limit: whether requests to servers that warm up are
+            limited.
         """
         super().__init__(kernel)
         self._address = address
@@ -119,6 +125,7 @@
             rng or Random(),
             heartbeat_ms,
             has_evacuations,
+            has_warmup_limit,
         )
         self._view.is_seed = address in seeds or not seeds
 
@@ -132,6 +139,7 @@
         handlers = {
             ReadDue: on_read_due,
             InstanceRecordDue: on_instance_record_due,
+            InstancesDue: on_instances_due,
             GaugesRequested: on_gauges_requested,
             RegistrationsRead: on_registrations_read,
             ConfigurationRead: on_configuration_read,
@@ -160,6 +168,7 @@
         self._greet_seeds(GreetingDue(GREETING_INTERVAL_MS))
         self._schedule_instance_record()
         self._delay_first_read()
+        schedule_instances(self._view)
         schedule_read(self._view)
 
     def _greet_seeds(self, message: GreetingDue) -> None:
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -37,7 +37,7 @@
         state.observe_stage(exchange, "waiting", now_ms - exchange.received_ms)
     exchange.attempted_server_ids.append(record.server.server_id)
     record_placement(state, exchange, attempt, placed)
-    record_sent(record)
+    record_sent(record, now_ms)
     state.send("backends", make_attempt_request(state, exchange, attempt, now_ms))
     if len(exchange.body) > REQUEST_BUFFER_MAX_BYTES:
         exchange.is_body_buffered = False
--- a/src/cuminhatch/services/forwarding/_gauges.py
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from cuminhatch.decisions.server_records import is_excluded
+from cuminhatch.decisions.warmup import is_cold
 from cuminhatch.messages import Gauge, GaugesReported, GaugesRequested
 from cuminhatch.services.forwarding._exchange import Stage
 from cuminhatch.services.forwarding._state import ForwardingState
@@ -34,6 +35,9 @@
         in_flight = sum(record.in_flight for record in records)
         yield Gauge("servers_known", labels, len(records))
         yield Gauge("servers_left_out", labels, left_out)
+        if pool.cold_senders is not None:
+            cold = sum(is_cold(record, now_ms) for record in records)
+            yield Gauge("servers_warming_up", labels, cold)
         if evacuated:
             yield Gauge("servers_evacuated", labels, evacuated)
         yield Gauge("sends_in_flight", labels, in_flight)
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -24,6 +24,11 @@
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
 from cuminhatch.services.forwarding._timers import PlacementRetryDue
+from cuminhatch.services.forwarding._warmup import (
+    list_permitted,
+    list_promising,
+    wait_for_servers,
+)
 
 # Longest wait for the load of candidate servers. A health check takes 1 to
 # 3 ms. A server without a recent load by then is left out of the choice,
@@ -55,6 +60,7 @@
         if exchange.is_search_widened
         else CandidateCounts(state.settings.candidates, 0)
     )
+    records = list_promising(state, pool, exchange, records)
     candidates = pick_candidates(
         records, exchange.tried_server_ids, wanted, state.clock.now_ms, state.rng
     )
@@ -121,8 +127,7 @@
     pool = state.pools.get(exchange.service_id)
     now_ms = state.clock.now_ms
     work = estimate_work(state, exchange, now_ms)
-    records = select_candidates(pool, exchange, now_ms) if pool is not None else []
-    chosen = choose_server(records, work, now_ms, state.rng)
+    chosen = choose_permitted(state, pool, exchange, work)
     if isinstance(chosen, Placed):
         if can_end_before_stop(
             state.stop,
@@ -146,6 +151,23 @@
         fail_placement(state, exchange, chosen)
 
 
+def choose_permitted(
+    state: ForwardingState,
+    pool: ServicePool | None,
+    exchange: Exchange,
+    work: RequestProfile,
+) -> Placed | Wait | NotPlaced:
+    """Choose one of the servers that the request may be sent to."""
+    now_ms = state.clock.now_ms
+    if pool is None:
+        return choose_server([], work, now_ms, state.rng)
+    permitted = list_permitted(state, pool, exchange, pool.usable)
+    if pool.cold_senders is not None and pool.usable and not permitted:
+        return wait_for_servers(work)
+    records = select_candidates(permitted, exchange, now_ms)
+    return choose_server(records, work, now_ms, state.rng)
+
+
 def schedule_placement_retry(state: ForwardingState, exchange: Exchange) -> None:
     """Schedule another placement of a request."""
     exchange.stage = Stage.WAITING
@@ -161,7 +183,7 @@
 
 
 def select_candidates(
-    pool: ServicePool, exchange: Exchange, now_ms: float
+    usable: list[ServerRecord], exchange: Exchange, now_ms: float
 ) -> list[ServerRecord]:
     """
     Return the servers to choose from.
@@ -169,9 +191,10 @@
     Preferred are those that have not received the request and whose load is
     recent, then those that the store lists.
     """
-    candidates = pool.list_untried(exchange.tried_server_ids)
+    tried = exchange.tried_server_ids
+    candidates = [r for r in usable if r.server.server_id not in tried]
     if not candidates and not exchange.is_hedging:
-        candidates = pool.usable
+        candidates = usable
     preferred = [r for r in candidates if is_preferred(r, now_ms)]
     return preferred or prefer_listed(candidates)
 
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -11,8 +11,13 @@
     record_rejected_connection,
     record_unreachable,
 )
+from cuminhatch.decisions.warmup import (
+    count_senders,
+    record_registered_warmup,
+    record_warmup,
+)
 from cuminhatch.messages import ConfigurationChanged
-from cuminhatch.messages.catalog import InstanceCountChanged
+from cuminhatch.messages.catalog import InstanceCountChanged, InstancesChanged
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
@@ -38,6 +43,7 @@
     for server_id, server in message.configuration.servers.items():
         servers.setdefault(server.service_id, {})[server_id] = server
     for service_id, pool in state.pools.items():
+        pool.cold_senders = count_cold_senders(state, service_id)
         update_pool(state, pool, servers.get(service_id, {}))
 
 
@@ -57,12 +63,33 @@
             record = ServerRecord(server, is_near, state.clock.now_ms)
             pool.records[server_id] = record
         else:
+            if server.warmup_left_ms != record.server.warmup_left_ms:
+                update_warmup(state, pool, record, server)
             record.server = server
         record.is_evacuated = server.failure_domain in evacuated
     if len(pool.records) > known_count:
         sort_by_preference(pool, state.settings.instance_id)
 
 
+def count_cold_senders(state: ForwardingState, service_id: str) -> int | None:
+    """Return how many instances may send to a cold server of a service."""
+    rate_per_s = state.configuration.services[service_id].warmup_rate
+    if state.settings.warmup is None or not rate_per_s:
+        return None
+    return count_senders(state.settings.warmup, rate_per_s)
+
+
+def update_warmup(
+    state: ForwardingState,
+    pool: ServicePool,
+    record: ServerRecord,
+    server: BackendServer,
+) -> None:
+    """Note that a server has become cold again under the same start."""
+    if pool.cold_senders is not None:
+        record_registered_warmup(record, server.warmup_left_ms, state.clock.now_ms)
+
+
 def sort_by_preference(pool: ServicePool, instance_id: str) -> None:
     """Sort the servers of a service by the preference of an instance."""
     ids = sorted(
@@ -86,6 +113,12 @@
         pool.budget.set_instances(message.instances)
 
 
+def on_instances_changed(state: ForwardingState, message: InstancesChanged) -> None:
+    """Note which instances may send to servers that warm up."""
+    now_ms = state.clock.now_ms
+    state.senders.set_instances(message.domains, message.reported, now_ms)
+
+
 def on_health_check_answered(
     state: ForwardingState, message: HealthCheckAnswered
 ) -> None:
@@ -99,6 +132,9 @@
         state.record("server_health_changed", "", details)
     if message.load is not None:
         record_load(record, message.load)
+    if state.pools[record.server.service_id].cold_senders is not None:
+        now_ms = state.clock.now_ms
+        record_warmup(record, message.warmup_left_ms, message.asked_ms, now_ms)
 
 
 def on_health_check_failed(state: ForwardingState, message: HealthCheckFailed) -> None:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -13,6 +13,7 @@
 from cuminhatch.decisions.server_records import ServerRecord
 from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.decisions.traffic_split import weighted_round_robin
+from cuminhatch.decisions.warmup import Senders, WarmupLimit
 from cuminhatch.kernel import Kernel
 from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
 from cuminhatch.services.forwarding._exchange import Exchange
@@ -27,6 +28,7 @@
     ``candidates`` is how many servers are asked for their load before each
     placement. ``far_charge_ms_per_kb`` is the extra latency that is accepted
     per kilobyte of response body to keep it within the failure domain.
+    ``warmup`` is None if requests to cold servers are not limited.
     """
 
     instance_id: str
@@ -34,6 +36,7 @@
     resends: ResendLimits
     candidates: int
     far_charge_ms_per_kb: float
+    warmup: WarmupLimit | None = None
 
 
 class ServicePool:
@@ -52,6 +55,9 @@
         # By server id, in this instance's order of preference.
         self.records: dict[str, ServerRecord] = {}
         self.budget = budget
+        # How many instances may send to a cold server of the service, None if
+        # requests to cold servers are not limited.
+        self.cold_senders: int | None = None
 
     @property
     def usable(self) -> list[ServerRecord]:
@@ -96,6 +102,7 @@
         self.settings = settings
         self.rng = rng
         self.instance_count = 1
+        self.senders = Senders(settings.instance_id, kernel.clock.now_ms)
         self.stop = NO_STOP
         self.is_stop_limit_reached = False
         self.configuration: Configuration = EMPTY_CONFIGURATION
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -18,7 +18,7 @@
     RequestReceived,
     StopScheduled,
 )
-from cuminhatch.messages.catalog import InstanceCountChanged
+from cuminhatch.messages.catalog import InstanceCountChanged, InstancesChanged
 from cuminhatch.messages.loads import (
     HealthCheckAnswered,
     HealthCheckConnectionClosed,
@@ -58,6 +58,7 @@
     on_health_check_connection_closed,
     on_health_check_failed,
     on_instance_count_changed,
+    on_instances_changed,
 )
 from cuminhatch.services.forwarding._state import (
     NAME,
@@ -105,6 +106,7 @@
         handlers = {
             ConfigurationChanged: on_configuration_changed,
             InstanceCountChanged: on_instance_count_changed,
+            InstancesChanged: on_instances_changed,
             HealthCheckAnswered: on_health_check_answered,
             HealthCheckFailed: on_health_check_failed,
             HealthCheckConnectionClosed: on_health_check_connection_closed,
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -59,6 +59,7 @@
 
     server_id: str
     measurement_id: int
+    sent_ms: float
 
 
 class _Limit(NamedTuple):
@@ -164,7 +165,8 @@
 
     def _send_probe(self, target: LoadTarget, measurement_id: int) -> None:
         token = next(self._ids)
-        self._probes[token] = _Probe(target.server_id, measurement_id)
+        now_ms = self.kernel.clock.now_ms
+        self._probes[token] = _Probe(target.server_id, measurement_id, now_ms)
         self.send("metrics", CounterIncremented("probes_total", {}))
         request = ProbeRequested(
             self.name,
@@ -191,9 +193,14 @@
         load = None
         if facts.load is not None:
             load = ServerLoad(*facts.load, self.kernel.clock.now_ms)
-        self._report(
-            probe, HealthCheckAnswered(probe.server_id, facts.is_healthy, load)
+        answered = HealthCheckAnswered(
+            probe.server_id,
+            facts.is_healthy,
+            load,
+            facts.warmup_left_ms,
+            probe.sent_ms,
         )
+        self._report(probe, answered)
 
     def _on_http_failed(self, message: HttpFailed) -> None:
         probe = self._probes.pop(message.token)
--- a/tests/decisions/test_server_records.py
+++ b/tests/decisions/test_server_records.py
@@ -64,7 +64,7 @@
     """Guards against a delayed probe that hides a busy server."""
     record = make_record()
     record_load(record, ServerLoad(3, 2, 3, 1.0, 50.0))
-    record_sent(record)
+    record_sent(record, NOW_MS)
     record_load(record, ServerLoad(0, 0, 3, 1.0, 40.0))
     assert record.load.running == 3
     assert record.sent_since_load == 1
