Keep places for other failure domains, and save health checks while servers are cold

With all places in the failure domain of a cold server, the loss of its instances left it without requests. A third of the places now goes to others.

--- a/src/cuminhatch/decisions/warmup.py
+++ b/src/cuminhatch/decisions/warmup.py
@@ -4,7 +4,8 @@
 A cold server tolerates few requests a second from all instances together, and
 no instance sees what the others send. So only the first few instances of an
 order that all compute alike may send to it, each at most one request in
-``SEND_INTERVAL_MS``. Instances in the failure domain of the server come first.
+``SEND_INTERVAL_MS``. Most places are for instances in the failure domain of
+the server, the rest for others.
 
 Views differ. Known instances are never forgotten, so that an instance that was
 frozen or cut off only takes itself for one of the first if it is one of the
@@ -20,10 +21,17 @@
 only for cold servers: about 35 hashes where 1,900 instances are known.
 """
 
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Mapping, Sequence
 from math import inf
 from typing import NamedTuple
 
+from cuminhatch.decisions.candidates import CandidateCounts
+from cuminhatch.decisions.placement import (
+    USUAL_TIME_MARGIN,
+    RequestProfile,
+    max_wait_ms,
+)
 from cuminhatch.decisions.rendezvous import rank
 from cuminhatch.decisions.server_records import ServerRecord
 
@@ -32,6 +40,11 @@
 SEND_INTERVAL_MS = 1_100.0
 # Sets of instances that may take themselves for the first ones at once.
 VIEWS = 2
+# Share of the places for instances of other failure domains, so that the loss
+# of those in one domain does not leave its cold servers without requests.
+FAR_SHARE = 1 / 3
+# Far servers to choose from if there are no near ones.
+FAR_CANDIDATES = 2
 # Instances probe a server just before they send. With an older answer a server
 # that has just become cold would get the requests of this time from all.
 ANSWER_MAX_AGE_MS = 100.0
@@ -85,6 +98,7 @@
         self._started_ms = now_ms
         # Failure domains by instance id, empty where it is unknown.
         self._domains: Mapping[str, str] = {}
+        self._sizes: Counter[str] = Counter()
         self._reported = 0
         self._grown_ms = now_ms
         self._is_settled = False
@@ -107,6 +121,7 @@
             self._grown_ms = now_ms
         if domains != self._domains:
             self._domains = domains
+            self._sizes = Counter(domains.values())
             self._places = {}
         self._reported = reported
 
@@ -135,29 +150,58 @@
         :param domain: failure domain of the server.
         :param count: number of the first instances.
         """
-        place = self._places.get((server_id, count))
-        if place is None:
-            place = self._find_preceding(server_id, domain, count) < count
-            self._places[server_id, count] = place
-        return place
-
-    def _find_preceding(self, server_id: str, domain: str, limit: int) -> int:
-        """Return how many instances precede this one, up to a limit."""
-        own_key = self._make_key(server_id, domain, self._own_id)
-        preceding = 0
-        for instance_id in self._domains:
-            if instance_id == self._own_id:
+        is_first = self._places.get((server_id, count))
+        if is_first is None:
+            is_first = self._find_place(server_id, domain, count)
+            self._places[server_id, count] = is_first
+        return is_first
+
+    def _find_place(self, server_id: str, domain: str, count: int) -> bool:
+        """Tell whether fewer instances than places precede this one."""
+        places = count - int(count * FAR_SHARE)
+        is_near = self._domains.get(self._own_id) == domain
+        if not is_near:
+            places = count - min(places, self._sizes[domain])
+        own_rank = rank(server_id, self._own_id)
+        for instance_id, other_domain in self._domains.items():
+            # One of an unknown failure domain may be near or far.
+            if other_domain and (other_domain == domain) is not is_near:
                 continue
-            if self._make_key(server_id, domain, instance_id) < own_key:
-                preceding += 1
-                if preceding == limit:
-                    break
-        return preceding
+            if rank(server_id, instance_id) < own_rank:
+                places -= 1
+            if places <= 0:
+                return False
+        return True
 
-    def _make_key(self, server_id: str, domain: str, instance_id: str) -> tuple:
-        # One of an unknown failure domain may be in that of the server.
-        is_far = self._domains.get(instance_id, "") not in (domain, "")
-        return is_far, rank(server_id, instance_id)
+
+def limit_candidates(
+    wanted: CandidateCounts, records: Sequence[ServerRecord]
+) -> CandidateCounts:
+    """
+    Return how many servers to probe, without far ones in place of cold ones.
+
+    Each instance may probe a far server only once in some seconds. While the
+    near domain is cold, a few requests would otherwise use up all its probes,
+    and later ones find no server with a fresh answer.
+
+    :param wanted: number of candidates.
+    :param records: servers of the service that may take requests.
+    """
+    near = min(wanted.near, sum(record.is_near for record in records))
+    far = max(wanted.far, min(wanted.near, FAR_CANDIDATES) - near)
+    return wanted._replace(near=near, far=far)
+
+
+def get_wait_limit_ms(work: RequestProfile) -> float:
+    """
+    Return how long a request may wait until a server may be sent to.
+
+    :param work: the request.
+    :returns: time after its arrival at which an idle server still answers
+        within the target latency, and at least the usual wait.
+    """
+    latest_ms = work.target_ms - work.usual_ms * USUAL_TIME_MARGIN
+    return max(max_wait_ms(work, True), latest_ms)
 
 
 def is_cold(record: ServerRecord, now_ms: float) -> bool:
@@ -184,7 +228,7 @@
     record: ServerRecord, senders: Senders, count: int, now_ms: float
 ) -> bool:
     """
-    Tell whether this instance may send a request to a cold server now.
+    Tell whether this instance may send to a server that may be cold now.
 
     :param record: the server.
     :param senders: what this instance knows of the others.
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -17,6 +17,7 @@
 )
 from cuminhatch.decisions.server_records import ServerRecord, is_excluded, prefer_listed
 from cuminhatch.decisions.stopping import can_end_before_stop
+from cuminhatch.decisions.warmup import limit_candidates
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
 from cuminhatch.services.forwarding._attempts import estimate_request, start_attempt
@@ -60,7 +61,9 @@
         if exchange.is_search_widened
         else CandidateCounts(state.settings.candidates, 0)
     )
-    records = list_promising(state, pool, exchange, records)
+    if pool.cold_senders is not None:
+        records = list_promising(state, pool, exchange, records)
+        wanted = limit_candidates(wanted, records)
     candidates = pick_candidates(
         records, exchange.tried_server_ids, wanted, state.clock.now_ms, state.rng
     )
--- a/src/cuminhatch/services/forwarding/_warmup.py
+++ b/src/cuminhatch/services/forwarding/_warmup.py
@@ -5,10 +5,14 @@
     NotPlaced,
     RequestProfile,
     Wait,
-    may_wait_for_faster_machine,
 )
 from cuminhatch.decisions.server_records import ServerRecord
-from cuminhatch.decisions.warmup import has_fresh_answer, is_cold, may_send_to_cold
+from cuminhatch.decisions.warmup import (
+    get_wait_limit_ms,
+    has_fresh_answer,
+    is_cold,
+    may_send_to_cold,
+)
 from cuminhatch.services.forwarding._exchange import Exchange
 from cuminhatch.services.forwarding._state import ForwardingState, ServicePool
 
@@ -58,7 +62,10 @@
         return records
     now_ms = state.clock.now_ms
     promising = list_promising(state, pool, exchange, records)
-    return [record for record in promising if has_fresh_answer(record, now_ms)]
+    checked = [record for record in promising if has_fresh_answer(record, now_ms)]
+    if checked or exchange.is_hedging or not exchange.is_search_widened:
+        return checked
+    return [r for r in promising if _may_send(state, pool, exchange, r)]
 
 
 def wait_for_servers(work: RequestProfile) -> Wait | NotPlaced:
@@ -67,7 +74,7 @@
 
     :param work: the request.
     """
-    if may_wait_for_faster_machine(work):
+    if work.waited_ms < get_wait_limit_ms(work):
         return Wait(SERVERS_WARMING_UP)
     return NotPlaced(SERVERS_WARMING_UP, RETRY_AFTER_MIN_MS)
 
