--- a/src/cuminhatch/decisions/server_records.py
+++ b/src/cuminhatch/decisions/server_records.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Sequence
+from math import inf
 from typing import NamedTuple
 from zlib import crc32
 
@@ -51,15 +52,18 @@
     """State of one backend server."""
 
     __slots__ = (
+        "answer_asked_ms",
         "excluded_until_ms",
         "failure_rate",
         "failure_rate_at_ms",
         "failures",
         "in_flight",
+        "is_evacuated",
         "is_near",
         "is_unhealthy",
         "load",
         "reserve_fraction",
+        "sent_ms",
         "sent_since_load",
         "server",
         "unreliable_until_ms",
@@ -78,12 +82,18 @@
         self.is_near = is_near
         # From 0 to 1 and the same at all instances, see placement.
         self.reserve_fraction = crc32(server.server_id.encode()) / 2**32
+        # Its failure domain is evacuated, so it gets no new requests.
+        self.is_evacuated = False
         self.warm_at_ms = now_ms + server.warmup_left_ms
         self.in_flight = 0
         self.load: ServerLoad | None = None
         # Requests of this instance that the last load report does not include.
         self.sent_since_load = 0
         self.is_unhealthy = False
+        # When the health check was sent whose answer is the latest one, and
+        # when the latest request was.
+        self.answer_asked_ms = -inf
+        self.sent_ms = -inf
         # Failures in a row.
         self.failures = 0
         # Moving average, as of failure_rate_at_ms.
@@ -105,12 +115,14 @@
         record.sent_since_load = 0
 
 
-def record_sent(record: ServerRecord) -> None:
+def record_sent(record: ServerRecord, now_ms: float) -> None:
     """
     Count a request sent to a backend server.
 
     :param record: the backend server.
+    :param now_ms: current time.
     """
+    record.sent_ms = now_ms
     record.in_flight += 1
     record.sent_since_load += 1
 
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -16,6 +16,7 @@
     parse_gateway_settings,
 )
 from cuminhatch.decisions.resending import ResendLimits
+from cuminhatch.decisions.warmup import WarmupLimit
 from cuminhatch.errors import AddressError, SettingsError
 from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.log import logger
@@ -66,7 +67,9 @@
             kernel, file_name, settings, load_settings, consumers=("loads",)
         ),
         HttpClient(kernel),
-        PlatformStore(kernel, settings.store.address),
+        PlatformStore(
+            kernel, settings.store.address, has_evacuations=settings.evacuation_ms > 0
+        ),
         CatalogService(
             kernel,
             instance.instance_id,
@@ -78,6 +81,8 @@
             settings.is_first_start,
             heartbeat_ms=settings.store.heartbeat_ms,
             redact_configuration=redact_configuration,
+            has_evacuations=settings.evacuation_ms > 0,
+            has_warmup_limit=settings.warmup is not None,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
         Metrics(kernel, gauge_parts=("forwarding", "catalog")),
@@ -123,6 +128,7 @@
         placement.candidates,
         placement.far_charge_ms_per_kb,
         placement.active_connection_ms,
+        WarmupLimit(*settings.warmup) if settings.warmup is not None else None,
     )
 
 
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -19,6 +19,10 @@
 # Failure reason of an attempt that was withdrawn before a byte was sent.
 ATTEMPT_WITHDRAWN = "withdrawn"
 
+# Failure reason of an attempt that was not sent because the failure domain of
+# its server has been evacuated since.
+SERVER_EVACUATED = "server evacuated"
+
 # To ``backends``.
 
 
--- a/src/cuminhatch/services/catalog/_store_reads.py
+++ b/src/cuminhatch/services/catalog/_store_reads.py
@@ -22,6 +22,7 @@
 )
 from cuminhatch.services.catalog._updates import (
     apply_document,
+    apply_evacuation,
     detect_restore,
     is_after_restore,
     replace_catalog,
@@ -81,6 +82,7 @@
         now_ms,
         is_after_outage and view.catalog.is_known,
         is_after_restore(view),
+        view.has_warmup_limit,
     )
     record_refused_rows(view, message)
     record_unconfirmed(view, catalog)
@@ -92,8 +94,15 @@
 
 
 def on_configuration_read(view: CatalogView, message: ConfigurationRead) -> None:
-    """Apply a newer configuration, and announce its version to the others."""
-    if apply_document(view, message.document, "store", message.era):
+    """
+    Apply a newer configuration, and announce its version to the others.
+
+    Evacuated domains come first, so that no configuration is in force without
+    them.
+    """
+    is_changed = apply_evacuation(view, message.evacuation, "store")
+    is_changed |= apply_document(view, message.document, "store", message.era)
+    if is_changed:
         broadcast_change(view, make_empty_change(view))
 
 
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -13,6 +13,7 @@
     RefusedEntry,
 )
 from cuminhatch.decisions.change_history import ChangeHistory
+from cuminhatch.decisions.evacuation import Evacuation
 from cuminhatch.decisions.read_span import NO_READS
 from cuminhatch.decisions.reader_selection import LatestReads
 from cuminhatch.decisions.referrals import Referrals
@@ -27,6 +28,8 @@
 
 NAME = "catalog"
 PORT_NAME = "catalog_port"
+# Four messages of the reader, so that the loss of some does not matter.
+EVACUATION_WAIT_MS = 2_000.0
 
 DecodeConfiguration = Callable[[bytes], ConfigurationDocument]
 RedactConfiguration = Callable[[bytes], bytes]
@@ -88,6 +91,8 @@
         rng: Random,
         heartbeat_ms: float,
         redact_configuration: RedactConfiguration,
+        has_evacuations: bool = False,
+        has_warmup_limit: bool = False,
     ) -> None:
         """
         Start with an empty catalog.
@@ -102,6 +107,9 @@
         :param heartbeat_ms: interval at which backend servers register.
         :param redact_configuration: removes from a document what instances
             must not keep.
+        :param has_evacuations: whether operators evacuate failure domains.
+        :param has_warmup_limit: whether requests to servers that warm up are
+            limited.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -114,6 +122,9 @@
         self.send_bytes = send_bytes
         self.rng = rng
         self.heartbeat_ms = heartbeat_ms
+        self.has_evacuations = has_evacuations
+        self.has_warmup_limit = has_warmup_limit
+        self.is_instances_due = False
         self.request_tokens = count(1)
         self.members: dict[str, CatalogMember] = {}
         # Highest number of known instances that another one has reported.
@@ -134,6 +145,14 @@
         self.refused_entries_version = 0
         # Era of the store that the configuration in force was read in.
         self.document_era = 0
+        # The latest known read of the evacuated failure domains, and since
+        # when each of them is known to be evacuated.
+        self.evacuation: Evacuation | None = None
+        self.evacuated_since_ms: dict[str, float] = {}
+        # Since when a configuration is held back, because it is not known yet
+        # which domains are evacuated.
+        self.evacuation_missed_ms: float | None = None
+        self.is_published = False
         # Earliest time of the first read of the store.
         self.first_read_ms = 0.0
         # The instance that reads the store for all, and when it last did.
@@ -203,6 +222,19 @@
         """
         return self.heartbeat_ms
 
+    @property
+    def is_evacuation_awaited(self) -> bool:
+        """
+        Tell whether the evacuated domains are not known but may be soon.
+
+        Instances that know them tell them in each message, so that an
+        instance in touch with one of these hears of them in time.
+        """
+        if not self.has_evacuations or self.evacuation is not None:
+            return False
+        since_ms = self.evacuation_missed_ms
+        return since_ms is None or self.clock.now_ms - since_ms < EVACUATION_WAIT_MS
+
     @property
     def instance_count(self) -> int:
         """Return the number of known instances, this one included."""
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -17,6 +17,7 @@
 )
 from cuminhatch.decisions.server_records import ServerRecord, is_excluded, prefer_listed
 from cuminhatch.decisions.stopping import can_end_before_stop
+from cuminhatch.decisions.warmup import limit_candidates
 from cuminhatch.messages import Address
 from cuminhatch.messages.loads import LoadsMeasured, LoadsRequested, LoadTarget
 from cuminhatch.services.forwarding._admission import (
@@ -36,6 +37,11 @@
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
 from cuminhatch.services.forwarding._timers import PlacementRetryDue
+from cuminhatch.services.forwarding._warmup import (
+    list_permitted,
+    list_promising,
+    wait_for_servers,
+)
 
 # Longest wait for the load of candidate servers. A health check takes 1 to
 # 3 ms. A server without a recent load by then is left out of the choice,
@@ -54,8 +60,11 @@
     pool = state.pools.get(exchange.service_id)
     records = pool.usable if pool is not None else []
     if not records:
-        no_server = NotPlaced("no-backend-server", RETRY_AFTER_MIN_MS)
-        fail_placement(state, exchange, no_server)
+        is_evacuated = pool is not None and any(
+            record.is_evacuated for record in pool.records.values()
+        )
+        reason = "failure-domain-evacuated" if is_evacuated else "no-backend-server"
+        fail_placement(state, exchange, NotPlaced(reason, RETRY_AFTER_MIN_MS))
         return
     # The first search prefers this instance's failure domain. Servers of other
     # domains are added if none of its candidates is good enough.
@@ -63,6 +72,9 @@
     if exchange.is_search_widened:
         exchange.wide_searches += 1
         wanted = widened_counts(exchange.wide_searches)
+    if pool.cold_senders is not None:
+        records = list_promising(state, pool, exchange, records)
+        wanted = limit_candidates(wanted, records)
     candidates = pick_candidates(
         records, exchange.tried_server_ids, wanted, state.clock.now_ms, state.rng
     )
@@ -137,8 +149,7 @@
     pool = state.pools.get(exchange.service_id)
     now_ms = state.clock.now_ms
     work = estimate_work(state, exchange, now_ms)
-    records = select_candidates(pool, exchange, now_ms) if pool is not None else []
-    chosen = choose_server(records, work, now_ms, state.rng)
+    chosen = choose_permitted(state, pool, exchange, work)
     refusal = check_admission(state, exchange, work, chosen)
     if refusal is not None:
         fail_placement(state, exchange, refusal)
@@ -166,6 +177,23 @@
         fail_placement(state, exchange, chosen)
 
 
+def choose_permitted(
+    state: ForwardingState,
+    pool: ServicePool | None,
+    exchange: Exchange,
+    work: RequestProfile,
+) -> Placed | Wait | NotPlaced:
+    """Choose one of the servers that the request may be sent to."""
+    now_ms = state.clock.now_ms
+    if pool is None:
+        return choose_server([], work, now_ms, state.rng)
+    permitted = list_permitted(state, pool, exchange, pool.usable)
+    if pool.cold_senders is not None and pool.usable and not permitted:
+        return wait_for_servers(work)
+    records = select_candidates(permitted, exchange, now_ms)
+    return choose_server(records, work, now_ms, state.rng)
+
+
 def schedule_placement_retry(state: ForwardingState, exchange: Exchange) -> None:
     """Schedule another placement of a request."""
     exchange.stage = Stage.WAITING
@@ -181,7 +209,7 @@
 
 
 def select_candidates(
-    pool: ServicePool, exchange: Exchange, now_ms: float
+    usable: list[ServerRecord], exchange: Exchange, now_ms: float
 ) -> list[ServerRecord]:
     """
     Return the servers to choose from.
@@ -189,9 +217,10 @@
     Preferred are those that have not received the request and whose load is
     recent, then those that the store lists.
     """
-    candidates = pool.list_untried(exchange.tried_server_ids)
+    tried = exchange.tried_server_ids
+    candidates = [r for r in usable if r.server.server_id not in tried]
     if not candidates and not exchange.is_hedging:
-        candidates = pool.usable
+        candidates = usable
     preferred = [r for r in candidates if is_preferred(r, now_ms)]
     return preferred or prefer_listed(candidates)
 
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -28,7 +28,11 @@
     ResponseBody,
     ResponseStarted,
 )
-from cuminhatch.messages.attempts import ATTEMPT_WITHDRAWN, CONNECTION_LIMIT
+from cuminhatch.messages.attempts import (
+    ATTEMPT_WITHDRAWN,
+    CONNECTION_LIMIT,
+    SERVER_EVACUATED,
+)
 from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
 from cuminhatch.services.forwarding._admission import (
     record_full_server,
@@ -398,10 +402,10 @@
 ) -> bool:
     """Update the record of a server, and tell whether it was full."""
     now_ms = state.clock.now_ms
-    is_server_at_fault = message.reason not in (CONNECTION_LIMIT, ATTEMPT_WITHDRAWN)
-    if not is_server_at_fault or message.is_reused:
-        # A server is not at fault if this instance has no connection left or
-        # withdraws the attempt, or if a reused connection ends.
+    not_at_fault = (CONNECTION_LIMIT, ATTEMPT_WITHDRAWN, SERVER_EVACUATED)
+    if message.reason in not_at_fault or message.is_reused:
+        # A server is not at fault if this instance has no connection left, may
+        # not use it or withdraws the attempt, or if a reused connection ends.
         return False
     is_connection_closed = message.reason in (CONNECTION_FAILED, CONNECTION_CLOSED)
     if is_connection_closed and (
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -15,6 +15,7 @@
 from cuminhatch.decisions.stopping import NO_STOP
 from cuminhatch.decisions.traffic_split import weighted_round_robin
 from cuminhatch.decisions.uploads import UploadMemory
+from cuminhatch.decisions.warmup import Senders, WarmupLimit
 from cuminhatch.kernel import Kernel
 from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
 from cuminhatch.services.forwarding._exchange import Exchange
@@ -31,6 +32,7 @@
     per kilobyte of response body to keep it within the failure domain.
     ``active_connection_ms`` is for how long after a response a connection may
     be used for a request that is not idempotent.
+    ``warmup`` is None if requests to cold servers are not limited.
     """
 
     instance_id: str
@@ -39,6 +41,7 @@
     candidates: int
     far_charge_ms_per_kb: float
     active_connection_ms: float = 0.0
+    warmup: WarmupLimit | None = None
 
 
 class ServicePool:
@@ -59,15 +62,22 @@
         self.budget = budget
         # None while the configuration has no teams.
         self.admission: ServiceAdmission | None = None
+        # How many instances may send to a cold server of the service, None if
+        # requests to cold servers are not limited.
+        self.cold_senders: int | None = None
 
     @property
     def usable(self) -> list[ServerRecord]:
-        """Return the servers that are not draining, healthy or not."""
-        return [r for r in self.records.values() if not r.server.is_draining]
+        """Return servers neither draining nor evacuated, healthy or not."""
+        return [
+            record
+            for record in self.records.values()
+            if not (record.server.is_draining or record.is_evacuated)
+        ]
 
     def list_untried(self, tried: Set[str]) -> list[ServerRecord]:
         """
-        Return the servers, not draining, that have not received a request.
+        Return the usable servers that have not received a request.
 
         :param tried: ids of the servers that may have received it.
         """
@@ -99,6 +109,7 @@
         self.settings = settings
         self.rng = rng
         self.instance_count = 1
+        self.senders = Senders(settings.instance_id, kernel.clock.now_ms)
         self.stop = NO_STOP
         self.is_stop_limit_reached = False
         self.configuration: Configuration = EMPTY_CONFIGURATION
--- a/src/cuminhatch/services/loads.py
+++ b/src/cuminhatch/services/loads.py
@@ -13,7 +13,7 @@
     HttpReplied,
     SettingsChanged,
 )
-from cuminhatch.messages.attempts import CONNECTION_LIMIT
+from cuminhatch.messages.attempts import CONNECTION_LIMIT, SERVER_EVACUATED
 from cuminhatch.messages.catalog import InstanceCountChanged
 from cuminhatch.messages.loads import (
     MISPLACED_RESPONSE,
@@ -60,6 +60,7 @@
 
     server_id: str
     measurement_id: int
+    sent_ms: float
 
 
 class _Limit(NamedTuple):
@@ -165,7 +166,8 @@
 
     def _send_probe(self, target: LoadTarget, measurement_id: int) -> None:
         token = next(self._ids)
-        self._probes[token] = _Probe(target.server_id, measurement_id)
+        now_ms = self.kernel.clock.now_ms
+        self._probes[token] = _Probe(target.server_id, measurement_id, now_ms)
         self.send("metrics", CounterIncremented("probes_total", {}))
         request = ProbeRequested(
             self.name,
@@ -192,15 +194,20 @@
         load = None
         if facts.load is not None:
             load = ServerLoad(*facts.load, self.kernel.clock.now_ms)
-        self._report(
-            probe, HealthCheckAnswered(probe.server_id, facts.is_healthy, load)
+        answered = HealthCheckAnswered(
+            probe.server_id,
+            facts.is_healthy,
+            load,
+            facts.warmup_left_ms,
+            probe.sent_ms,
         )
+        self._report(probe, answered)
 
     def _on_http_failed(self, message: HttpFailed) -> None:
         probe = self._probes.pop(message.token)
         self.send("metrics", CounterIncremented("probe_failures_total", {}))
         reason = message.reason
-        if reason == CONNECTION_LIMIT:
+        if reason in (CONNECTION_LIMIT, SERVER_EVACUATED):
             # This says nothing about the server.
             self._end_probe(probe)
             return
--- a/tests/decisions/admission_model.py
+++ b/tests/decisions/admission_model.py
@@ -122,7 +122,7 @@
         elif is_placed:
             if admission is not None:
                 admission.count_admitted(ticket, now_ms)
-            record_sent(chosen.record)
+            record_sent(chosen.record, now_ms)
             server = self.servers[int(chosen.record.server.server_id)]
             server.queue.append(request)
             self.start_next(server)
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -226,7 +226,7 @@
             ms -= step
             self.run()
 
-    def configure(self, *servers, rules=RULES, keys=None, teams=()):
+    def configure(self, *servers, rules=RULES, keys=None, teams=(), evacuated=()):
         """
         Apply a configuration.
 
@@ -246,6 +246,7 @@
             None,
             teams_by_id,
             {digest_credential(key): team_id for key, team_id in (keys or {}).items()},
+            frozenset(evacuated),
         )
         self.tell(ConfigurationChanged(configuration))
 
