--- a/src/cuminhatch/services/forwarding/_admission.py
+++ b/src/cuminhatch/services/forwarding/_admission.py
@@ -70,7 +70,7 @@
 
 
 def count_demand(state: ForwardingState, exchange: Exchange) -> None:
-    """Count a request on arrival and give it its place."""
+    """Count a request on arrival, once its team is known."""
     admission = find_admission(state, exchange.service_id)
     if admission is None:
         return
