Capture the log of the test that looks for keys

The logger keeps the standard error of the test that used it first, so the test saw an empty log when it ran after others, as in the whole of tests/services.

--- a/tests/services/test_credentials.py
+++ b/tests/services/test_credentials.py
@@ -4,6 +4,7 @@
 
 from cuminhatch.decisions.configuration import Rule, Team
 from cuminhatch.kernel import SUPERVISOR, HandlerFailed
+from cuminhatch.log import logger
 from cuminhatch.messages import (
     EventRecorded,
     GaugesReported,
@@ -207,6 +208,8 @@
 
 def test_key_is_in_no_message_and_no_log_line(world, capfd, monkeypatch):
     """Guards against copies of keys, also of rejected ones, after errors."""
+    # A logger that an earlier test has used writes to the stderr of that test.
+    monkeypatch.setattr(logger, "_loguru_logger", None)
     marked = ((b"key", b"key-1"), (b"team", b"key-1"))
     for rule_id in ("read", "write", "open", "broken", "none"):
         world.request(rule_id, headers=marked)
