Choose eight instances of a bound of 12.65, and test the limit

Two views that differ entirely would exceed the bound: this takes a restart in a partition, where an instance now waits until it knows the seeds, or 10 s.

A unit test found that far instances took all places where failure domains are unknown; mended.

--- a/bench/warm_up.py
+++ b/bench/warm_up.py
@@ -137,7 +137,7 @@
         domains = {
             f"front-{n}": DOMAINS[n % len(DOMAINS)] for n in range(scenario.instances)
         }
-        self.senders.set_instances(domains, scenario.instances, -60_000.0)
+        self.senders.set_instances(domains, scenario.instances, False, -60_000.0)
 
 
 class Simulation:
--- a/src/cuminhatch/decisions/warmup.py
+++ b/src/cuminhatch/decisions/warmup.py
@@ -9,8 +9,9 @@
 
 Views differ. Known instances are never forgotten, so that an instance that was
 frozen or cut off only takes itself for one of the first if it is one of the
-first among those known then. Whoever sends is therefore one of the first in an
-earlier or in the present view, and ``VIEWS`` of them may differ entirely.
+first among those known then. So each instance that has joined since adds at
+most one sender. Instances that start during a partition could take themselves
+for all there are: they wait until they know the seeds, or for ``ALONE_MS``.
 
 A server may become cold at any moment, so no registration proves that it is
 warm. An instance therefore also needs a health check answer that is younger
@@ -38,8 +39,9 @@
 # A little more than a second, so that two requests of one instance are never
 # in the same second.
 SEND_INTERVAL_MS = 1_100.0
-# Sets of instances that may take themselves for the first ones at once.
-VIEWS = 2
+# The rest of the bound is for instances that take themselves for first ones
+# by another view, and for what was under way when a server became cold.
+BOUND_MARGIN = 1.5
 # Share of the places for instances of other failure domains, so that the loss
 # of those in one domain does not leave its cold servers without requests.
 FAR_SHARE = 1 / 3
@@ -53,7 +55,8 @@
 START_MS = 3_000.0
 # Time without news of further instances after which all seem to be known.
 QUIET_MS = 2_000.0
-# An instance that hears of no other one for so long is the only one.
+# An instance that hears of no other one for so long is the only one, and a
+# seed that it does not hear of has left.
 ALONE_MS = 10_000.0
 
 
@@ -77,7 +80,7 @@
     :param rate_per_s: requests per second that the server tolerates.
     """
     bound = rate_per_s * limit.overshoot + limit.slack
-    return max(int(bound / VIEWS), min(1, int(bound)))
+    return max(int(bound / BOUND_MARGIN), min(1, int(bound)))
 
 
 class Senders:
@@ -100,13 +103,18 @@
         self._domains: Mapping[str, str] = {}
         self._sizes: Counter[str] = Counter()
         self._reported = 0
+        self._is_seed_missing = False
         self._grown_ms = now_ms
         self._is_settled = False
         # Whether this instance is one of the first, by server and number.
         self._places: dict[tuple[str, int], bool] = {}
 
     def set_instances(
-        self, domains: Mapping[str, str], reported: int, now_ms: float
+        self,
+        domains: Mapping[str, str],
+        reported: int,
+        is_seed_missing: bool,
+        now_ms: float,
     ) -> None:
         """
         Replace what is known of the instances.
@@ -115,6 +123,7 @@
             included, by instance id.
         :param reported: highest number of instances that another one knows, 0
             if none was heard of.
+        :param is_seed_missing: whether a seed is not among them.
         :param now_ms: current time.
         """
         if len(domains) > len(self._domains) or reported > self._reported:
@@ -124,6 +133,7 @@
             self._sizes = Counter(domains.values())
             self._places = {}
         self._reported = reported
+        self._is_seed_missing = is_seed_missing
 
     def knows_all(self, now_ms: float) -> bool:
         """
@@ -135,7 +145,7 @@
             return False
         if not self._is_settled:
             age_ms = now_ms - self._started_ms
-            is_alone = not self._reported
+            is_alone = not self._reported or self._is_seed_missing
             self._is_settled = (
                 age_ms >= (ALONE_MS if is_alone else START_MS)
                 and now_ms - self._grown_ms >= QUIET_MS
@@ -161,7 +171,8 @@
         places = count - int(count * FAR_SHARE)
         is_near = self._domains.get(self._own_id) == domain
         if not is_near:
-            places = count - min(places, self._sizes[domain])
+            near_count = self._sizes[domain] + self._sizes[""]
+            places = count - min(places, near_count)
         own_rank = rank(server_id, self._own_id)
         for instance_id, other_domain in self._domains.items():
             # One of an unknown failure domain may be near or far.
--- a/src/cuminhatch/messages/catalog.py
+++ b/src/cuminhatch/messages/catalog.py
@@ -124,9 +124,11 @@
 
     ``domains`` maps the ids of all known instances, this one included, to
     their failure domains, empty where they are unknown. ``reported`` is the
-    highest number of instances that another one knows. The message is sent
-    only if requests to servers that warm up are limited.
+    highest number of instances that another one knows, ``is_seed_missing``
+    tells that a seed is not known. The message is sent only if requests to
+    servers that warm up are limited.
     """
 
     domains: Mapping[str, str]
     reported: int
+    is_seed_missing: bool
--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -96,7 +96,10 @@
     view.is_instances_due = False
     domains = {id_: member.failure_domain for id_, member in view.members.items()}
     domains[view.own.instance_id] = view.failure_domain
-    view.send("forwarding", InstancesChanged(domains, view.instances_reported))
+    known = {Address(member.host, member.port) for member in view.members.values()}
+    is_seed_missing = not known.issuperset(view.seeds)
+    changed = InstancesChanged(domains, view.instances_reported, is_seed_missing)
+    view.send("forwarding", changed)
 
 
 def is_news(view: CatalogView, member: CatalogMember) -> bool:
--- a/src/cuminhatch/services/catalog/_view.py
+++ b/src/cuminhatch/services/catalog/_view.py
@@ -5,6 +5,7 @@
 from random import Random
 from typing import Any, NamedTuple
 
+from cuminhatch.address import Address
 from cuminhatch.codecs.catalog_thrift import CatalogMember
 from cuminhatch.decisions.catalog import EMPTY_CATALOG, Catalog, ConfigurationDocument
 from cuminhatch.decisions.change_history import ChangeHistory
@@ -121,6 +122,8 @@
         self.instances_reported = 0
         # Whether other instances contact this one first when they start.
         self.is_seed = False
+        # Addresses of the others that instances contact first.
+        self.seeds: tuple[Address, ...] = ()
         # Whether the record of this instance is in the store.
         self.is_instance_record_stored = False
         self.catalog: Catalog = EMPTY_CATALOG
--- a/src/cuminhatch/services/catalog/service.py
+++ b/src/cuminhatch/services/catalog/service.py
@@ -128,6 +128,7 @@
             has_warmup_limit,
         )
         self._view.is_seed = address in seeds or not seeds
+        self._view.seeds = self._seeds
 
     def message_handlers(self) -> MessageTable:
         """
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -116,7 +116,7 @@
 def on_instances_changed(state: ForwardingState, message: InstancesChanged) -> None:
     """Note which instances may send to servers that warm up."""
     now_ms = state.clock.now_ms
-    state.senders.set_instances(message.domains, message.reported, now_ms)
+    state.senders.set_instances(*message, now_ms)
 
 
 def on_health_check_answered(
