--- a/tests/decisions/test_catalog.py
+++ b/tests/decisions/test_catalog.py
@@ -277,3 +277,38 @@
     restored, change = read_restored(catalog, 4, make_rows("a", era=2))
     assert list_names(restored) == ["a", "b"]
     assert change.removed_ids == ()
+
+
+def read_warmup(catalog, version, left_ms, is_sent=True):
+    """Return the result of a read where the server ``a`` has become cold."""
+    rows = make_rows("a", version=version, warmup_left_ms=left_ms)
+    return merge_store_read(
+        catalog, at(version), rows, 0.0, False, is_warmup_sent=is_sent
+    )
+
+
+def test_server_that_becomes_cold_again_is_told_once():
+    """Guards against instances that treat it as warm, and endless news."""
+    catalog, _ = read_warmup(EMPTY_CATALOG, 5, 8_000.0)
+    told = []
+    for version, left_ms in enumerate((5_000, 0, 8_000, 6_500, 3_000, 7_000), 6):
+        catalog, change = read_warmup(catalog, version, float(left_ms))
+        told += [item.server.warmup_left_ms for item in change.changed]
+    assert told == [8_000.0, 7_000.0]
+
+
+def test_next_reader_tells_only_what_is_new():
+    """Guards against news of all cold servers at each change of the reader."""
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a", warmup_left_ms=8_000.0))
+    later, change = read_warmup(catalog, 6, 3_000.0)
+    assert not change.changed
+    catalog, _ = read(EMPTY_CATALOG, 5, make_rows("a"))
+    _, change = read_warmup(catalog, 6, 3_000.0)
+    assert len(change.changed) == 1
+
+
+def test_warmup_is_told_only_where_it_is_used():
+    """Guards against news that other deployments have no use for."""
+    catalog, _ = read_warmup(EMPTY_CATALOG, 5, 0.0, is_sent=False)
+    _, change = read_warmup(catalog, 6, 8_000.0, is_sent=False)
+    assert not change.changed
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -112,3 +112,14 @@
     """Guards against load that is attributed to another server."""
     facts = DIALECT.read_health(status, (Header(b"instance-id", b"i-7"),))
     assert (facts.server_id, facts.is_healthy, facts.load) == ("i-7", is_healthy, None)
+
+
+@pytest.mark.parametrize(
+    ("value", "left_ms"),
+    [(b"0", 0.0), (b" 1500 ", 1500.0), (b"soon", None), (b"-1", None), (b"", None)],
+)
+def test_health_response_tells_the_remaining_warm_up(value, left_ms):
+    """Guards against a malformed value that makes a cold server warm."""
+    facts = DIALECT.read_health(503, (Header(b"warmup-remaining", value),))
+    assert facts.warmup_left_ms == left_ms
+    assert DIALECT.read_health(200, ()).warmup_left_ms is None
--- a/tests/services/test_catalog.py
+++ b/tests/services/test_catalog.py
@@ -56,6 +56,7 @@
     InstanceRecordsRead,
     InstanceRecordsRequested,
     InstanceRecordStored,
+    InstancesChanged,
     RegistrationsRead,
     RegistrationsRequested,
     StoreUnavailable,
@@ -68,6 +69,7 @@
 from tests.support import Recorder
 
 KEY = b"key"
+FORWARDING_MESSAGES = (ConfigurationChanged, InstanceCountChanged, InstancesChanged)
 UNCONFIRMED = "registration_unconfirmed"
 PEER = CatalogMember("front-9", "127.0.0.1", 9)
 
@@ -162,7 +164,7 @@
         self.recorders = {
             name: self.kernel.register(Recorder(self.kernel, name, *kinds))
             for name, kinds in (
-                ("forwarding", (ConfigurationChanged, InstanceCountChanged)),
+                ("forwarding", FORWARDING_MESSAGES),
                 ("http_client", (HttpRequested,)),
                 ("catalog_port", (ResponseStarted,)),
                 (SUPERVISOR, (ReadinessChanged,)),
@@ -990,3 +992,18 @@
     for number in range(60, 100):
         harness.receive_news(number, configuration=7)
     assert not any(isinstance(message, CatalogNews) for message in harness.sent)
+
+
+def test_instances_are_told_to_forwarding_only_for_a_limit(harness):
+    """Guards against messages that a deployment has no use for."""
+    add_members(harness.view, (PEER,))
+    harness.advance(100.0)
+    kinds = [type(message) for message in harness.received("forwarding")]
+    assert InstancesChanged not in kinds
+    harness.view.has_warmup_limit = True
+    harness.view.seeds = (Address("127.0.0.1", 9), Address("127.0.0.1", 5))
+    add_members(harness.view, (CatalogMember("front-7", "127.0.0.1", 7, "there"),))
+    harness.receive_news(11, instances=4)
+    harness.advance(100.0)
+    domains = {"front-1": "here", "front-9": "", "front-7": "there"}
+    assert harness.received("forwarding")[-1] == InstancesChanged(domains, 4, True)
--- a/tests/services/test_loads.py
+++ b/tests/services/test_loads.py
@@ -178,3 +178,15 @@
         world.kernel.send("loads", failed)
     world.run()
     assert world.forwarding.received == [LoadsMeasured(7)]
+
+
+def test_answer_tells_when_its_question_was_sent(world):
+    """Guards against an answer that a frozen process takes for a new one."""
+    world.measure()
+    first, _ = world.client.received
+    world.clock.advance(300.0)
+    world.reply(first, b"a", extra=(Header(b"warmup-remaining", b"700"),))
+    received = world.forwarding.received
+    (answered,) = [m for m in received if type(m) is HealthCheckAnswered]
+    assert (answered.asked_ms, answered.warmup_left_ms) == (1_000.0, 700.0)
+    assert answered.load.observed_ms == 1_300.0
