--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -167,3 +167,14 @@
     facts = DIALECT.read_request(TEAM_HEAD)
     head = DIALECT.forward_request(TEAM_HEAD, facts, ForwardingMetadata("i-7", 812.9))
     assert head.headers[:3] == TEAM_HEAD.headers
+
+
+@pytest.mark.parametrize(
+    ("value", "left_ms"),
+    [(b"0", 0.0), (b" 1500 ", 1500.0), (b"soon", None), (b"-1", None), (b"", None)],
+)
+def test_health_response_tells_the_remaining_warm_up(value, left_ms):
+    """Guards against a malformed value that makes a cold server warm."""
+    facts = DIALECT.read_health(503, (Header(b"warmup-remaining", value),))
+    assert facts.warmup_left_ms == left_ms
+    assert DIALECT.read_health(200, ()).warmup_left_ms is None
