Test uploads over real connections to a caller and a server

The tests with fakes don't show whether the listener asks for the body (100 Continue, more than the 256 KB that it forwards unasked), nor what follows an early answer on the connection to the server.

--- a/tests/services/test_uploads.py
+++ b/tests/services/test_uploads.py
@@ -1,7 +1,11 @@
 """Tests of uploads whose bodies are received before a server is chosen."""
 
+import socket
+
 import pytest
 
+from cuminhatch.address import Address
+from cuminhatch.codecs.http1 import LAST_CHUNK, encode_chunk
 from cuminhatch.decisions.configuration import Rule
 from cuminhatch.decisions.uploads import (
     BODY_TOO_LONG,
@@ -26,8 +30,13 @@
     ResponseStarted,
 )
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.backends import BackendConnections
 from cuminhatch.services.forwarding._exchange import REQUEST_BUFFER_MAX_BYTES
+from cuminhatch.services.http_listener import HttpListener
+from cuminhatch.services.http_listener._requests import CONTINUE
+from tests.services._loopback import Peer, connect, run_until
 from tests.services.forwarding_world import RULES, ForwardingWorld, make_server
+from tests.support import run_ticks
 
 UPLOAD = Rule(
     "upload",
@@ -277,6 +286,76 @@
     assert ("requests_in_progress", "receiving") not in without
 
 
+class WiredWorld(World):
+    """Forwarding with real connections to callers and to one server."""
+
+    def __init__(self):
+        super().__init__()
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        port = self.sock.getsockname()[1]
+        server = make_server("a", port=port)._replace(host="127.0.0.1")
+        self.configure(server, rules={"upload": UPLOAD})
+
+    def _add_fake(self, name, handle):
+        if name == "callers":
+            listener = HttpListener(self.kernel, Address("127.0.0.1", 0), "forwarding")
+            self.listener = self.kernel.register(listener)
+            listener.open()
+        elif name == "backends":
+            service = BackendConnections(self.kernel, "forwarding")
+            self.kernel.register(service).open()
+        else:
+            super()._add_fake(name, handle)
+
+    def find_server_peer(self):
+        try:
+            return Peer(self.kernel, self.sock.accept()[0])
+        except BlockingIOError:
+            return None
+
+
+@pytest.mark.parametrize("is_chunked", [False, True])
+def test_upload_over_real_connections(is_chunked):
+    """
+    Guards against a body that is not asked for, mixed up or sent too early.
+
+    The server answers before it has read the body. Then it gets the rest of
+    the body and nothing else, or the end of the connection.
+    """
+    world = WiredWorld()
+    caller = connect(world.kernel, world.listener.address)
+    framing = b"Content-Length: %d" % len(BODY)
+    parts = [BODY[:HALF], BODY[HALF:]]
+    if is_chunked:
+        framing = b"Transfer-Encoding: chunked"
+        parts = [encode_chunk(parts[0]), encode_chunk(parts[1]) + LAST_CHUNK]
+    caller.send(
+        b"POST /upload/x HTTP/1.1\r\nHost: h\r\nid: 1\r\nwait: 3000\r\n"
+        b"Expect: 100-continue\r\n%s\r\n\r\n" % framing
+    )
+    caller.run_until(lambda: caller.received == CONTINUE)
+    caller.send(parts[0])
+    run_ticks(world.kernel, 20)
+    assert world.find_server_peer() is None, "a slot is held while the body arrives"
+    caller.send(parts[1])
+    peers = []
+    run_until(
+        world.kernel,
+        lambda: peers or peers.extend(filter(None, [world.find_server_peer()])),
+    )
+    (server,) = peers
+    server.run_until(lambda: b"\r\n\r\n" in server.received)
+    server.send(b"HTTP/1.1 200 OK\r\nid: 1\r\nseal: 1\r\nContent-Length: 2\r\n\r\nok")
+    caller.run_until(lambda: caller.received.endswith(b"\r\n\r\nok"))
+    whole = b"".join([encode_chunk(BODY), LAST_CHUNK]) if is_chunked else BODY
+    server.run_until(lambda: server.is_closed or server.received.endswith(whole))
+    body = server.received.partition(b"\r\n\r\n")[2]
+    assert whole.startswith(body), "something else follows on the connection"
+    world.close()
+    world.sock.close()
+
+
 def test_bounds_hold_the_largest_bodies():
     """Guards against a bound below the bodies that callers send."""
     assert len(BODY) == 360 * 1024 <= UPLOAD_LIMITS.body_bytes
