--- a/tests/codecs/test_malformed_input.py
+++ b/tests/codecs/test_malformed_input.py
@@ -18,6 +18,7 @@
     note_toml,
     peers_thrift,
     platform as platform_codec,
+    quota_thrift,
 )
 from cuminhatch.codecs.http1 import Header, RequestHead, ResponseHead
 from cuminhatch.codecs.http1_parsers import RequestParser, ResponseParser
@@ -31,6 +32,7 @@
 from cuminhatch.services.dispatch._response_headers import parse_response_headers
 from tests.codecs.test_catalog_thrift import MESSAGES as CATALOG_MESSAGES
 from tests.codecs.test_peers_thrift import make_heartbeat
+from tests.codecs.test_quota_thrift import MESSAGES as QUOTA_MESSAGES
 from tests.platform.test_documents import CONFIGURATION, SERVER
 
 FUZZ = settings(
@@ -190,6 +192,15 @@
     accept_or_reject(lambda data: peers_thrift.decode_message(data, KEY), signed)
 
 
+@FUZZ
+@given(draw=st.data(), message=st.sampled_from(QUOTA_MESSAGES))
+def test_quota_message_is_decoded_or_refused(draw, message):
+    """Guards against one datagram that ends the receiver."""
+    valid = quota_thrift.encode_message(message, KEY)[MAC_BYTES:]
+    signed = sign_payload(draw.draw(mutated_bytes(valid)), KEY)
+    accept_or_reject(lambda data: quota_thrift.decode_message(data, KEY), signed)
+
+
 @FUZZ
 @given(data=mutated_bytes(NOTE))
 def test_note_is_parsed_or_refused(data):
