List the known instances for the quota service

Quotas need the addresses and failure domains of the other instances, which only the catalog knows; the count that forwarding gets does not do. The message is built only if a quota service is registered, which the gateway does only with the settings section [quota]. The quota service also gets the configuration; a message to a service that is not there is dropped.

--- a/src/cuminhatch/services/catalog/_members.py
+++ b/src/cuminhatch/services/catalog/_members.py
@@ -16,6 +16,7 @@
     InstanceRecordsRequested,
     InstanceRecordStored,
 )
+from cuminhatch.messages.quota import InstanceAddress, InstancesListed
 from cuminhatch.services.catalog._read_spans import make_read_report
 from cuminhatch.services.catalog._timers import (
     INSTANCE_RECORD_RETRY_MS,
@@ -30,6 +31,7 @@
 ANSWER_PROBABILITY = 0.1
 # Services that divide a shared budget by the number of instances.
 INSTANCE_COUNT_CONSUMERS = ("forwarding", "loads")
+QUOTA = "quota"
 
 
 def send_message(
@@ -74,6 +76,17 @@
                 name,
                 InstanceCountChanged(view.instance_count, view.near_instance_count),
             )
+        list_instances_for_quotas(view)
+
+
+def list_instances_for_quotas(view: CatalogView) -> None:
+    """Send the known instances to the quota service, if there is one."""
+    if view.kernel.has_service(QUOTA):
+        instances = {
+            id_: InstanceAddress(member.host, member.failure_domain)
+            for id_, member in view.members.items()
+        }
+        view.send(QUOTA, InstancesListed(instances))
 
 
 def is_news(view: CatalogView, member: CatalogMember) -> bool:
--- a/src/cuminhatch/services/catalog/_updates.py
+++ b/src/cuminhatch/services/catalog/_updates.py
@@ -22,7 +22,7 @@
 from cuminhatch.services.catalog._view import NAME, CatalogView
 
 # Services that are sent the configuration in force.
-CONFIGURATION_CONSUMERS = ("forwarding", "backends", "callers")
+CONFIGURATION_CONSUMERS = ("forwarding", "backends", "callers", "quota")
 
 
 def apply_document(view: CatalogView, data: bytes, source: str, era: int) -> bool:
