--- /dev/null
+++ b/src/cuminhatch/services/quota/_gate.py
@@ -0,0 +1,72 @@
+"""Admission of requests by the quota of their team, for forwarding."""
+
+from collections.abc import Callable
+
+from cuminhatch.decisions.configuration import Team
+from cuminhatch.decisions.quota import ADMITTED, Admission, QuotaPeer
+
+# Label of all teams that are not limited.
+UNLIMITED_LABEL = "other"
+# Further teams are counted with the others, whatever the configuration names.
+MAX_LABELS = 100
+
+Increment = Callable[[str, dict[str, str]], None]
+
+
+class QuotaGate:
+    """
+    Decides on requests in the process, without a message.
+
+    Owned by the quota service and shared with forwarding.
+    """
+
+    def __init__(self, peer: QuotaPeer, increment: Increment) -> None:
+        """
+        Start without requests.
+
+        :param peer: state of the quotas at this instance.
+        :param increment: called with the name and the labels of a counter.
+        """
+        self._peer = peer
+        self._increment = increment
+        # Teams that are, or were, limited.
+        self._labels: set[str] = set()
+
+    @property
+    def labels(self) -> frozenset[str]:
+        """Return the teams that have metrics of their own."""
+        return frozenset(self._labels)
+
+    def admit(self, team: Team, now_ms: float) -> Admission:
+        """
+        Count a request and decide whether it may run.
+
+        :param team: its team.
+        :param now_ms: current time.
+        """
+        if team.rate_per_s <= 0.0:
+            return ADMITTED
+        admission = self._peer.local.admit(team, now_ms)
+        if self._peer.local.is_limited(team.team_id) or not admission.is_admitted:
+            label = self._get_label(team.team_id)
+        else:
+            label = UNLIMITED_LABEL
+        name = "admitted" if admission.is_admitted else "refused"
+        self._increment(f"quota_{name}_total", {"team": label})
+        return admission
+
+    def refund(self, team: Team, now_ms: float) -> None:
+        """
+        Take back the admission of a request that provably did not run.
+
+        :param team: its team.
+        :param now_ms: current time.
+        """
+        if team.rate_per_s > 0.0:
+            self._peer.local.refund(team.team_id, now_ms)
+
+    def _get_label(self, team_id: str) -> str:
+        if team_id not in self._labels and len(self._labels) >= MAX_LABELS:
+            return UNLIMITED_LABEL
+        self._labels.add(team_id)
+        return team_id
