Refuse requests of teams that are over their quota

Forwarding asks the gate once per request, where its team is known and before it counts in the resend budget. A request that ends as provably not run gives its admission back: one that is refused as not run, and one whose caller left before any send. Exchange.team is None until the check of credentials fills it in, so without it nothing changes.

--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -6,9 +6,11 @@
 
 import os
 import sys
+from typing import TYPE_CHECKING
 
 from cuminhatch.address import Address
 from cuminhatch.arguments import EXIT_USAGE
+from cuminhatch.clock import MS_PER_SECOND
 from cuminhatch.codecs.gateway_toml import (
     GatewaySettings,
     StopSettings,
@@ -36,6 +38,9 @@
 from cuminhatch.services.supervisor import Supervisor
 from cuminhatch.settings_file import read_settings_text
 
+if TYPE_CHECKING:
+    from cuminhatch.services.quota import QuotaService
+
 # Services to drain before the daemon exits.
 DRAINED_SERVICES = ("callers",)
 # Time for the process to exit before the platform kills it.
@@ -54,6 +59,7 @@
     instance, peers, placement = settings.instance, settings.peers, settings.placement
     # All instances use the same peer port, so the ports of seeds are ignored.
     seeds = tuple(Address(seed.host, peers.address.port) for seed in peers.seeds)
+    quota = build_quota(kernel, settings)
     services = (
         EventLog(kernel, instance.instance_id),
         Supervisor(
@@ -80,20 +86,61 @@
             heartbeat_ms=settings.store.heartbeat_ms,
         ),
         HttpListener(kernel, peers.address, "catalog", CATALOG_PORT),
-        Metrics(kernel, gauge_parts=("forwarding", "catalog")),
+        Metrics(kernel, gauge_parts=list_gauge_parts(settings)),
         HttpListener(kernel, settings.metrics_address, "metrics", METRICS_PORT),
         Loads(kernel, DIALECT, placement.probes_per_s),
-        Forwarding(kernel, DIALECT, build_forwarding_settings(settings)),
+        Forwarding(
+            kernel,
+            DIALECT,
+            build_forwarding_settings(settings),
+            quota=quota and quota.gate,
+        ),
         BackendConnections(kernel, "forwarding"),
         Readiness(kernel),
         HttpListener(kernel, settings.readiness_address, "readiness", READINESS_PORT),
         HttpListener(kernel, settings.callers_address, "forwarding"),
     )
-    for service in services:
-        kernel.register(service)
+    for service in (*services, quota):
+        if service is not None:
+            kernel.register(service)
     return kernel
 
 
+def build_quota(kernel: Kernel, settings: GatewaySettings) -> "QuotaService | None":
+    """
+    Return the service that enforces quotas, None if none is enforced.
+
+    :param kernel: kernel of the process.
+    :param settings: validated settings.
+    """
+    quota, instance, peers = settings.quota, settings.instance, settings.peers
+    if quota is None:
+        return None
+    # Imported only if needed, since callers wait for a daemon that restarts.
+    from cuminhatch.decisions.quota import QuotaLimits
+    from cuminhatch.services.quota import QuotaService
+
+    return QuotaService(
+        kernel,
+        instance.instance_id,
+        instance.failure_domain,
+        quota.address,
+        peers.key,
+        QuotaLimits(quota.window_s * MS_PER_SECOND, quota.overshoot, quota.slack),
+        any(seed.host != peers.address.host for seed in peers.seeds),
+    )
+
+
+def list_gauge_parts(settings: GatewaySettings) -> tuple[str, ...]:
+    """
+    Return the services that are asked for gauges.
+
+    :param settings: validated settings.
+    """
+    parts = ("forwarding", "catalog")
+    return parts if settings.quota is None else (*parts, "quota")
+
+
 def drain_limit_ms(drain: StopSettings) -> float:
     """
     Return how long requests in progress may take after the port is closed.
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -1,6 +1,9 @@
 """Ends requests and reports their outcomes to callers."""
 
+from collections.abc import Mapping
 from math import inf
+from types import MappingProxyType
+from typing import Any
 
 from cuminhatch.decisions.placement import RETRY_AFTER_MIN_MS, NotPlaced
 from cuminhatch.decisions.stopping import StopSchedule
@@ -19,6 +22,7 @@
 
 # Keeps callers that were refused together from retrying together.
 RETRY_AFTER_JITTER_RATIO = 0.3
+NO_BASIS: Mapping[str, Any] = MappingProxyType({})
 # Reason of requests that end because the process does.
 STOPPING = "stopping"
 
@@ -79,8 +83,13 @@
     outcome: Outcome,
     reason: str,
     retry_after_ms: float | None,
+    basis: Mapping[str, Any] = NO_BASIS,
 ) -> None:
-    """Send an error response to the caller, unless it has left."""
+    """
+    Send an error response to the caller, unless it has left.
+
+    ``basis`` is what the decision knew, for the event log.
+    """
     now_ms = state.clock.now_ms
     details = {
         "status": status,
@@ -91,7 +100,9 @@
         "retry_after_ms": retry_after_ms,
     }
     name = "refused" if outcome is Outcome.NOT_RUN else "failed"
-    state.record(name, exchange.trace_id, details)
+    state.record(name, exchange.trace_id, details | basis)
+    if outcome is Outcome.NOT_RUN:
+        refund_quota(state, exchange)
     if not exchange.is_caller_gone:
         refusal = RequestRefused(
             exchange.request_id, status, outcome, reason, b"", retry_after_ms
@@ -99,11 +110,21 @@
         state.send("callers", refusal)
 
 
+def refund_quota(state: ForwardingState, exchange: Exchange) -> None:
+    """Take back the admission of a request that provably did not run."""
+    if exchange.is_quota_charged:
+        exchange.is_quota_charged = False
+        state.quota.refund(exchange.team, state.clock.now_ms)
+
+
 def finish_exchange(state: ForwardingState, exchange: Exchange, reason: str) -> None:
     """Forget a request and update the request metrics."""
     for timer in (exchange.deadline_timer, exchange.hedge_timer):
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
+    if not (exchange.attempted_server_ids or exchange.may_have_run):
+        # Its caller has left before it was sent.
+        refund_quota(state, exchange)
     del state.exchanges[exchange.request_id]
     labels = {"service": exchange.service_id, "end": reason}
     state.increment("requests_total", labels)
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -5,7 +5,7 @@
 
 from cuminhatch.codecs.dialect import RequestMetadata, ResponseMetadata
 from cuminhatch.codecs.http1 import ResponseHead
-from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.configuration import Rule, Team
 from cuminhatch.decisions.resending import SendHistory
 from cuminhatch.decisions.response_copies import CopyFinder
 from cuminhatch.decisions.response_origin import ResponseEvidence
@@ -113,6 +113,7 @@
         "is_body_complete",
         "is_caller_gone",
         "is_hedging",
+        "is_quota_charged",
         "is_read_paused",
         "is_search_widened",
         "last_failure",
@@ -124,6 +125,7 @@
         "rule",
         "service_id",
         "streaming_attempt",
+        "team",
     )
 
     def __init__(
@@ -146,6 +148,10 @@
         self.facts = facts
         self.rule = rule
         self.service_id = service_id
+        # None if the configuration has no teams, or the rule is anonymous.
+        self.team: Team | None = None
+        # The request counts in the quota of its team.
+        self.is_quota_charged = False
         self.received_ms = message.received_ms
         timeout_ms = facts.budget_ms
         if timeout_ms is None:
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -18,6 +18,7 @@
     Stage,
 )
 from cuminhatch.services.forwarding._placement import place_exchange
+from cuminhatch.services.forwarding._quota import admit_by_quota
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import ExchangeTimedOut
 
@@ -53,6 +54,8 @@
         "target_ms": rule.target_latency_ms,
     }
     state.record("received", trace_id, details)
+    if not admit_by_quota(state, exchange):
+        return
     pool = state.pools.get(service_id)
     if pool is not None:
         pool.budget.count_request(state.clock.now_ms)
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping, Set
 from itertools import count
 from random import Random
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from cuminhatch.codecs.dialect import Dialect
 from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION, Configuration
@@ -17,6 +17,10 @@
 from cuminhatch.messages import CounterIncremented, EventRecorded, ValueObserved
 from cuminhatch.services.forwarding._exchange import Exchange
 
+if TYPE_CHECKING:
+    # Not needed at run time where no quota is enforced.
+    from cuminhatch.services.quota import QuotaGate
+
 NAME = "forwarding"
 
 
@@ -76,6 +80,7 @@
         dialect: Dialect,
         settings: ForwardingSettings,
         rng: Random,
+        quota: "QuotaGate | None" = None,
     ) -> None:
         """
         Start without a configuration.
@@ -84,6 +89,8 @@
         :param dialect: functions that read and write heads.
         :param settings: settings of forwarding.
         :param rng: source of randomness.
+        :param quota: decides on requests by the quota of their team; None if
+            no quota is enforced.
         """
         self.kernel = kernel
         self.clock = kernel.clock
@@ -91,6 +98,7 @@
         self.dialect = dialect
         self.settings = settings
         self.rng = rng
+        self.quota = quota
         self.instance_count = 1
         self.stop = NO_STOP
         self.is_stop_limit_reached = False
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 from random import Random
+from typing import TYPE_CHECKING
 
 from cuminhatch.codecs.dialect import Dialect
 from cuminhatch.kernel import Kernel, MessageTable, Service
@@ -70,6 +71,10 @@
     PlacementRetryDue,
 )
 
+if TYPE_CHECKING:
+    # Not needed at run time where no quota is enforced.
+    from cuminhatch.services.quota import QuotaGate
+
 
 class Forwarding(Service):
     """
@@ -87,6 +92,7 @@
         dialect: Dialect,
         settings: ForwardingSettings,
         rng: Random | None = None,
+        quota: "QuotaGate | None" = None,
     ) -> None:
         """
         Start without a configuration; requests are refused until one arrives.
@@ -96,9 +102,11 @@
             and responses.
         :param settings: settings of forwarding.
         :param rng: source of randomness.
+        :param quota: decides on requests by the quota of their team; None if
+            no quota is enforced.
         """
         super().__init__(kernel)
-        self._state = ForwardingState(kernel, dialect, settings, rng or Random())
+        self._state = ForwardingState(kernel, dialect, settings, rng or Random(), quota)
 
     def message_handlers(self) -> MessageTable:
         """Return the handler of each message that forwarding receives."""
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -137,7 +137,7 @@
 class ForwardingWorld:
     """Forwarding, with fakes of other services that keep their messages."""
 
-    def __init__(self, *server_ids, seed=1, has_connections=False):
+    def __init__(self, *server_ids, seed=1, has_connections=False, quota=None):
         self.clock = ManualClock(1000.0)
         self.kernel = Kernel(self.clock)
         self.received = defaultdict(list)
@@ -149,7 +149,9 @@
         else:
             self._add_fake("backends", self.received["backends"].append)
         self._add_fake("loads", self._on_load_request)
-        self.kernel.register(Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed)))
+        self.kernel.register(
+            Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed), quota)
+        )
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
         # If False, load requests are kept instead of answered.
