List teams in the figures of quotas only if they are short of it

Teams that asked for more than 0.7 of their quota were listed, which the requests of small teams do by chance: an aggregator sent 96 KB/s at 103 instances and 274 KB/s at 312. A new aggregator takes unlisted teams for half full.

--- a/src/cuminhatch/decisions/quota/_aggregation.py
+++ b/src/cuminhatch/decisions/quota/_aggregation.py
@@ -36,8 +36,9 @@
 LATE_SHARE = 0.05
 # Time that the bucket's contents are spread over.
 SPREAD_S = 1.0
-# Teams that ask for less of their quota, with a full bucket, are not listed.
-NEAR_SHARE = 0.7
+# Teams with more of their bucket left are not listed unless they are limited:
+# the lists are most of what an aggregator sends.
+NEAR_SHARE = 0.5
 # Time over which the rate asked is averaged, and the number of requests since
 # the last update from which on a rate counts at once if it is a multiple of
 # the average: a sudden load, no chance.
@@ -417,8 +418,8 @@
         if history is None:
             return min(capacity * heard_share, team.rate_per_s * self._idle_s)
         figures = history.figures.get(team.team_id)
-        # The bucket of a team that is not listed is half full at least.
-        level = capacity * heard_share / 2.0 if figures is None else figures.balance
+        unlisted_level = NEAR_SHARE * capacity * heard_share
+        level = unlisted_level if figures is None else figures.balance
         gap_s = min(history.age_ms, self._limits.window_ms) / MS_PER_S
         return level + team.rate_per_s * heard_share * gap_s
 
@@ -442,7 +443,5 @@
         return rate if is_sudden else 0.0
 
     def _is_near(self, state: TeamState, team: Team) -> bool:
-        provided = team.rate_per_s * self._heard_share
         capacity = get_capacity(team, self._limits) * self._heard_share
-        is_empty = state.level < capacity / 2.0
-        return is_empty or state.asked_per_s > NEAR_SHARE * provided
+        return state.share < 1.0 or state.level < NEAR_SHARE * capacity
--- a/src/cuminhatch/decisions/quota/_local.py
+++ b/src/cuminhatch/decisions/quota/_local.py
@@ -33,8 +33,9 @@
 DEMAND_PART_MS = 2_000.0
 # Counters that did not change for this long are left out of reports.
 ACTIVE_MS = 600.0
-# Share of the quota up to which a team that is in no figures may have asked.
-UNLISTED_SHARE = 0.7
+# Share of its part of the quota that a team in no figures is taken to use: it
+# may ask for a little more than usual while figures are missing.
+UNLISTED_SHARE = 0.8
 # A request is refused for this long at least, so that a caller that repeats it
 # as told is not refused again for the same figures.
 RETRY_AFTER_MIN_MS = 250.0
