--- a/src/cuminhatch/decisions/quota/_local.py
+++ b/src/cuminhatch/decisions/quota/_local.py
@@ -339,6 +339,8 @@
         else:
             part_rate = self._get_part_rate(state, team, now_ms)
             wait_s = (state.threshold - state.part_level) / part_rate
+            # Figures are usually back by then.
+            wait_s = min(wait_s, FIGURES_MAX_AGE_MS / MS_PER_S)
         latest = self._figures
         age_ms = -1.0 if latest is None else round(now_ms - self._figures_ms, 1)
         return Admission(
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -118,6 +118,12 @@
     assert (refusal.heard, refusal.known) == (3, 3)
 
 
+def test_restarted_instance_asks_callers_back_within_a_second():
+    """Guards against callers kept away for the time its part takes to fill."""
+    refusal = make_local(known=100).admit(TEAM, 1.0)
+    assert (refusal.basis, refusal.retry_after_ms) == ("own-part", 1_000.0)
+
+
 def test_repeated_report_is_charged_once():
     """Guards against an instance counted twice, and against lost debt."""
     balance = get_balance(make_aggregation([make_report(60)]))
