--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -118,6 +118,7 @@
         "is_body_complete",
         "is_caller_gone",
         "is_hedging",
+        "is_quota_charged",
         "is_read_paused",
         "is_received_ahead",
         "is_search_widened",
@@ -164,6 +165,8 @@
         self.ticket: AdmissionTicket | None = None
         # It has been sent to a server, or was about to be.
         self.is_admitted = False
+        # The request counts in the quota of its team.
+        self.is_quota_charged = False
         self.received_ms = message.received_ms
         # When a server could be chosen: later if the body was received first.
         self.placeable_ms = message.received_ms
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -32,6 +32,7 @@
     Exchange,
     Stage,
 )
+from cuminhatch.services.forwarding._quota import admit_by_quota
 from cuminhatch.services.forwarding._receiving import (
     receive_or_place,
     receive_part,
@@ -76,6 +77,8 @@
     if exchange.team is not None:
         details["team"] = exchange.team.team_id
     state.record("received", trace_id, details)
+    if not admit_by_quota(state, exchange):
+        return
     pool = state.pools.get(service_id)
     if pool is not None:
         pool.budget.count_request(state.clock.now_ms)
