Describe quotas for developers and operators

The operators' page lists settings, events and metrics, what order and trouble look like, and what to change; the test of the page now reads the events of quotas as well.

--- a/tests/test_event_schema.py
+++ b/tests/test_event_schema.py
@@ -8,6 +8,7 @@
 EVENT_SOURCES = (
     "gateway.py",
     "decisions/catalog.py",
+    "decisions/quota",
     "services/catalog",
     "services/forwarding",
     "services/settings_reload.py",
@@ -16,7 +17,7 @@
 # Event names are the first text passed to record() or record_event(), or the
 # first item of a generated tuple.
 RECORDED_EVENT = re.compile(
-    r'(?:record(?:_event)?|yield)\(?\s*(?:kernel, |\()?"([a-z_]+)"'
+    r'(?:record(?:_event)?|yield|QuotaEvent)\(?\s*(?:kernel, |\()?"([a-z_]+)"'
 )
 
 
@@ -33,6 +34,7 @@
         name for text in read_sources() for name in RECORDED_EVENT.findall(text)
     }
     assert {"received", "daemon_started", "store_lost", "drain_started"} <= recorded
+    assert "quota_limited" in recorded
     page = (ROOT / "docs" / "OPERATIONS.md").read_text()
     listed = set(re.findall(r"`([a-z_]+)`", page))
     assert recorded <= listed
