Forget a failure domain that has been silent for a minute

Each aggregator forgot lost instances of its own failure domain only. After the loss of a whole domain nobody did, so every quota stayed cut by that part for good, as well as for instances whose failure domain nobody knows. A group that hears of more than half of the instances now forgets such domains as well. In the test, 6 of 8 instances use the whole quota again 65 s after the loss, the other 2 do not, and after the partition all count 8.

--- a/src/cuminhatch/decisions/quota/_aggregation.py
+++ b/src/cuminhatch/decisions/quota/_aggregation.py
@@ -132,6 +132,16 @@
         ]
         return max(known)[1] if known else 0
 
+    def get_heard_ms(self, failure_domain: str) -> float:
+        """
+        Return when another failure domain was last heard of.
+
+        :param failure_domain: the other failure domain.
+        :returns: the start of this session if it has not been heard of.
+        """
+        source = self._find_latest(failure_domain)
+        return self.started_ms if source is None else source.heard_ms
+
     def settle(self, now_ms: float) -> None:
         """
         Decide whether the figures may be used.
--- a/src/cuminhatch/decisions/quota/_peer.py
+++ b/src/cuminhatch/decisions/quota/_peer.py
@@ -81,6 +81,8 @@
         self._members: dict[str, set[str]] = {failure_domain: {instance_id}}
         # Those of this failure domain that have not been heard of for long.
         self._forgotten: set[str] = set()
+        # The same of whole failure domains, or of instances in unknown ones.
+        self._forgotten_domains: set[str] = set()
         self._aggregation: Aggregation | None = None
         self._reported_to = ""
         self._reported_ms = self._aggregated_ms = float("-inf")
@@ -309,6 +311,11 @@
                 self._forgotten.add(id_)
             else:
                 self._forgotten.discard(id_)
+        for domain in self._members:
+            if aggregation.get_heard_ms(domain) >= before_ms:
+                self._forgotten_domains.discard(domain)
+            elif domain != self._failure_domain:
+                self._forgotten_domains.add(domain)
 
     def _count_near(self) -> int:
         """Return how many instances of this failure domain share quotas."""
@@ -318,6 +325,8 @@
         """Return how many instances of all failure domains share quotas."""
         known = 0
         for domain, ids in self._members.items():
+            if domain in self._forgotten_domains:
+                continue
             far = 0
             if self._aggregation is not None:
                 far = self._aggregation.get_known(domain)
--- a/tests/decisions/test_quota.py
+++ b/tests/decisions/test_quota.py
@@ -192,6 +192,25 @@
     assert after <= get_bound(fleet.teams["t"], LIMITS)
 
 
+def test_lost_instances_are_forgotten_by_the_larger_group():
+    """Guards against quotas cut for good after the loss of a domain."""
+    fleet = Fleet({"a": 3, "b": 3, "c": 2}, dict(TEAMS), seed=4)
+    instances = list(fleet.instances.values())
+    fleet.run_until(5_000.0)
+    for instance in instances:
+        instance.group = int(instance.failure_domain == "c")
+    known = {}
+    for at_ms in (25_000.0, 70_000.0):
+        fleet.run_until(at_ms)
+        known[at_ms] = [i.peer.local.figures.known for i in instances]
+    assert set(known[25_000.0]) == {8}
+    assert known[70_000.0] == [6] * 6 + [8] * 2
+    for instance in instances:
+        instance.group = 0
+    fleet.run_until(75_000.0)
+    assert {i.peer.local.figures.known for i in instances} == {8}
+
+
 def test_window_forgets_what_is_older():
     """Guards against counts that stay in the window."""
     window = WindowCount(5_000.0)
