--- a/tests/services/test_quota.py
+++ b/tests/services/test_quota.py
@@ -1,5 +1,6 @@
 """Tests of the quota service, and of forwarding with quotas."""
 
+from functools import partial
 from random import Random
 from types import MappingProxyType
 
@@ -25,11 +26,9 @@
 from cuminhatch.messages.quota import InstanceAddress, InstancesListed
 from cuminhatch.services.catalog import CatalogService
 from cuminhatch.services.catalog._members import add_members
-from cuminhatch.services.forwarding import _requests
-from cuminhatch.services.forwarding._exchange import Exchange
 from cuminhatch.services.quota import QuotaGate, QuotaService
 from tests.codecs.test_gateway_toml import TEXT
-from tests.services.forwarding_world import ForwardingWorld
+from tests.services.forwarding_world import ForwardingWorld, make_server
 from tests.support import Recorder, free_port
 
 LIMITS = QuotaLimits(5_000.0, 0.1, 20.0)
@@ -237,19 +236,12 @@
 
 
 @pytest.fixture
-def limited(monkeypatch):
+def limited():
     """Forwarding with one server, and a team whose share can be set."""
-
-    class TeamExchange(Exchange):
-        """Has the team that the check of credentials fills in."""
-
-        def __init__(self, *arguments):
-            super().__init__(*arguments)
-            self.team = TEAM
-
-    monkeypatch.setattr(_requests, "Exchange", TeamExchange)
     peer = QuotaPeer("front-1", "here", LIMITS, False, Random(1), 0.0)
     world = ForwardingWorld("a", quota=QuotaGate(peer, lambda name, labels: None))
+    world.configure(make_server("a"), keys={b"key-t": TEAM.team_id}, teams=(TEAM,))
+    world.request = partial(world.request, headers=((b"key", b"key-t"),))
 
     def set_share(share):
         figures = (TeamFigures("t", 80.0, -5.0, share),)
