--- a/tests/system/gateways.py
+++ b/tests/system/gateways.py
@@ -91,6 +91,7 @@
     servers: dict[str, Program]
     stack: ExitStack
     directory: Path
+    more_settings: str = ""
 
     def write(self, table, key, value):
         """Write a row as operators and servers do; None removes it."""
@@ -151,7 +152,7 @@
         **ports,
     )
     settings = cluster.directory / f"{name}.toml"
-    settings.write_text(text)
+    settings.write_text(text + cluster.more_settings)
     log = cluster.directory / f"{name}.log"
     output = cluster.stack.enter_context(log.open("w"))
     process = start_program(
@@ -170,8 +171,12 @@
 
 
 @contextmanager
-def running_gateways():
-    """Run two gateways and wait until they are ready."""
+def running_gateways(more_settings=""):
+    """
+    Run two gateways and wait until they are ready.
+
+    :param more_settings: sections that are added to their settings.
+    """
     with ExitStack() as stack, TemporaryDirectory() as directory:
         store = stack.enter_context(running_standin("metadata_store"))
         servers = {
@@ -181,7 +186,9 @@
             for ids in SERVERS.values()
             for server_id in ids
         }
-        cluster = GatewayCluster([], store, servers, stack, Path(directory))
+        cluster = GatewayCluster(
+            [], store, servers, stack, Path(directory), more_settings
+        )
         for server_id in servers:
             cluster.register(server_id)
         cluster.configure(1)
