Refuse less below the quota: under a lasting load, and after a start

Three quarters of the burst are now part of the refill, which leaves what a window can hold as it was, and before its first figures an instance admits two fifths of the requests, up to a few.

Tests that gave the old figures now take them from the capacity, the rate and the bounds of the start. The stateful test against the bound passes as it is.

--- a/src/cuminhatch/decisions/quota/_aggregation.py
+++ b/src/cuminhatch/decisions/quota/_aggregation.py
@@ -19,6 +19,7 @@
     TeamQuotas,
     TeamSums,
     get_capacity,
+    get_rate,
 )
 
 # Three reports in a row have been lost, or the instance is out of reach.
@@ -240,9 +241,13 @@
                 state.charges = 0.0
                 continue
             self._update_bucket(state, team, heard_share, accrued_s)
-            state.urgent_charges = URGENT_COUNT + URGENT_S * team.rate_per_s
+            state.urgent_charges = URGENT_COUNT + URGENT_S * get_rate(
+                team, self._limits
+            )
             rate = self._measure_rate(state, elapsed_s, is_late)
-            provided = state.level + team.rate_per_s * heard_share * SPREAD_S
+            provided = (
+                state.level + get_rate(team, self._limits) * heard_share * SPREAD_S
+            )
             provided *= fresh_share
             wanted = max(rate, state.asked_per_s) * SPREAD_S
             state.share = min(1.0, max(0.0, provided) / wanted) if wanted else 1.0
@@ -413,25 +418,27 @@
             state.level *= heard_share / self._heard_share
         # What silent instances admitted within their part of the quota is not
         # charged, since that part was not in the bucket either.
-        late_part = team.rate_per_s * self._late_s / self._known
+        late_part = get_rate(team, self._limits) * self._late_s / self._known
         state.level -= max(0.0, state.late_charges - late_part) + state.charges
         state.charges = state.late_charges = 0.0
-        state.level += team.rate_per_s * accrued_s
+        state.level += get_rate(team, self._limits) * accrued_s
         if self.is_settled:
             state.level = min(state.level, capacity * heard_share)
         # What was admitted before the last window no longer counts.
-        state.level = max(state.level, -team.rate_per_s * window_s)
+        state.level = max(state.level, -get_rate(team, self._limits) * window_s)
 
     def _get_first_level(self, team: Team, heard_share: float) -> float:
         history = self._history
         capacity = get_capacity(team, self._limits)
         if history is None:
-            return min(capacity * heard_share, team.rate_per_s * self._idle_s)
+            return min(
+                capacity * heard_share, get_rate(team, self._limits) * self._idle_s
+            )
         figures = history.figures.get(team.team_id)
         unlisted_level = NEAR_SHARE * capacity * heard_share
         level = unlisted_level if figures is None else figures.balance
         gap_s = min(history.age_ms, self._limits.window_ms) / MS_PER_S
-        return level + team.rate_per_s * heard_share * gap_s
+        return level + get_rate(team, self._limits) * heard_share * gap_s
 
     def _measure_rate(self, state: TeamState, elapsed_s: float, is_late: bool) -> float:
         """Update the average rate; return the latest one if it is sudden."""
--- a/src/cuminhatch/decisions/quota/_local.py
+++ b/src/cuminhatch/decisions/quota/_local.py
@@ -18,6 +18,7 @@
     TeamCounts,
     TeamFigures,
     get_capacity,
+    get_rate,
 )
 from cuminhatch.decisions.quota._window import WindowCount
 
@@ -31,6 +32,14 @@
 # of the demand: a lost aggregator is replaced by then. Afterwards it keeps to
 # an equal part, since the demand may have moved.
 DEMAND_PART_MS = 2_000.0
+# Time after a start in which the first figures arrive. Until then an instance
+# admits this share of the requests of a team, up to some times its equal part
+# or a few requests. If all instances have restarted, a team at five times its
+# usual rate runs two seconds' worth of its quota in that time.
+START_MS = 1_500.0
+START_SHARE = 0.4
+START_PARTS = 6.0
+START_REQUESTS = 3.0
 # Counters that did not change for this long are left out of reports.
 ACTIVE_MS = 600.0
 # Share of its part of the quota that a team in no figures is taken to use: it
@@ -185,7 +194,7 @@
             # known of what was admitted before a restart.
             up_s = (now_ms - self._started_ms) / MS_PER_S
             capacity = get_capacity(team, self._limits)
-            own_level = min(capacity, 1.0 + team.rate_per_s * up_s)
+            own_level = min(capacity, 1.0 + get_rate(team, self._limits) * up_s)
             state = LocalTeam(own_level, self._limits.window_ms, self._rng, now_ms)
             self._teams[team.team_id] = state
         self._fill_buckets(state, team, now_ms)
@@ -193,6 +202,8 @@
         state.asked_ms = state.changed_ms = now_ms
         if self.has_recent_figures(now_ms):
             basis = self._judge_by_figures(state, team, now_ms)
+        elif self._figures is None and now_ms - self._started_ms < START_MS:
+            basis = self._judge_at_start(state, team)
         else:
             is_in_part = state.part_level >= state.threshold
             basis = "" if is_in_part else "own-part"
@@ -265,11 +276,24 @@
         share = 1.0 if figures is None else figures.share
         if share >= 1.0:
             return ""
+        return "" if self._take_share(state, share) else "figures"
+
+    def _judge_at_start(self, state: LocalTeam, team: Team) -> str:
+        """Return why a request is refused while there are no figures yet."""
+        if state.own_level < 1.0:
+            return "own-rate"
+        part = get_rate(team, self._limits) * START_MS / MS_PER_S / self._get_known()
+        if state.admitted >= max(START_REQUESTS, START_PARTS * part):
+            return "start"
+        return "" if self._take_share(state, START_SHARE) else "start"
+
+    def _take_share(self, state: LocalTeam, share: float) -> bool:
+        """Tell whether the next request is one of the share to admit."""
         state.accumulator += share
         if state.accumulator < 1.0:
-            return "figures"
+            return False
         state.accumulator -= 1.0
-        return ""
+        return True
 
     def _count_admitted(self, state: LocalTeam, amount: int, now_ms: float) -> None:
         state.admitted += amount
@@ -290,8 +314,11 @@
         state.updated_ms = now_ms
         capacity = get_capacity(team, self._limits)
         heard_share = self._get_heard_share()
-        filled = state.own_level + elapsed_s * team.rate_per_s * heard_share
-        state.own_level = min(capacity * heard_share, filled)
+        filled = (
+            state.own_level + elapsed_s * get_rate(team, self._limits) * heard_share
+        )
+        # With less than one request an instance would admit nothing.
+        state.own_level = min(max(1.0, capacity * heard_share), filled)
         part_capacity = capacity / self._get_known()
         if not is_idle:
             # Otherwise an instance whose part is less than the threshold would
@@ -310,14 +337,14 @@
 
     def _get_part_rate(self, state: LocalTeam, team: Team, now_ms: float) -> float:
         """Return the part of the quota that this instance may use alone."""
-        equal_part = team.rate_per_s / self._get_known()
+        equal_part = get_rate(team, self._limits) / self._get_known()
         if now_ms - self._figures_ms > DEMAND_PART_MS:
             return equal_part
         figures = self._by_team.get(team.team_id)
         if figures is not None:
             demand_part = state.asked_per_s * figures.share
         else:
-            heard_rate = team.rate_per_s * self._get_heard_share()
+            heard_rate = get_rate(team, self._limits) * self._get_heard_share()
             demand_part = min(state.asked_per_s / UNLISTED_SHARE, heard_rate)
         return max(equal_part, demand_part)
 
@@ -328,14 +355,14 @@
         share = 1.0 if figures is None else figures.share
         balance = 0.0 if figures is None else figures.balance
         if basis == "figures":
-            wait_s = max(0.0, -balance) / team.rate_per_s
+            wait_s = max(0.0, -balance) / get_rate(team, self._limits)
             if share > 0.0:
                 # The requests of the team that are in line before this one.
                 wait_s += (1.0 - share) * self._limits.window_ms / MS_PER_S / 2.0
         elif basis == "late-figures":
             wait_s = FIGURES_MAX_AGE_MS / MS_PER_S
         elif basis == "own-rate":
-            wait_s = (1.0 - state.own_level) / team.rate_per_s
+            wait_s = (1.0 - state.own_level) / get_rate(team, self._limits)
         else:
             part_rate = self._get_part_rate(state, team, now_ms)
             wait_s = (state.threshold - state.part_level) / part_rate
--- a/src/cuminhatch/decisions/quota/_types.py
+++ b/src/cuminhatch/decisions/quota/_types.py
@@ -6,6 +6,10 @@
 from cuminhatch.decisions.configuration import Team
 
 MS_PER_S = 1_000.0
+# Part of the burst that is provided evenly over the window. The quota is what
+# may run in a window, so a bucket that is refilled by the rate alone would
+# refuse requests of a lasting load below the quota.
+BURST_SHARE_IN_RATE = 0.75
 # Part of the slack that the bucket may hold besides the burst. The rest covers
 # what is admitted before the counters of all instances have arrived.
 SLACK_IN_BUCKET = 0.4
@@ -42,7 +46,19 @@
     :param team: team with a quota.
     :param limits: how far it may be exceeded.
     """
-    return team.burst + SLACK_IN_BUCKET * limits.slack
+    burst = team.burst * (1.0 - BURST_SHARE_IN_RATE)
+    return burst + SLACK_IN_BUCKET * limits.slack
+
+
+def get_rate(team: Team, limits: QuotaLimits) -> float:
+    """
+    Return how many requests per second refill the bucket of a team.
+
+    :param team: team with a quota.
+    :param limits: how far it may be exceeded.
+    """
+    window_s = limits.window_ms / MS_PER_S
+    return team.rate_per_s + BURST_SHARE_IN_RATE * team.burst / window_s
 
 
 # Teams with a quota, by id.
@@ -167,8 +183,8 @@
 
     ``retry_after_ms`` is the time until capacity is expected. ``basis`` is
     ``figures``, ``own-rate`` (the requests of this instance alone exceed the
-    quota), ``late-figures`` (they rise while figures are late) or ``own-part``
-    (no recent figures).
+    quota), ``late-figures`` (they rise while figures are late), ``start`` (no
+    figures since the start) or ``own-part`` (no recent figures).
     """
 
     is_admitted: bool
