Send long bodies of uploads in slices, so that short requests get between

A body that is written at once fills the queue of the instance's link: 360 KB occupy 10 Mbit/s for 290 ms, and short requests wait behind them. The first 64 KB (52 ms, more than the mean body) go with the head, the rest of a body that was received ahead follows every 20 ms at 1 MB/s, which all bodies in progress share; faster where less than a quarter of the time left would do.

Ruled out: pacing by the socket (SO_MAX_PACING_RATE). On loopback a body of 200 KB is sent within the first segments, which the kernel doesn't pace, so no test could show it.

By calculation, the queue of a link of 10 Mbit/s stays below 58.7 ms for up to two of the longest bodies at a time. Not measured on a shaped link.

--- a/src/cuminhatch/decisions/uploads.py
+++ b/src/cuminhatch/decisions/uploads.py
@@ -1,5 +1,6 @@
 """
-Which request bodies are received before a backend server is chosen.
+Which request bodies are received before a backend server is chosen, and how
+fast they are sent to it.
 
 A caller with a slow link takes seconds to send a body, and would hold a slot
 of a server for that time. The load that this handles: 35 uploads per second
@@ -29,6 +30,15 @@
 # within the deadline of an upload.
 UPLOAD_LIMITS = UploadLimits(512 * 1024, 24 * 1024 * 1024)
 
+# A body of the mean size and a head are sent at once: they occupy a link of
+# 10 Mbit/s for 52 ms.
+FIRST_SLICE_BYTES = 64 * 1024
+# Four fifths of a link of 10 Mbit/s; all bodies that are sent share it.
+SEND_BYTES_PER_MS = 1000.0
+SLICE_INTERVAL_MS = 20.0
+# Largest part of the time left that a body may take to be sent.
+SEND_TIME_SHARE = 0.25
+
 # Why a body is not received ahead.
 BODY_TOO_LONG = "body-too-long"
 MEMORY_IN_USE = "memory-in-use"
@@ -83,3 +93,28 @@
         :param request_id: id of the request.
         """
         self._total -= self._reserved.pop(request_id, 0)
+
+
+def min_send_rate(rest_bytes: int, left_ms: float) -> float:
+    """
+    Return the rate that leaves enough time for the work, in bytes per ms.
+
+    :param rest_bytes: what is left of the body when the first slice is sent.
+    :param left_ms: time to the deadline of the request.
+    """
+    return rest_bytes / max(SLICE_INTERVAL_MS, left_ms * SEND_TIME_SHARE)
+
+
+def next_slice_bytes(rest_bytes: int, min_rate: float, sends: int) -> int:
+    """
+    Return how much of a body to send now, and again after the slice interval.
+
+    Short requests share the link to the servers with uploads. A body that is
+    written at once fills the queue of the link, and they wait behind it.
+
+    :param rest_bytes: what is left of the body.
+    :param min_rate: result of :func:`min_send_rate` for the body.
+    :param sends: bodies that are being sent in slices, this one included.
+    """
+    rate = max(min_rate, SEND_BYTES_PER_MS / max(1, sends))
+    return min(rest_bytes, max(1, round(rate * SLICE_INTERVAL_MS)))
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -18,6 +18,7 @@
     Exchange,
     Stage,
 )
+from cuminhatch.services.forwarding._sending import take_first_slice
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import HedgeDue
 
@@ -89,14 +90,15 @@
     left_ms = exchange.deadline_ms - now_ms
     forwarding = ForwardingMetadata(server.server_id, left_ms)
     head = state.dialect.forward_request(exchange.head, exchange.facts, forwarding)
+    data = take_first_slice(state, exchange, attempt)
     return AttemptRequested(
         attempt.attempt_id,
         server.server_id,
         Address(server.host, server.port),
         head,
         exchange.body_length,
-        bytes(exchange.body),
-        exchange.is_body_complete,
+        data,
+        exchange.is_body_complete and len(data) == len(exchange.body),
         max(1.0, left_ms),
         is_new_connection_required(
             exchange.facts.request_id,
@@ -124,6 +126,7 @@
     """Forget an attempt; later messages about it are ignored."""
     state.exchanges_by_attempt.pop(attempt.attempt_id, None)
     exchange.attempts.pop(attempt.attempt_id, None)
+    state.sliced_attempt_ids.discard(attempt.attempt_id)
     record_ended(attempt.record)
     if exchange.attempts and not exchange.is_body_complete:
         # The caller may not have been read because this server read slowly.
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -51,7 +51,9 @@
     __slots__ = (
         "attempt_id",
         "body_length",
+        "body_min_rate",
         "body_parts",
+        "body_sent_bytes",
         "evidence",
         "facts",
         "find_copy",
@@ -94,6 +96,10 @@
         # can be replaced by one of another server.
         self.body_parts: list[bytes] = []
         self.response_bytes = 0
+        # How much of the request body was sent, and the lowest rate for the
+        # rest in bytes per ms, if it is sent in slices.
+        self.body_sent_bytes = 0
+        self.body_min_rate = 0.0
 
 
 class Exchange:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -101,6 +101,8 @@
         self.pools: dict[str, ServicePool] = {}
         self.request_estimates = RequestEstimates()
         self.uploads = UploadMemory()
+        # Attempts whose request body is being sent in slices.
+        self.sliced_attempt_ids: set[int] = set()
         self.exchanges: dict[int, Exchange] = {}
         self.exchanges_by_attempt: dict[int, Exchange] = {}
         self.exchanges_by_measurement: dict[int, Exchange] = {}
--- a/src/cuminhatch/services/forwarding/_timers.py
+++ b/src/cuminhatch/services/forwarding/_timers.py
@@ -15,6 +15,12 @@
     request_id: int
 
 
+class UploadSliceDue(NamedTuple):
+    """The next slice of the body of an upload is to be sent."""
+
+    attempt_id: int
+
+
 class PlacementRetryDue(NamedTuple):
     """A request that waits for free capacity is to be placed again."""
 
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -52,6 +52,7 @@
     on_attempt_response,
     on_attempt_response_body,
 )
+from cuminhatch.services.forwarding._sending import on_upload_slice_due
 from cuminhatch.services.forwarding._servers import (
     on_configuration_changed,
     on_health_check_answered,
@@ -68,6 +69,7 @@
     ExchangeTimedOut,
     HedgeDue,
     PlacementRetryDue,
+    UploadSliceDue,
 )
 
 
@@ -119,6 +121,7 @@
             ExchangeTimedOut: on_exchange_timed_out,
             HedgeDue: on_hedge_due,
             PlacementRetryDue: on_placement_retry_due,
+            UploadSliceDue: on_upload_slice_due,
             AttemptResponse: on_attempt_response,
             AttemptResponseBody: on_attempt_response_body,
             AttemptFailed: on_attempt_failed,
