--- a/src/cuminhatch/decisions/catalog.py
+++ b/src/cuminhatch/decisions/catalog.py
@@ -13,6 +13,7 @@
 
 from cuminhatch.decisions.configuration import BackendServer, Configuration
 from cuminhatch.decisions.store_version import NO_VERSION, StoreVersion
+from cuminhatch.decisions.warmup_reads import has_become_cold, read_warmups
 
 # A live backend server that can reach the store registers again within about
 # two seconds of the store's return.
@@ -171,7 +172,10 @@
                 continue
         merged = _merge_row(registration, known, is_after_restore)
         if is_warmup_sent and known is not None and not merged.is_sent:
-            merged = _merge_warmup(registration, known, catalog.warmups_read_ms)
+            read_ms = catalog.warmups_read_ms
+            is_cold = has_become_cold(registration.server, known.server, read_ms)
+            if is_cold and not _is_older_row(registration, known):
+                merged = _MergedRow(registration, True)
         kept[server_id] = merged.registration
         if merged.is_sent:
             changed.append(merged.registration)
@@ -200,7 +204,7 @@
         unconfirmed,
         version.era,
         _add_departed(catalog, kept),
-        _read_warmups(rows) if is_warmup_sent else catalog.warmups_read_ms,
+        read_warmups(row.server for row in rows.values()) if is_warmup_sent else None,
     )
     return after, change
 
@@ -272,36 +276,6 @@
     return _MergedRow(known._replace(row_version=row_version), True)
 
 
-def _merge_warmup(
-    registration: Registration,
-    known: Registration,
-    warmups_read_ms: Mapping[str, float] | None,
-) -> _MergedRow:
-    """
-    Return the row read if its server has become cold again, else the known.
-
-    The remaining warm-up falls from read to read, so that each time that a
-    server becomes cold is sent once. The known row has the value that was sent
-    last: for an instance that has not read before it tells whether the others
-    know.
-    """
-    left_ms = registration.server.warmup_left_ms
-    before_ms = known.server.warmup_left_ms
-    if warmups_read_ms is not None:
-        before_ms = warmups_read_ms.get(registration.server.server_id, 0.0)
-    if left_ms <= before_ms or _is_older_row(registration, known):
-        return _MergedRow(known, False)
-    return _MergedRow(registration, True)
-
-
-def _read_warmups(rows: Mapping[str, Registration]) -> Mapping[str, float]:
-    return {
-        server_id: row.server.warmup_left_ms
-        for server_id, row in rows.items()
-        if row.server.warmup_left_ms > 0.0
-    }
-
-
 def _is_unconfirmed(
     catalog: Catalog, version: StoreVersion, registration: Registration
 ) -> bool:
