Take the platform's optional limits as one object from the template

Sections that a deployment may lack need optional parts in the template. The bounds are now rendered whole, and platform/bounds.py reads those of quotas, warm-up and evacuation; sections of the settings file go before them.

--- a/src/cuminhatch/codecs/gateway_toml.py
+++ b/src/cuminhatch/codecs/gateway_toml.py
@@ -119,7 +119,8 @@
     ``evacuation_ms`` is the time within which an evacuation of a failure
     domain takes effect, 0 if operators do not evacuate any. ``hedging_share``
     limits hedges to a share of the requests of a service, infinite for no
-    limit but the resend budget.
+    limit but the resend budget. ``quota_address`` is known even if ``quota``
+    is None. ``platform_bounds`` are limits of the platform in its own format.
     """
 
     instance: InstanceSettings
@@ -138,6 +139,8 @@
     warmup: WarmupSettings | None
     evacuation_ms: float
     hedging_share: float
+    quota_address: Address
+    platform_bounds: str
 
 
 # Stands for a key that is not set in a section that is left out.
@@ -201,6 +204,7 @@
     },
     "evacuation": {"within_ms": SettingsKey(read_milliseconds, 0.0)},
     "hedging": {"share": SettingsKey(read_non_negative_number, inf)},
+    "platform": {"bounds": SettingsKey(read_string, "")},
 }
 
 
@@ -236,6 +240,8 @@
         _make_warmup_settings(values["warmup"]),
         values["evacuation"][0],
         values["hedging"][0],
+        QuotaSettings(*values["quota"]).address,
+        values["platform"][0],
     )
 
 
--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -23,6 +23,7 @@
 from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.log import logger
 from cuminhatch.messages import EventRecorded
+from cuminhatch.platform.bounds import apply_bounds
 from cuminhatch.platform.documents import decode_configuration, redact_configuration
 from cuminhatch.platform.environment import SETTINGS_VARIABLE
 from cuminhatch.platform.headers import DIALECT
@@ -188,7 +189,8 @@
     :raises SettingsError: the file is missing or invalid.
     """
     text = read_settings_text(file_name)
-    return parse_gateway_settings(text, file_name, os.environ)
+    settings = parse_gateway_settings(text, file_name, os.environ)
+    return apply_bounds(settings, file_name)
 
 
 def open_kernel(settings: GatewaySettings, file_name: str) -> Kernel:
--- a/tests/codecs/test_settings_template.py
+++ b/tests/codecs/test_settings_template.py
@@ -8,6 +8,7 @@
 
 from cuminhatch.codecs.gateway_toml import parse_gateway_settings
 from cuminhatch.errors import SettingsError
+from cuminhatch.platform.bounds import apply_bounds
 
 TEMPLATE = Path(__file__).parents[2] / "deploy/settings.toml.tmpl"
 VALUES = {
@@ -49,10 +50,13 @@
     "bounds.warmup-slack": (lambda s: s.warmup.slack, 1),
     "bounds.evacuation-ms": (lambda s: s.evacuation_ms, 1),
 }
-# Keys that a section of the template depends on, and what is off without them.
+# Bounds that a deployment may lack, and what is off without them.
 OPTIONAL = {
     "bounds.quota-window-s": lambda s: s.quota,
-    "bounds.warmup-overshoot": lambda s: s.warmup,
+    "bounds.quota-overshoot": lambda s: s.quota.overshoot,
+    "bounds.quota-slack": lambda s: s.quota.slack,
+    "bounds.warmup-overshoot": lambda s: s.warmup.overshoot,
+    "bounds.warmup-slack": lambda s: s.warmup.slack,
     "bounds.evacuation-ms": lambda s: s.evacuation_ms,
 }
 
@@ -106,7 +110,8 @@
         else:
             target[key] = value
     text = fill(TEMPLATE.read_text(encoding="utf-8"), values)
-    return parse_gateway_settings(text, "boot.toml", {})
+    settings = parse_gateway_settings(text, "boot.toml", {})
+    return apply_bounds(settings, "boot.toml")
 
 
 @pytest.mark.parametrize("value", [7, 6.5, 7.0, 0.25])
@@ -131,6 +136,21 @@
         read(**{path: None})
 
 
+def test_limits_are_off_without_their_bounds():
+    """Guards against limits in deployments that have not asked for them."""
+    bounds = {name for name in VALUES["bounds"] if name.startswith(("quota", "warm"))}
+    settings = read(**{f"bounds.{name}": None for name in bounds})
+    assert settings.quota is None
+    assert settings.warmup is None
+
+
+@pytest.mark.parametrize("value", ["5", -1, True, [5]])
+def test_malformed_bound_is_refused(value):
+    """Guards against a limit that is silently off."""
+    with pytest.raises(SettingsError, match="quota-slack"):
+        read(**{"bounds.quota-slack": value})
+
+
 def test_seeds_are_read_as_a_list():
     """Guards against a filler or a template that joins list items."""
     assert [seed.host for seed in read().peers.seeds] == ["10.0.0.2", "10.0.0.3"]
