--- a/src/cuminhatch/cli/commands.py
+++ b/src/cuminhatch/cli/commands.py
@@ -3,6 +3,7 @@
 from difflib import get_close_matches
 from typing import NamedTuple
 
+from cuminhatch.cli.config_check import plan_config_check
 from cuminhatch.cli.explain import plan_explain
 from cuminhatch.cli.losses import plan_losses
 from cuminhatch.cli.plans import (
@@ -42,6 +43,14 @@
 
 
 COMMANDS = (
+    Command(
+        ("config", "check"),
+        "FILE",
+        "Check a configuration or a release note before it is sent.",
+        "config check r8.json --in-force r7.json",
+        ("in-force", "strict", "resend-ratio", "quota-window-s"),
+        plan_config_check,
+    ),
     Command(
         ("note", "check"),
         "FILE",
--- a/src/cuminhatch/cli/main.py
+++ b/src/cuminhatch/cli/main.py
@@ -49,6 +49,19 @@
 BY = flags.DEFINE_enum(
     "by", LOSS_GROUPS[0], LOSS_GROUPS, "Count losses by cause, or by team and cause."
 )
+IN_FORCE = flags.DEFINE_string(
+    "in-force", "", "Configuration in force, to show what the new one changes."
+)
+STRICT = flags.DEFINE_bool("strict", False, "Warnings fail the check as errors do.")
+RESEND_RATIO = flags.DEFINE_float(
+    "resend-ratio",
+    0.1,
+    "resends.ratio of the instances' settings.",
+    lower_bound=0.0,
+)
+QUOTA_WINDOW_S = flags.DEFINE_float(
+    "quota-window-s", 5.0, "Window of the quotas in seconds.", lower_bound=0.0
+)
 
 
 def read_options() -> Options:
@@ -61,7 +74,17 @@
         daemons = tuple(parse_address(text) for text in DAEMON.value)
     except ValueError as error:
         raise CommandError(f"--daemon: {error}") from error
-    return Options(daemons, REQUEST.value, NOTE.value, LIMIT.value, BY.value)
+    return Options(
+        daemons,
+        REQUEST.value,
+        NOTE.value,
+        LIMIT.value,
+        BY.value,
+        IN_FORCE.value,
+        STRICT.value,
+        RESEND_RATIO.value,
+        QUOTA_WINDOW_S.value,
+    )
 
 
 def run_plan(plan: Plan, operators_key: str) -> Output:
@@ -107,12 +130,13 @@
 
 def describe_flags() -> dict[str, FlagHelp]:
     """Return what the help says of the flags of this tool, by name."""
+    check_flags = (IN_FORCE, STRICT, RESEND_RATIO, QUOTA_WINDOW_S)
     return {
         holder.name: FlagHelp(
             flags.FLAGS[holder.name].help.partition(";\n")[0],
             format_default(holder.default),
         )
-        for holder in (DAEMON, JSON, REQUEST, NOTE, LIMIT, BY)
+        for holder in (DAEMON, JSON, REQUEST, NOTE, LIMIT, BY, *check_flags)
     }
 
 
--- a/src/cuminhatch/cli/plans.py
+++ b/src/cuminhatch/cli/plans.py
@@ -83,6 +83,9 @@
     Values of the flags that commands use.
 
     ``loss_group`` is what losses are counted by, one of ``LOSS_GROUPS``.
+    ``in_force`` names the file of the configuration in force, empty for none;
+    with ``is_strict`` warnings fail a check. ``resend_ratio`` and
+    ``quota_window_s`` are settings that a configuration is checked against.
     """
 
     daemons: tuple[Address, ...]
@@ -90,6 +93,10 @@
     note_sequence: int
     limit: int
     loss_group: str = "cause"
+    in_force: str = ""
+    is_strict: bool = False
+    resend_ratio: float = 0.1
+    quota_window_s: float = 5.0
 
 
 LOSS_GROUPS = ("cause", "team")
