Name the effect of disabled entries and of limits that no instance applies

max-conns, max-header-bytes and max-body-bytes are decoded, but the gateway doesn't apply them; the effects named so far were those of an instance that does. A disabled route was left out although its requests get 503.

--- a/src/cuminhatch/decisions/configuration_changes.py
+++ b/src/cuminhatch/decisions/configuration_changes.py
@@ -21,6 +21,9 @@
 ADDED = "added"
 REMOVED = "removed"
 
+# These fields are part of the document, but no instance applies them.
+_NOT_ENFORCED = "the instances don't enforce it, so no request is interrupted"
+
 Describe = Callable[[Any, Any], str]
 
 
@@ -40,7 +43,7 @@
     """
     Return what a document changes, in the order of its entries.
 
-    Entries that can't be used are left out, since errors name them.
+    Of an entry that can't be used, only the effect is told, not its fields.
 
     :param draft: entries of the document.
     :param in_force: entries of the document in force.
@@ -56,19 +59,22 @@
 def _find_route_changes(draft: Draft, in_force: Draft) -> Iterator[Finding]:
     before = {entry.rule.rule_id: entry for entry in in_force.routes}
     after = {entry.rule.rule_id: entry for entry in draft.routes}
-    old_places = {_get_reach(entry): entry for entry in before.values()}
-    new_places = {_get_reach(entry): entry for entry in after.values()}
+    old_places = _index_by_reach(before.values())
+    new_places = _index_by_reach(after.values())
     for name, entry in after.items():
         if not entry.is_usable:
+            yield _describe_disabled(entry)
             continue
         old = before.get(name)
         if old is None:
             renamed = old_places.get(_get_reach(entry))
             if renamed is not None and renamed.rule.rule_id not in after:
-                yield _describe_rename(entry, renamed)
+                yield _describe_rename(entry, renamed, draft)
                 yield from _compare(entry.place, _ROUTE_FIELDS, renamed, entry)
             else:
                 effect = _describe_takeover(entry.rule, in_force)
+                if new_places[_get_reach(entry)] is not entry:
+                    effect = "matches no request"
                 yield Finding(CHANGE, entry.place, "", name, f"{ADDED}; {effect}")
             continue
         if _get_reach(old) != _get_reach(entry):
@@ -80,10 +86,29 @@
             yield Finding(CHANGE, "routes", "", name, f"{REMOVED}; {effect}")
 
 
+def _describe_disabled(entry: RouteEntry) -> Finding:
+    rule = entry.rule
+    # A rule without both matches nothing.
+    is_matched = bool(rule.host and rule.path_prefix)
+    status = "503" if is_matched else "404, or go to a shorter prefix"
+    message = f"disabled by its errors; its requests get {status}"
+    return Finding(CHANGE, entry.place, "", rule.rule_id, message)
+
+
 def _get_reach(entry: RouteEntry) -> tuple[str, str]:
     return entry.rule.host, entry.rule.path_prefix
 
 
+def _index_by_reach(
+    entries: Iterable[RouteEntry],
+) -> dict[tuple[str, str], RouteEntry]:
+    """Return the entries that get requests: the first of each prefix."""
+    first: dict[tuple[str, str], RouteEntry] = {}
+    for entry in entries:
+        first.setdefault(_get_reach(entry), entry)
+    return first
+
+
 def _find_covering(rule: Rule, draft: Draft) -> Rule | None:
     """Return the rule that gets the requests of another one in its absence."""
     covering = [
@@ -96,11 +121,12 @@
     return max(covering, key=lambda other: len(other.path_prefix), default=None)
 
 
-def _describe_rename(entry: RouteEntry, old: RouteEntry) -> Finding:
-    message = (
-        f"renamed from {old.rule.rule_id}; requests that wait when it comes into "
-        "force get 503 and can be sent again"
-    )
+def _describe_rename(entry: RouteEntry, old: RouteEntry, draft: Draft) -> Finding:
+    effect = "no request is interrupted"
+    if draft.teams is not None:
+        # Only then access is checked again before a request is sent.
+        effect = "requests that wait at that moment get 503 and can be sent again"
+    message = f"renamed from {old.rule.rule_id}; {effect}"
     return Finding(CHANGE, entry.place, "name", entry.rule.rule_id, message)
 
 
@@ -128,7 +154,7 @@
         f"moved from {old.rule.host}{old.rule.path_prefix}; "
         f"{_describe_loss(old.rule, draft)}"
     )
-    return Finding(CHANGE, entry.place, "path_prefix", value, message)
+    return Finding(CHANGE, entry.place, "", value, message)
 
 
 def _compare(
@@ -244,6 +270,8 @@
     after = {entry.spec.service_id: entry for entry in draft.services}
     for name, entry in after.items():
         if not entry.is_usable:
+            message = "disabled by its errors; requests for it get 503"
+            yield Finding(CHANGE, entry.place, "", name, message)
             continue
         if name not in before:
             message = f"{ADDED}; needs registered servers before routes use it"
@@ -270,9 +298,7 @@
     _Field(
         "connections",
         lambda entry: entry.connections,
-        _by_direction(
-            "instances close connections above it", "instances may open more"
-        ),
+        _always(_NOT_ENFORCED),
     ),
     _Field(
         "warmup_rate",
@@ -299,6 +325,9 @@
     owners = {key.digest: name for name, entry in after.items() for key in entry.keys}
     for name, entry in after.items():
         if not entry.is_usable:
+            effect = "get 503" if entry.keys else "get 401, as no key of it is known"
+            message = f"disabled by its errors; its requests {effect}"
+            yield Finding(CHANGE, entry.place, "", name, message)
             continue
         old = before.get(name)
         if old is None:
@@ -326,8 +355,7 @@
     if before - after:
         effects.append(_describe_lost_keys(entry, before - after, owners))
     if effects:
-        message = f"team {entry.team.team_id}: {', '.join(effects)}"
-        yield Finding(CHANGE, entry.place, "keys", "", message)
+        yield Finding(CHANGE, entry.place, "keys", "", ", ".join(effects))
 
 
 def _describe_lost_keys(
@@ -353,14 +381,19 @@
     return entry.team.rate_per_s or None
 
 
+def _describe_rate(old: float | None, new: float | None) -> str:
+    if new is None:
+        return "the team has no quota any more"
+    if old is not None and new > old:
+        return "applies within one window"
+    return "binds within one window; requests beyond it get 429"
+
+
 _TEAM_FIELDS = (
     _Field(
         "rate_per_s",
         _get_rate,
-        _by_direction(
-            "binds within one window; requests beyond it get 429",
-            "applies within one window",
-        ),
+        _describe_rate,
     ),
     _Field(
         "burst",
@@ -381,17 +414,20 @@
     _Field(
         "head_bytes",
         lambda limits: limits.head_bytes,
-        _by_direction("longer headers get 431", "longer headers are accepted"),
+        _always(_NOT_ENFORCED),
     ),
     _Field(
         "body_bytes",
         lambda limits: limits.body_bytes,
-        _by_direction("longer bodies get 413", "longer bodies are accepted"),
+        _always(_NOT_ENFORCED),
     ),
     _Field(
         "head_ms",
         lambda limits: limits.head_ms,
-        _by_direction("slower callers get 408", "slow callers hold connections longer"),
+        _by_direction(
+            "callers that send a header more slowly are disconnected",
+            "slow callers hold connections longer",
+        ),
     ),
     _Field(
         "idle_ms",
--- a/src/cuminhatch/decisions/configuration_check.py
+++ b/src/cuminhatch/decisions/configuration_check.py
@@ -193,7 +193,7 @@
             owner, first = owners.setdefault(key.digest, (team, key))
             if first is key:
                 continue
-            if owner is team:
+            if owner.team.team_id == team.team.team_id:
                 message = f"the same key as {first.place}"
                 yield Finding(WARNING, key.place, "", "", message, "remove one")
                 continue
@@ -418,8 +418,8 @@
         )
     if limits.idle_ms < limits.head_ms:
         message = (
-            f"below the {limits.head_ms:g} ms that a header may take: a slow caller "
-            "is disconnected before its time is up"
+            f"below the {limits.head_ms:g} ms that a header may take: a connection "
+            "without a request is closed sooner than one that stalls within a header"
         )
         hint = f"set it to {limits.head_ms:g} or more"
         yield Finding(
@@ -427,6 +427,19 @@
         )
 
 
+def list_names(draft: Draft) -> dict[str, str]:
+    """
+    Return the names of the entries of a document by their places.
+
+    :param draft: entries of the document.
+    """
+    return {
+        **{entry.place: entry.rule.rule_id for entry in draft.routes},
+        **{entry.place: entry.spec.service_id for entry in draft.services},
+        **{entry.place: entry.team.team_id for entry in draft.teams or ()},
+    }
+
+
 def format_path(finding: Finding) -> str:
     """
     Return the path of what a finding concerns, such as ``routes[3].kind``.
