Name entries in config check, and leave out changes of a refused document

Ten wrong files tried as by a new user: an index alone is hard to find in a long document, and a document that is refused as a whole listed each entry in force as removed although the version in force stays.

--- a/src/cuminhatch/cli/config_check.py
+++ b/src/cuminhatch/cli/config_check.py
@@ -1,9 +1,9 @@
 """Command that checks a configuration before it is sent."""
 
 import re
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 
 from cuminhatch.cli.plans import (
     EXIT_FAILED,
@@ -25,6 +25,7 @@
     check_draft,
     check_versions,
     format_path,
+    list_names,
 )
 from cuminhatch.decisions.notes import check_note_fields
 from cuminhatch.errors import CodecError
@@ -36,6 +37,17 @@
 TITLES = {ERROR: "errors", WARNING: "warnings", CHANGE: "changes"}
 
 
+REFUSED = "instances refuse the document as a whole"
+NOTHING_CHANGES = "the version in force stays"
+
+
+class _Checked(NamedTuple):
+    """Findings in the order of the document, and names of entries by place."""
+
+    findings: list[Finding]
+    names: Mapping[str, str]
+
+
 def plan_config_check(options: Options, arguments: list[str]) -> Plan:
     """
     Return the plan that checks a configuration or a note without a daemon.
@@ -53,12 +65,11 @@
     if _is_note(file_name, data):
         if options.in_force:
             raise CommandError(f"--in-force: {file_name} is a release note")
-        findings = _check_note(file_name, data)
+        checked = _check_note(file_name, data)
     else:
         limits = CheckLimits(options.resend_ratio, options.quota_window_s)
-        findings = _check_document(file_name, data, options.in_force, limits)
-    findings.sort(key=_get_position)
-    output = _make_output(file_name, findings, options)
+        checked = _check_document(data, options.in_force, limits)
+    output = _make_output(file_name, checked, options)
     return Plan((), False, lambda _: output)
 
 
@@ -78,21 +89,22 @@
     return first == b"#" or first.isalpha() or data.lstrip()[:2] == b"[["
 
 
-def _check_note(file_name: str, data: bytes) -> list[Finding]:
+def _refuse(message: str) -> _Checked:
+    return _Checked([Finding(ERROR, "", "", "", message)], {})
+
+
+def _check_note(file_name: str, data: bytes) -> _Checked:
     try:
         note = parse_note(data.decode(), file_name)
     except UnicodeDecodeError:
-        return [Finding(ERROR, "", "", "", "not UTF-8 text")]
+        return _refuse("not UTF-8 text")
     except CodecError as error:
-        message = str(error).removeprefix(f"{file_name}: ")
-        return [Finding(ERROR, "", "", "", message)]
+        return _refuse(str(error).removeprefix(f"{file_name}: "))
     refused = check_note_fields(note)
-    return [] if refused is None else [Finding(ERROR, "", "", "", refused.reason)]
+    return _Checked([], {}) if refused is None else _refuse(refused.reason)
 
 
-def _check_document(
-    file_name: str, data: bytes, in_force_name: str, limits: CheckLimits
-) -> list[Finding]:
+def _check_document(data: bytes, in_force_name: str, limits: CheckLimits) -> _Checked:
     in_force = None
     if in_force_name:
         try:
@@ -102,14 +114,18 @@
         if in_force.version is None:
             raise CommandError(f"--in-force: {in_force_name}: it has no valid version")
     try:
-        draft, read_findings = read_draft(data)
+        draft, read_findings, is_accepted = read_draft(data)
     except DocumentError as error:
-        return [Finding(ERROR, "", "", "", str(error))]
+        return _refuse(f"{error}; {NOTHING_CHANGES}")
     findings = [*read_findings, *check_draft(draft, limits)]
     if in_force is not None:
         findings += check_versions(draft, in_force)
+    if not is_accepted:
+        findings.append(Finding(ERROR, "", "", "", f"{REFUSED}; {NOTHING_CHANGES}"))
+    elif in_force is not None:
         findings += find_changes(draft, in_force)
-    return name_fields(findings)
+    findings.sort(key=_get_position)
+    return _Checked(name_fields(findings), list_names(draft))
 
 
 def _get_position(finding: Finding) -> list[str | int]:
@@ -118,9 +134,8 @@
     return [int(text) if index % 2 else text for index, text in enumerate(texts)]
 
 
-def _make_output(
-    file_name: str, findings: Sequence[Finding], options: Options
-) -> Output:
+def _make_output(file_name: str, checked: _Checked, options: Options) -> Output:
+    findings = checked.findings
     levels = [finding.level for finding in findings]
     is_failed = ERROR in levels or (options.is_strict and WARNING in levels)
     lines = []
@@ -128,10 +143,13 @@
         group = [finding for finding in findings if finding.level == level]
         if group:
             lines.append(f"{TITLES[level]}:")
-            lines += [f"  {_format_finding(finding)}" for finding in group]
+            lines += [
+                f"  {_format_finding(finding, checked.names)}" for finding in group
+            ]
     lines.append(f"{file_name}: {_count(levels, options)}")
     status = EXIT_FAILED if is_failed else EXIT_SUCCESS
-    return Output("\n".join(lines), [_make_value(f) for f in findings], status)
+    values = [_make_value(finding, checked.names) for finding in findings]
+    return Output("\n".join(lines), values, status)
 
 
 def _count(levels: Sequence[str], options: Options) -> str:
@@ -143,17 +161,28 @@
     return ", ".join(counts)
 
 
-def _format_finding(finding: Finding) -> str:
+def _find_name(finding: Finding, names: Mapping[str, str]) -> str:
+    """Return the name of the entry that a finding is about, if it has one."""
+    # A place within an entry, such as a part of a split, begins with it.
+    return names.get(finding.place.partition(".")[0], "")
+
+
+def _format_finding(finding: Finding, names: Mapping[str, str]) -> str:
     path = format_path(finding)
     subject = " = ".join(text for text in (path, finding.value) if text)
+    name = _find_name(finding, names)
+    if name and name != finding.value:
+        subject += f" ({name})"
     line = f"{subject}: {finding.message}" if subject else finding.message
     return f"{line} ({finding.hint})" if finding.hint else line
 
 
-def _make_value(finding: Finding) -> dict[str, Any]:
+def _make_value(finding: Finding, names: Mapping[str, str]) -> dict[str, Any]:
+    # Entries that were removed have no place; their value is their name.
     return {
         "level": finding.level,
         "path": format_path(finding),
+        "name": _find_name(finding, names) or None,
         "value": finding.value or None,
         "message": finding.message,
         "hint": finding.hint or None,
--- a/src/cuminhatch/platform/drafts.py
+++ b/src/cuminhatch/platform/drafts.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Iterable, Iterator, Mapping
+from difflib import get_close_matches
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
@@ -124,10 +125,16 @@
 
 
 class DraftRead(NamedTuple):
-    """The entries of a document, and what is wrong with its fields."""
+    """
+    The entries of a document, and what is wrong with its fields.
+
+    Instances refuse the document as a whole unless ``is_accepted``; the
+    version in force then stays.
+    """
 
     draft: Draft
     findings: tuple[Finding, ...]
+    is_accepted: bool
 
 
 def read_draft(data: bytes) -> DraftRead:
@@ -146,6 +153,7 @@
     if not isinstance(document, dict):
         raise DocumentError("expected a JSON object, such as {...}")
     findings = list(_find_document_errors(document))
+    is_accepted = not any(finding.level == ERROR for finding in findings)
     findings += _find_unknown_fields("", "", document)
     routes = tuple(
         _read_route(place, item, findings) for place, item in _list(document, "routes")
@@ -165,7 +173,7 @@
         teams or None,
         _read_limits(document),
     )
-    return DraftRead(draft, tuple(findings))
+    return DraftRead(draft, tuple(findings), is_accepted)
 
 
 def name_fields(findings: Iterable[Finding]) -> list[Finding]:
@@ -287,7 +295,10 @@
     for name in item if isinstance(item, dict) else ():
         if name not in known:
             message = "unknown field, without effect"
+            similar = get_close_matches(name, sorted(known), 1)
             hint = f"known are {', '.join(sorted(known))}"
+            if similar:
+                hint = f"did you mean {similar[0]}?"
             yield Finding(WARNING, place, name, "", message, hint)
 
 
