Report a removed route whose prefix another route takes

The removal was left out if any route of the new version had the same host and prefix, not only if the route was renamed. An entry that was disabled in the version in force was compared by values that stand in for its faulty fields.

--- a/src/cuminhatch/decisions/configuration_changes.py
+++ b/src/cuminhatch/decisions/configuration_changes.py
@@ -61,6 +61,7 @@
     after = {entry.rule.rule_id: entry for entry in draft.routes}
     old_places = _index_by_reach(before.values())
     new_places = _index_by_reach(after.values())
+    renamed_ids = set()
     for name, entry in after.items():
         if not entry.is_usable:
             yield _describe_disabled(entry)
@@ -68,7 +69,8 @@
         old = before.get(name)
         if old is None:
             renamed = old_places.get(_get_reach(entry))
-            if renamed is not None and renamed.rule.rule_id not in after:
+            if renamed is not None and _is_renamed(renamed, after):
+                renamed_ids.add(renamed.rule.rule_id)
                 yield _describe_rename(entry, renamed, draft)
                 yield from _compare(entry.place, _ROUTE_FIELDS, renamed, entry)
             else:
@@ -77,15 +79,27 @@
                     effect = "matches no request"
                 yield Finding(CHANGE, entry.place, "", name, f"{ADDED}; {effect}")
             continue
+        if not old.is_usable:
+            yield _describe_mended(entry.place, name)
+            continue
         if _get_reach(old) != _get_reach(entry):
             yield _describe_move(entry, old, draft)
         yield from _compare(entry.place, _ROUTE_FIELDS, old, entry)
     for name, entry in before.items():
-        if name not in after and _get_reach(entry) not in new_places:
+        if name not in after and name not in renamed_ids:
             effect = _describe_loss(entry.rule, draft)
             yield Finding(CHANGE, "routes", "", name, f"{REMOVED}; {effect}")
 
 
+def _is_renamed(old: RouteEntry, after: Mapping[str, RouteEntry]) -> bool:
+    return old.is_usable and old.rule.rule_id not in after
+
+
+def _describe_mended(place: str, name: str) -> Finding:
+    message = "disabled in the version in force; its requests no longer get 503"
+    return Finding(CHANGE, place, "", name, message)
+
+
 def _describe_disabled(entry: RouteEntry) -> Finding:
     rule = entry.rule
     # A rule without both matches nothing.
@@ -276,6 +290,8 @@
         if name not in before:
             message = f"{ADDED}; needs registered servers before routes use it"
             yield Finding(CHANGE, entry.place, "", name, message)
+        elif not before[name].is_usable:
+            yield _describe_mended(entry.place, name)
         else:
             yield from _compare(entry.place, _SERVICE_FIELDS, before[name], entry)
     for name in before:
@@ -334,7 +350,10 @@
             message = f"{ADDED} with {_count_keys(len(entry.keys))}"
             yield Finding(CHANGE, entry.place, "", name, message)
             continue
-        yield from _compare(entry.place, _TEAM_FIELDS, old, entry)
+        if old.is_usable:
+            yield from _compare(entry.place, _TEAM_FIELDS, old, entry)
+        else:
+            yield _describe_mended(entry.place, name)
         yield from _find_key_changes(entry, old, owners)
     for name, entry in before.items():
         if name not in after:
