--- a/src/cuminhatch/cli/config_check.py
+++ b/src/cuminhatch/cli/config_check.py
@@ -21,6 +21,7 @@
     LEVELS,
     WARNING,
     CheckLimits,
+    Draft,
     Finding,
     check_draft,
     check_versions,
@@ -41,7 +42,7 @@
 NOTHING_CHANGES = "the version in force stays"
 
 
-class _Checked(NamedTuple):
+class Checked(NamedTuple):
     """Findings in the order of the document, and names of entries by place."""
 
     findings: list[Finding]
@@ -68,7 +69,8 @@
         checked = _check_note(file_name, data)
     else:
         limits = CheckLimits(options.resend_ratio, options.quota_window_s)
-        checked = _check_document(data, options.in_force, limits)
+        in_force = _read_in_force(options.in_force) if options.in_force else None
+        checked = check_document(data, in_force, limits)
     output = _make_output(file_name, checked, options)
     return Plan((), False, lambda _: output)
 
@@ -89,11 +91,11 @@
     return first == b"#" or first.isalpha() or data.lstrip()[:2] == b"[["
 
 
-def _refuse(message: str) -> _Checked:
-    return _Checked([Finding(ERROR, "", "", "", message)], {})
+def _refuse(message: str) -> Checked:
+    return Checked([Finding(ERROR, "", "", "", message)], {})
 
 
-def _check_note(file_name: str, data: bytes) -> _Checked:
+def _check_note(file_name: str, data: bytes) -> Checked:
     try:
         note = parse_note(data.decode(), file_name)
     except UnicodeDecodeError:
@@ -101,18 +103,17 @@
     except CodecError as error:
         return _refuse(str(error).removeprefix(f"{file_name}: "))
     refused = check_note_fields(note)
-    return _Checked([], {}) if refused is None else _refuse(refused.reason)
-
-
-def _check_document(data: bytes, in_force_name: str, limits: CheckLimits) -> _Checked:
-    in_force = None
-    if in_force_name:
-        try:
-            in_force = read_draft(_read_file(in_force_name)).draft
-        except DocumentError as error:
-            raise CommandError(f"--in-force: {in_force_name}: {error}") from error
-        if in_force.version is None:
-            raise CommandError(f"--in-force: {in_force_name}: it has no valid version")
+    return Checked([], {}) if refused is None else _refuse(refused.reason)
+
+
+def check_document(data: bytes, in_force: Draft | None, limits: CheckLimits) -> Checked:
+    """
+    Check a configuration.
+
+    :param data: document to check.
+    :param in_force: entries in force, None to leave out what changes.
+    :param limits: settings of the instances.
+    """
     try:
         draft, read_findings, is_accepted = read_draft(data)
     except DocumentError as error:
@@ -125,7 +126,17 @@
     elif in_force is not None:
         findings += find_changes(draft, in_force)
     findings.sort(key=_get_position)
-    return _Checked(name_fields(findings), list_names(draft))
+    return Checked(name_fields(findings), list_names(draft))
+
+
+def _read_in_force(file_name: str) -> Draft:
+    try:
+        current = read_draft(_read_file(file_name))
+    except DocumentError as error:
+        raise CommandError(f"--in-force: {file_name}: {error}") from error
+    if not current.is_accepted:
+        raise CommandError(f"--in-force: {file_name}: instances refuse this document")
+    return current.draft
 
 
 def _get_position(finding: Finding) -> list[str | int]:
@@ -134,7 +145,7 @@
     return [int(text) if index % 2 else text for index, text in enumerate(texts)]
 
 
-def _make_output(file_name: str, checked: _Checked, options: Options) -> Output:
+def _make_output(file_name: str, checked: Checked, options: Options) -> Output:
     findings = checked.findings
     levels = [finding.level for finding in findings]
     is_failed = ERROR in levels or (options.is_strict and WARNING in levels)
--- a/src/cuminhatch/platform/drafts.py
+++ b/src/cuminhatch/platform/drafts.py
@@ -275,9 +275,9 @@
 
 def _describe_value(place: str, name: str, value: Any) -> str:
     # A key may stand in a wrong field of a team, or in that of the version.
-    if name != "name" and (place.startswith("tenants") or name == "version"):
-        if not isinstance(value, int | float):
-            return ""
+    is_secret = place.startswith("tenants") or name in ("tenants", "version")
+    if is_secret and name != "name" and isinstance(value, str):
+        return ""
     if isinstance(value, dict | list):
         return "{...}" if isinstance(value, dict) else "[...]"
     text = orjson.dumps(value).decode()
@@ -293,13 +293,16 @@
     else:
         known |= (VALID_ENTRIES[section] if section else VALID_DOCUMENT).keys()
     for name in item if isinstance(item, dict) else ():
-        if name not in known:
-            message = "unknown field, without effect"
-            similar = get_close_matches(name, sorted(known), 1)
-            hint = f"known are {', '.join(sorted(known))}"
-            if similar:
-                hint = f"did you mean {similar[0]}?"
-            yield Finding(WARNING, place, name, "", message, hint)
+        if name in known:
+            continue
+        similar = get_close_matches(name, sorted(known), 1)
+        hint = f"known are {', '.join(sorted(known))}"
+        if similar:
+            hint = f"did you mean {similar[0]}?"
+        # A key may stand in the place of the name of a field of a team.
+        shown = name if similar or section != "tenants" else ""
+        message = "unknown field, without effect"
+        yield Finding(WARNING, place, shown, "", message, hint)
 
 
 def _read_entry(
