Draw values that no other example shares in the test of drafts

make test failed on it: values drawn from a list were put into the document and changed by the next step, so hypothesis saw other values in the next example. The check of the documents is unchanged.

--- a/tests/platform/test_drafts.py
+++ b/tests/platform/test_drafts.py
@@ -1,5 +1,6 @@
 """Tests of reading a configuration with the places of its entries."""
 
+from copy import deepcopy
 from pathlib import Path
 
 import orjson
@@ -35,7 +36,8 @@
             if draw(st.booleans()):
                 del part[name]
             else:
-                part[name] = draw(VALUES)
+                # A later step may change the value, which must not be shared.
+                part[name] = deepcopy(draw(VALUES))
     return document
 
 
