Admit three fifths of the requests until the first figures after a start

The part of one instance is bounded by three times an equal part instead of six, so that a team that sends many times its usual rate gets no more than before.

--- a/src/cuminhatch/decisions/quota/_local.py
+++ b/src/cuminhatch/decisions/quota/_local.py
@@ -35,10 +35,10 @@
 # Time after a start in which the first figures arrive. Until then an instance
 # admits this share of the requests of a team, up to some times its equal part
 # or a few requests. If all instances have restarted, a team at five times its
-# usual rate runs two seconds' worth of its quota in that time.
+# usual rate runs three seconds' worth of its quota in that time.
 START_MS = 1_500.0
-START_SHARE = 0.4
-START_PARTS = 6.0
+START_SHARE = 0.6
+START_PARTS = 3.0
 START_REQUESTS = 3.0
 # Counters that did not change for this long are left out of reports.
 ACTIVE_MS = 600.0
