--- a/src/cuminhatch/decisions/resending.py
+++ b/src/cuminhatch/decisions/resending.py
@@ -78,6 +78,15 @@
         allowed = ratio * len(self._request_times) + self._extra_share
         return allowed - len(self._resend_times)
 
+    def get_left(self, now_ms: float) -> float:
+        """
+        Return how many resends are left in the window that ends now.
+
+        :param now_ms: current time.
+        """
+        self._drop_expired(now_ms)
+        return self.left
+
     def take(self, now_ms: float) -> bool:
         """
         Spend one resend.
@@ -85,8 +94,7 @@
         :param now_ms: current time.
         :returns: whether the budget allowed it.
         """
-        self._drop_expired(now_ms)
-        if self.left < 1.0:
+        if self.get_left(now_ms) < 1.0:
             return False
         self._resend_times.append(now_ms)
         return True
@@ -118,6 +126,9 @@
     left_ms: float
 
 
+RESEND_BUDGET_EMPTY = "resend-budget-empty"
+
+
 class ResendDenied(NamedTuple):
     """The request must not be sent again; ``reason`` says why."""
 
@@ -148,5 +159,5 @@
     if history.servers >= history.servers_max:
         return ResendDenied("servers-used-up")
     if not budget.take(now_ms):
-        return ResendDenied("resend-budget-empty")
+        return ResendDenied(RESEND_BUDGET_EMPTY)
     return None
