Hedge within the share that operators set

With a finite hedging.share, allowance and resend budget are charged when the hedge is sent, not when it is due. At 0 no timer is set. Without the setting the fixed delay applies as before.

--- a/src/cuminhatch/gateway.py
+++ b/src/cuminhatch/gateway.py
@@ -129,6 +129,7 @@
         placement.far_charge_ms_per_kb,
         placement.active_connection_ms,
         WarmupLimit(*settings.warmup) if settings.warmup is not None else None,
+        settings.hedging_share,
     )
 
 
--- a/src/cuminhatch/services/forwarding/_admission.py
+++ b/src/cuminhatch/services/forwarding/_admission.py
@@ -22,6 +22,10 @@
 from cuminhatch.decisions.service_admission import ServiceAdmission
 from cuminhatch.decisions.urgency import find_urgency, list_urgencies
 from cuminhatch.services.forwarding._exchange import Exchange
+from cuminhatch.services.forwarding._hedging import (
+    record_hedging_load,
+    record_hedging_refusal,
+)
 from cuminhatch.services.forwarding._state import ForwardingState
 
 ADMISSION_LEVEL = "admission-level"
@@ -56,14 +60,20 @@
     state: ForwardingState, record: ServerRecord, load: ServerLoad
 ) -> None:
     """Add a load report of a server to the occupancy of its service."""
+    now_ms = state.clock.now_ms
+    pool = state.pools.get(record.server.service_id)
+    if pool is not None:
+        record_hedging_load(pool, load, now_ms)
     admission = find_admission(state, record.server.service_id)
     if admission is not None:
-        now_ms = state.clock.now_ms
         admission.record_load(load.running, load.waiting, load.slots, now_ms)
 
 
 def record_full_server(state: ForwardingState, record: ServerRecord) -> None:
     """Add a refusal by a full server to the occupancy of its service."""
+    pool = state.pools.get(record.server.service_id)
+    if pool is not None:
+        record_hedging_refusal(pool, state.clock.now_ms)
     admission = find_admission(state, record.server.service_id)
     if admission is not None:
         admission.record_refusal(state.clock.now_ms)
--- a/src/cuminhatch/services/forwarding/_attempts.py
+++ b/src/cuminhatch/services/forwarding/_attempts.py
@@ -1,5 +1,7 @@
 """Starts, cancels and ends attempts, and relays flow control."""
 
+from math import inf
+
 from cuminhatch.codecs.dialect import ForwardingMetadata
 from cuminhatch.decisions.hedging import hedge_delay_ms
 from cuminhatch.decisions.placement import Placed
@@ -22,6 +24,10 @@
     Exchange,
     Stage,
 )
+from cuminhatch.services.forwarding._hedging import (
+    record_cancelled_attempt,
+    schedule_planned_hedge,
+)
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import HedgeDue
 
@@ -33,6 +39,7 @@
     usual_ms = estimate_request(state, exchange).usual_ms
     slowdown = placed.predicted_ms / usual_ms
     attempt = Attempt(next(state.ids), record, now_ms, exchange.is_hedging, slowdown)
+    attempt.predicted_ms = placed.predicted_ms
     exchange.is_hedging = False
     exchange.stage = Stage.RUNNING
     exchange.attempts[attempt.attempt_id] = attempt
@@ -126,6 +133,9 @@
     """Schedule a hedged attempt for an idempotent request."""
     if not exchange.is_idempotent or exchange.hedge_timer is not None:
         return
+    if state.settings.hedging_share < inf:
+        schedule_planned_hedge(state, exchange)
+        return
     usual = estimate_request(state, exchange)
     target_ms = exchange.rule.target_latency_ms
     delay_ms = hedge_delay_ms(usual.usual_ms, placed.predicted_ms, target_ms)
@@ -158,6 +168,7 @@
     """Cancel all attempts of a request except one."""
     for attempt in list(exchange.attempts.values()):
         if attempt is not kept:
+            record_cancelled_attempt(state, exchange, attempt)
             cancel_attempt(state, exchange, attempt)
 
 
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -16,6 +16,7 @@
 from cuminhatch.services.forwarding._admission import describe_admission
 from cuminhatch.services.forwarding._attempts import cancel_attempts
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
+from cuminhatch.services.forwarding._hedging import finish_hedge
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import ExchangeTimedOut
 
@@ -147,6 +148,7 @@
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
     del state.exchanges[exchange.request_id]
+    finish_hedge(state, exchange)
     state.uploads.release(exchange.request_id)
     labels = {"service": exchange.service_id, "end": reason}
     state.increment("requests_total", labels)
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -58,6 +58,7 @@
         "find_copy",
         "head",
         "is_hedge",
+        "predicted_ms",
         "predicted_slowdown",
         "record",
         "response_bytes",
@@ -86,6 +87,8 @@
         self.sent_ms = sent_ms
         self.is_hedge = is_hedge
         self.predicted_slowdown = predicted_slowdown
+        # Predicted time to the response, set when it is sent.
+        self.predicted_ms = 0.0
         self.head: ResponseHead | None = None
         self.facts: ResponseMetadata | None = None
         self.evidence: ResponseEvidence | None = None
@@ -112,6 +115,7 @@
         "deadline_timer",
         "facts",
         "head",
+        "hedge_result",
         "hedge_timer",
         "is_admitted",
         "is_body_buffered",
@@ -205,6 +209,9 @@
         self.last_failure = ""
         self.deadline_timer: int | None = None
         self.hedge_timer: int | None = None
+        # "won" or "lost" once a hedge has started; used where operators limit
+        # hedges to a share.
+        self.hedge_result = ""
 
     @property
     def stage(self) -> Stage:
--- a/src/cuminhatch/services/forwarding/_gauges.py
+++ b/src/cuminhatch/services/forwarding/_gauges.py
@@ -53,6 +53,9 @@
             yield Gauge("servers_evacuated", labels, evacuated)
         yield Gauge("sends_in_flight", labels, in_flight)
         yield Gauge("resend_budget_left", labels, pool.budget.left)
+        if pool.hedging is not None:
+            left = pool.hedging.allowance.get_left(now_ms)
+            yield Gauge("hedging_allowance_left", labels, left)
         if pool.admission is not None:
             found = pool.admission.get_state(now_ms)
             yield Gauge("admission_level", labels, found.level)
--- a/src/cuminhatch/services/forwarding/_placement.py
+++ b/src/cuminhatch/services/forwarding/_placement.py
@@ -35,6 +35,13 @@
 )
 from cuminhatch.services.forwarding._credentials import find_denial
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
+from cuminhatch.services.forwarding._hedging import (
+    NO_FREE_SERVER,
+    acquire_hedge,
+    count_denied_hedge,
+    deny_hedge,
+    list_hedgeable,
+)
 from cuminhatch.services.forwarding._state import NAME, ForwardingState, ServicePool
 from cuminhatch.services.forwarding._timers import PlacementRetryDue
 from cuminhatch.services.forwarding._warmup import (
@@ -72,6 +79,7 @@
     if exchange.is_search_widened:
         exchange.wide_searches += 1
         wanted = widened_counts(exchange.wide_searches)
+    records = list_hedgeable(state, pool, exchange, records)
     if pool.cold_senders is not None:
         records = list_promising(state, pool, exchange, records)
         wanted = limit_candidates(wanted, records)
@@ -131,12 +139,14 @@
     obstacle = exchange.find_hedge_obstacle() if exchange.is_hedging else ""
     if obstacle:
         exchange.is_hedging = False
+        count_denied_hedge(state, exchange, obstacle)
         state.record("hedge_dropped", exchange.trace_id, {"reason": obstacle})
         return
     denied = find_denial(state, exchange)
     if denied is not None and exchange.is_hedging:
         # The attempt in progress was sent while access was granted.
         exchange.is_hedging = False
+        count_denied_hedge(state, exchange, denied.reason)
         state.record("hedge_dropped", exchange.trace_id, {"reason": denied.reason})
     elif denied is not None:
         refuse_access(state, exchange, denied)
@@ -161,13 +171,15 @@
             now_ms,
             chosen.predicted_ms,
         ):
+            if exchange.is_hedging and not acquire_hedge(state, exchange, chosen):
+                return
             count_admitted(state, exchange)
             start_attempt(state, exchange, chosen)
         else:
             refusal = NotPlaced(STOPPING, RETRY_AFTER_MIN_MS)
             fail_placement(state, exchange, refusal)
     elif exchange.is_hedging:
-        exchange.is_hedging = False
+        deny_hedge(state, exchange, NO_FREE_SERVER)
     elif not exchange.is_search_widened:
         exchange.is_search_widened = True
         place_exchange(state, exchange)
@@ -187,7 +199,8 @@
     now_ms = state.clock.now_ms
     if pool is None:
         return choose_server([], work, now_ms, state.rng)
-    permitted = list_permitted(state, pool, exchange, pool.usable)
+    usable = list_hedgeable(state, pool, exchange, pool.usable)
+    permitted = list_permitted(state, pool, exchange, usable)
     if pool.cold_senders is not None and pool.usable and not permitted:
         return wait_for_servers(work)
     records = select_candidates(permitted, exchange, now_ms)
@@ -261,7 +274,8 @@
 ) -> None:
     """Refuse a request that no server can take, unless it has an attempt."""
     if exchange.is_hedging or exchange.attempts:
-        exchange.is_hedging = False
+        if exchange.is_hedging:
+            deny_hedge(state, exchange, refusal.reason)
         return
     refusal = adjust_retry_after(state, exchange, refusal)
     record_not_placed(state, exchange, refusal)
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -79,6 +79,8 @@
     pool = state.pools.get(service_id)
     if pool is not None:
         pool.budget.count_request(state.clock.now_ms)
+        if pool.hedging is not None:
+            pool.hedging.allowance.count_request(state.clock.now_ms)
     timed_out = ExchangeTimedOut(exchange.request_id)
     exchange.deadline_timer = state.call_at(exchange.deadline_ms, timed_out)
     count_demand(state, exchange)
--- a/src/cuminhatch/services/forwarding/_resending.py
+++ b/src/cuminhatch/services/forwarding/_resending.py
@@ -1,8 +1,15 @@
 """Resends requests, as retries or as hedged attempts."""
 
-from cuminhatch.decisions.resending import ResendDenied, check_resend
+from math import inf
+
+from cuminhatch.decisions.resending import (
+    RESEND_BUDGET_EMPTY,
+    ResendDenied,
+    check_resend,
+)
 from cuminhatch.services.forwarding._completion import give_up
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
+from cuminhatch.services.forwarding._hedging import begin_planned_hedge
 from cuminhatch.services.forwarding._placement import place_exchange
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import HedgeDue
@@ -61,7 +68,12 @@
     if exchange.placement_retries >= PLACEMENT_RETRIES_MAX:
         return ResendDenied("no-server-accepts")
     now_ms = state.clock.now_ms
-    return check_resend(exchange.get_history(now_ms), pool.budget, now_ms)
+    history = exchange.get_history(now_ms)
+    denied = check_resend(history, pool.budget, now_ms)
+    if pool.hedging is not None and history.servers:
+        if denied is None or denied.reason == RESEND_BUDGET_EMPTY:
+            pool.hedging.allowance.count_retry(now_ms)
+    return denied
 
 
 def on_hedge_due(state: ForwardingState, message: HedgeDue) -> None:
@@ -74,11 +86,14 @@
         # The response is arriving.
         return
     pool = state.pools.get(exchange.service_id)
-    if (
-        exchange.measurement_id
-        or pool is None
-        or not pool.list_untried(exchange.tried_server_ids)
-    ):
+    if exchange.measurement_id or pool is None:
+        return
+    if state.settings.hedging_share < inf:
+        if begin_planned_hedge(state, exchange, pool):
+            exchange.is_hedging = True
+            place_exchange(state, exchange)
+        return
+    if not pool.list_untried(exchange.tried_server_ids):
         return
     if acquire_resend(state, exchange) is not None:
         return
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -45,6 +45,10 @@
 )
 from cuminhatch.services.forwarding._completion import abort_response, finish_exchange
 from cuminhatch.services.forwarding._exchange import Attempt, Exchange, Stage
+from cuminhatch.services.forwarding._hedging import (
+    note_hedge_response,
+    record_response_time,
+)
 from cuminhatch.services.forwarding._resending import resend_or_give_up
 from cuminhatch.services.forwarding._state import ForwardingState
 
@@ -286,6 +290,7 @@
     now_ms = state.clock.now_ms
     record_success(attempt.record, now_ms)
     state.observe_stage(exchange, "server", now_ms - attempt.sent_ms)
+    record_response_time(state, exchange, attempt)
     rule = exchange.rule
     state.request_estimates.record(
         rule.rule_id,
@@ -300,6 +305,7 @@
     state: ForwardingState, exchange: Exchange, attempt: Attempt
 ) -> None:
     """Write an ``answered`` event to the event log."""
+    note_hedge_response(state, exchange, attempt)
     now_ms = state.clock.now_ms
     details = {
         "status": attempt.head.status,
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -1,7 +1,10 @@
 """Keeps the pools and records of backend servers up to date."""
 
+from math import inf
+
 from cuminhatch.decisions.candidates import preference_key
 from cuminhatch.decisions.configuration import BackendServer
+from cuminhatch.decisions.hedging_share import HedgingState
 from cuminhatch.decisions.resending import ResendBudget
 from cuminhatch.decisions.routing import make_router
 from cuminhatch.decisions.server_records import (
@@ -47,7 +50,9 @@
     for service_id in message.configuration.services:
         if service_id not in state.pools:
             budget = ResendBudget(state.settings.resends, state.instance_count)
-            state.pools[service_id] = ServicePool(budget)
+            pool = ServicePool(budget)
+            pool.hedging = make_hedging(state)
+            state.pools[service_id] = pool
     for service_id in state.pools.keys() - message.configuration.services.keys():
         del state.pools[service_id]
     update_admissions(state, previous)
@@ -60,6 +65,14 @@
     withdraw_outdated_attempts(state)
 
 
+def make_hedging(state: ForwardingState) -> HedgingState | None:
+    """Return the state of hedging for a service, None if it needs none."""
+    share = state.settings.hedging_share
+    if not 0.0 < share < inf:
+        return None
+    return HedgingState(share, state.settings.resends.window_ms)
+
+
 def update_pool(
     state: ForwardingState, pool: ServicePool, servers: dict[str, BackendServer]
 ) -> None:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -2,11 +2,13 @@
 
 from collections.abc import Mapping, Set
 from itertools import count
+from math import inf
 from random import Random
 from typing import Any, NamedTuple
 
 from cuminhatch.codecs.dialect import Dialect
 from cuminhatch.decisions.configuration import EMPTY_CONFIGURATION, Configuration
+from cuminhatch.decisions.hedging_share import HedgingState
 from cuminhatch.decisions.request_estimates import RequestEstimates
 from cuminhatch.decisions.resending import ResendBudget, ResendLimits
 from cuminhatch.decisions.routing import make_router
@@ -33,6 +35,7 @@
     ``active_connection_ms`` is for how long after a response a connection may
     be used for a request that is not idempotent.
     ``warmup`` is None if requests to cold servers are not limited.
+    ``hedging_share`` limits hedges to a share of the requests of a service.
     """
 
     instance_id: str
@@ -42,6 +45,7 @@
     far_charge_ms_per_kb: float
     active_connection_ms: float = 0.0
     warmup: WarmupLimit | None = None
+    hedging_share: float = inf
 
 
 class ServicePool:
@@ -65,6 +69,8 @@
         # How many instances may send to a cold server of the service, None if
         # requests to cold servers are not limited.
         self.cold_senders: int | None = None
+        # None unless operators limit hedges to a share that is not 0.
+        self.hedging: HedgingState | None = None
 
     @property
     def usable(self) -> list[ServerRecord]:
