--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -157,7 +157,7 @@
 class ForwardingWorld:
     """Forwarding, with fakes of other services that keep their messages."""
 
-    def __init__(self, *server_ids, seed=1, has_connections=False):
+    def __init__(self, *server_ids, seed=1, has_connections=False, settings=SETTINGS):
         self.clock = ManualClock(1000.0)
         self.kernel = Kernel(self.clock)
         self.received = defaultdict(list)
@@ -170,7 +170,7 @@
             self._add_fake("backends", self.received["backends"].append)
         self._add_fake("loads", self._on_load_request)
         self.forwarding = self.kernel.register(
-            Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed))
+            Forwarding(self.kernel, DIALECT, settings, Random(seed))
         )
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
