--- a/src/cuminhatch/decisions/explanation.py
+++ b/src/cuminhatch/decisions/explanation.py
@@ -148,6 +148,22 @@
     )
 
 
+def _describe_hedge_denied(line: Line) -> str:
+    return (
+        f"no hedge: {line['reason']}; gain needed {line['gain_needed']}, "
+        f"{line['allowance_left']} hedges left, {line['reserve']} resends kept for "
+        f"failures, occupancy {line['occupancy']}"
+    )
+
+
+def _describe_hedge_dropped(line: Line) -> str:
+    return f"no hedge: {line['reason']}"
+
+
+def _describe_hedge_ended(line: Line) -> str:
+    return f"the hedge has {line['result']}"
+
+
 def _describe_refused(line: Line) -> str:
     reason = line["reason"]
     part = _REFUSING_PARTS.get(reason)
@@ -248,6 +264,9 @@
     "placed": _describe_placed,
     "send_failed": _describe_send_failed,
     "resend_denied": _describe_resend_denied,
+    "hedge_denied": _describe_hedge_denied,
+    "hedge_dropped": _describe_hedge_dropped,
+    "hedge_ended": _describe_hedge_ended,
     "upload_received": _describe_upload_received,
     "upload_streamed": _describe_upload_streamed,
     "not_placed": _describe_not_placed,
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -189,6 +189,30 @@
     assert output.text == snapshot
 
 
+def test_hedges_are_explained(tmp_path):
+    """Guards against a second send that is left out without a reason."""
+    log = tmp_path / "day.log"
+    denied = {"gain_needed": 0.5, "allowance_left": 1.2, "reserve": 3.0}
+    lines = [
+        make_line("front-1", 1.0, "received", "a", **RECEIVED),
+        make_line(
+            "front-1",
+            200.0,
+            "hedge_denied",
+            "a",
+            reason="left-to-failures",
+            occupancy=0.2,
+            **denied,
+        ),
+        make_line("front-1", 300.0, "hedge_ended", "a", result="won"),
+    ]
+    log.write_text("".join(json.dumps(line) + "\n" for line in lines))
+    text = make_plan(OPTIONS, ["explain", "a", str(log)]).make_output(()).text
+    assert "no hedge: left-to-failures; gain needed 0.5" in text
+    assert "3.0 resends kept for failures" in text
+    assert "the hedge has won" in text
+
+
 def test_unknown_request_is_an_error(log_file):
     """Guards against empty output with a success status."""
     output = make_plan(OPTIONS, ["explain", "ffff", log_file]).make_output(())
