--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -19,6 +19,7 @@
 from cuminhatch.services.forwarding._admission import describe_admission
 from cuminhatch.services.forwarding._attempts import cancel_attempts
 from cuminhatch.services.forwarding._exchange import Exchange, Stage
+from cuminhatch.services.forwarding._hedging import finish_hedge
 from cuminhatch.services.forwarding._state import ForwardingState
 from cuminhatch.services.forwarding._timers import ExchangeTimedOut
 
@@ -168,6 +169,7 @@
         # Its caller has left before it was sent.
         refund_quota(state, exchange)
     del state.exchanges[exchange.request_id]
+    finish_hedge(state, exchange)
     state.uploads.release(exchange.request_id)
     labels = {"service": exchange.service_id, "end": reason}
     state.increment("requests_total", labels)
--- a/src/cuminhatch/services/quota/_gate.py
+++ b/src/cuminhatch/services/quota/_gate.py
@@ -37,6 +37,14 @@
         """Return the teams that have metrics of their own."""
         return frozenset(self._labels)
 
+    def is_limited(self, team: Team) -> bool:
+        """
+        Tell whether requests of a team are refused at present.
+
+        :param team: its team.
+        """
+        return self._peer.local.is_limited(team.team_id)
+
     def admit(self, team: Team, now_ms: float) -> Admission:
         """
         Count a request and decide whether it may run.
--- a/tests/services/forwarding_world.py
+++ b/tests/services/forwarding_world.py
@@ -157,7 +157,14 @@
 class ForwardingWorld:
     """Forwarding, with fakes of other services that keep their messages."""
 
-    def __init__(self, *server_ids, seed=1, has_connections=False, quota=None):
+    def __init__(
+        self,
+        *server_ids,
+        seed=1,
+        has_connections=False,
+        quota=None,
+        settings=SETTINGS,
+    ):
         self.clock = ManualClock(1000.0)
         self.kernel = Kernel(self.clock)
         self.received = defaultdict(list)
@@ -170,7 +177,7 @@
             self._add_fake("backends", self.received["backends"].append)
         self._add_fake("loads", self._on_load_request)
         self.forwarding = self.kernel.register(
-            Forwarding(self.kernel, DIALECT, SETTINGS, Random(seed), quota)
+            Forwarding(self.kernel, DIALECT, settings, Random(seed), quota)
         )
         # (running, waiting, slowdown) by server; None for a silent server.
         self.loads = {}
--- a/tests/services/test_quota.py
+++ b/tests/services/test_quota.py
@@ -305,3 +305,15 @@
     (attempt,) = limited.take_attempts()
     limited.respond(attempt)
     assert limited.count_admitted() == 2
+
+
+@pytest.mark.parametrize(("share", "is_hedged"), [(1.0, True), (0.5, False)])
+def test_request_of_a_team_over_its_quota_is_not_hedged(limited, share, is_hedged):
+    """Guards against second sends that run more requests than the quota."""
+    servers = [make_server("a"), make_server("b")]
+    limited.configure(*servers, keys={b"key-t": TEAM.team_id}, teams=(TEAM,))
+    limited.request("read")
+    assert limited.take_attempts()
+    limited.set_share(share)
+    limited.advance(390)
+    assert bool(limited.take_attempts()) is is_hedged
