Return a quota admission to the team it was taken from

A request that waits is checked again after each change of the configuration, and its team becomes None if its rule has become anonymous. Returning its admission then raised AttributeError: the request was ended by the handler of failures, and the admission was lost.

The exchange keeps the team whose quota was charged. The new test fails with AttributeError before the change and passes after it.

--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -155,9 +155,9 @@
 
 def refund_quota(state: ForwardingState, exchange: Exchange) -> None:
     """Take back the admission of a request that provably did not run."""
-    if exchange.is_quota_charged:
-        exchange.is_quota_charged = False
-        state.quota.refund(exchange.team, state.clock.now_ms)
+    if exchange.quota_team is not None:
+        state.quota.refund(exchange.quota_team, state.clock.now_ms)
+        exchange.quota_team = None
 
 
 def finish_exchange(state: ForwardingState, exchange: Exchange, reason: str) -> None:
--- a/src/cuminhatch/services/forwarding/_exchange.py
+++ b/src/cuminhatch/services/forwarding/_exchange.py
@@ -128,7 +128,6 @@
         "is_body_complete",
         "is_caller_gone",
         "is_hedging",
-        "is_quota_charged",
         "is_read_paused",
         "is_received_ahead",
         "is_search_widened",
@@ -137,6 +136,7 @@
         "measurement_id",
         "placeable_ms",
         "placement_retries",
+        "quota_team",
         "received_ms",
         "request_id",
         "rule",
@@ -175,8 +175,9 @@
         self.ticket: AdmissionTicket | None = None
         # It has been sent to a server, or was about to be.
         self.is_admitted = False
-        # The request counts in the quota of its team.
-        self.is_quota_charged = False
+        # The team whose quota the request counts in, None for none. ``team``
+        # may change with the configuration.
+        self.quota_team: Team | None = None
         self.received_ms = message.received_ms
         # When a server could be chosen: later if the body was received first.
         self.placeable_ms = message.received_ms
--- a/src/cuminhatch/services/forwarding/_quota.py
+++ b/src/cuminhatch/services/forwarding/_quota.py
@@ -24,7 +24,7 @@
         return True
     admission = state.quota.admit(exchange.team, state.clock.now_ms)
     if admission.is_admitted:
-        exchange.is_quota_charged = True
+        exchange.quota_team = exchange.team
         return True
     jitter = 1.0 + RETRY_AFTER_JITTER_RATIO * (2.0 * state.rng.random() - 1.0)
     retry_after_ms = round(admission.retry_after_ms * jitter, 1)
