Return the quota admission of a refused request whose caller leaves

A server that is full proves that it has not run a request. If the caller left before the resend, the admission was kept, because a server had been sent the request before. Responses can't be told from refusals by that list alone, so the condition moves to the place where callers leave: the admission is kept only if an attempt is in progress or may have run.

--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -165,9 +165,6 @@
     for timer in (exchange.deadline_timer, exchange.hedge_timer):
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
-    if not (exchange.attempted_server_ids or exchange.may_have_run):
-        # Its caller has left before it was sent.
-        refund_quota(state, exchange)
     del state.exchanges[exchange.request_id]
     finish_hedge(state, exchange)
     state.uploads.release(exchange.request_id)
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -21,6 +21,7 @@
     STOPPING,
     finish_exchange,
     get_access_retry_after,
+    refund_quota,
 )
 from cuminhatch.services.forwarding._credentials import (
     accept_exchange,
@@ -184,5 +185,8 @@
             # part. Its outcome is written to the event log.
             state.record("caller_left", exchange.trace_id, {"is_running": True})
             return
+    exchange.may_have_run |= bool(exchange.attempts)
     cancel_attempts(state, exchange)
+    if not exchange.may_have_run:
+        refund_quota(state, exchange)
     finish_exchange(state, exchange, "caller-left")
--- a/tests/services/test_joined_parts.py
+++ b/tests/services/test_joined_parts.py
@@ -8,6 +8,7 @@
 from cuminhatch.decisions.configuration import Rule, Team
 from cuminhatch.decisions.quota import QuotaFigures, QuotaLimits, QuotaPeer
 from cuminhatch.messages import (
+    CallerDisconnected,
     RequestRefused,
 )
 from cuminhatch.messages.loads import LoadsMeasured
@@ -81,3 +82,13 @@
     limited.advance(1_300.0)
     assert take_refusal(limited).status == 503
     assert limited.count_admitted() == 0
+
+
+def test_admission_is_returned_if_the_caller_leaves_after_a_proven_refusal(limited):
+    """Guards against quotas used up by requests that full servers refuse."""
+    request_id = limited.request("write")
+    (attempt,) = limited.take_attempts()
+    limited.is_measuring = False
+    limited.refuse(attempt)
+    limited.tell(CallerDisconnected(request_id))
+    assert limited.count_admitted() == 0
