Check an upload again as soon as its body is received

After the body of an upload had arrived, the request was moved to whatever rule matched by then. An upload that a memory bound turned into a streamed one was sent on a withdrawn route.

Access is checked first (_credentials.find_denial), a disabled rule is refused with 503 rule-disabled also without teams, a new service gives the request a new ticket, and streamed uploads are checked as well.

--- a/src/cuminhatch/services/forwarding/_receiving.py
+++ b/src/cuminhatch/services/forwarding/_receiving.py
@@ -1,13 +1,21 @@
 """Receives the bodies of uploads before a backend server is chosen."""
 
+from cuminhatch.decisions.configuration import Rule
+from cuminhatch.decisions.credentials import (
+    RULE_DISABLED,
+    STATUS_UNAVAILABLE,
+    AccessDenied,
+)
 from cuminhatch.decisions.routing import NoRoute
 from cuminhatch.messages import RequestBody, RequestReadPaused, RequestReadResumed
 from cuminhatch.outcomes import Outcome
+from cuminhatch.services.forwarding._admission import count_demand
 from cuminhatch.services.forwarding._completion import (
     finish_exchange,
+    refuse_access,
     send_error_response,
 )
-from cuminhatch.services.forwarding._credentials import match_request
+from cuminhatch.services.forwarding._credentials import find_denial, match_request
 from cuminhatch.services.forwarding._exchange import (
     REQUEST_BUFFER_MAX_BYTES,
     Exchange,
@@ -48,7 +56,8 @@
     if exchange.body_length is None:
         obstacle = state.uploads.reserve(exchange.request_id, len(exchange.body))
     if obstacle:
-        stream_upload(state, exchange, obstacle)
+        if update_route(state, exchange):
+            stream_upload(state, exchange, obstacle)
     elif message.is_complete:
         end_receiving(state, exchange)
 
@@ -85,21 +94,39 @@
     Route a request by the configuration in force.
 
     A withdrawn route must not run requests a few seconds later, and a body may
-    take that long to arrive.
+    take that long to arrive. What is refused on arrival, or while it waits, is
+    refused here as well.
 
-    :returns: whether the request still has a route; it is refused if not.
+    :returns: whether the request may still run; it is refused if not.
     """
+    denied = find_denial(state, exchange)
+    if denied is not None:
+        refuse_access(state, exchange, denied)
+        return False
     rule = match_request(state, exchange.head, exchange.facts)
     if isinstance(rule, NoRoute):
         send_error_response(state, exchange, 404, Outcome.NOT_RUN, rule.reason, None)
         finish_exchange(state, exchange, rule.reason)
         return False
+    if rule.fault:
+        # Without teams, access is not checked again.
+        refuse_access(state, exchange, AccessDenied(STATUS_UNAVAILABLE, RULE_DISABLED))
+        return False
     if rule != exchange.rule:
-        exchange.rule = rule
-        exchange.service_id = state.pick_service(rule)
+        change_rule(state, exchange, rule)
     return True
 
 
+def change_rule(state: ForwardingState, exchange: Exchange, rule: Rule) -> None:
+    """Move a request to a changed rule, and to a service of it."""
+    previous_id = exchange.service_id
+    exchange.rule = rule
+    exchange.service_id = state.pick_service(rule)
+    if exchange.service_id != previous_id:
+        # Ranks and demand of another service are others.
+        count_demand(state, exchange)
+
+
 def count_upload(state: ForwardingState, exchange: Exchange, handling: str) -> None:
     """Count an upload by how its body is handled."""
     labels = {"service": exchange.service_id, "handling": handling}
--- a/tests/services/test_joined_parts.py
+++ b/tests/services/test_joined_parts.py
@@ -2,16 +2,20 @@
 
 from functools import partial
 from random import Random
+from types import MappingProxyType
 
 import pytest
 
-from cuminhatch.decisions.configuration import Rule, Team
+from cuminhatch.decisions.configuration import Configuration, Rule, ServiceSpec, Team
 from cuminhatch.decisions.quota import QuotaFigures, QuotaLimits, QuotaPeer
 from cuminhatch.messages import (
     CallerDisconnected,
+    ConfigurationChanged,
+    RequestBody,
     RequestRefused,
 )
 from cuminhatch.messages.loads import LoadsMeasured
+from cuminhatch.outcomes import Outcome
 from cuminhatch.services.quota import QuotaGate
 from tests.services.forwarding_world import RULES, ForwardingWorld, make_server
 
@@ -92,3 +96,76 @@
     limited.refuse(attempt)
     limited.tell(CallerDisconnected(request_id))
     assert limited.count_admitted() == 0
+
+
+def test_upload_on_a_route_disabled_meanwhile_is_refused(world):
+    """Guards against uploads that run on a rule that can't be used."""
+    request_id = world.request("upload", body=b"x", body_length=2)
+    configure(world, rules=RULES | {"upload": DISABLED})
+    world.tell(RequestBody(request_id, b"y", True))
+    refusal = take_refusal(world)
+    assert (refusal.status, refusal.reason) == (503, "rule-disabled")
+    assert refusal.outcome is Outcome.NOT_RUN
+
+
+def test_streamed_upload_on_a_route_withdrawn_meanwhile_does_not_run(world):
+    """Guards against a streamed upload that runs without a route."""
+    request_id = world.request("upload", body=b"x", is_chunked=True)
+    configure(world, rules=RULES)
+    world.tell(RequestBody(request_id, bytes(600 * 1024), False))
+    assert not world.take_attempts()
+    assert take_refusal(world).status == 404
+
+
+@pytest.mark.parametrize("target", ["other", "s"])
+def test_upload_of_another_rule_meanwhile_is_asked_for_again(target):
+    """Guards against uploads that run for a rule they were not counted for."""
+    world = ForwardingWorld()
+    configure(world, keys=KEYS)
+    request_id = world.request(
+        "upload", body=b"x", body_length=2, headers=((b"key", b"key-t"),)
+    )
+    moved = UPLOAD._replace(rule_id="moved", service_id=target)
+    configure(world, rules=RULES | {"moved": moved}, keys=KEYS)
+    world.tell(RequestBody(request_id, b"y", True))
+    refusal = take_refusal(world)
+    assert (refusal.status, refusal.reason) == (503, "route-changed")
+    world.close()
+
+
+def test_upload_that_changes_its_service_has_a_place_there():
+    """Guards against uploads that admission control of a service ignores."""
+    world = ForwardingWorld()
+
+    def apply(service_id):
+        servers = {
+            name: make_server(name)._replace(service_id=service)
+            for name, service in (("a", "s"), ("b", "t"))
+        }
+        rules = {"upload": UPLOAD._replace(service_id=service_id, is_anonymous=True)}
+        # A more urgent rule of the second service alone.
+        rules["write"] = RULES["write"]._replace(
+            service_id="t", priority=-1, is_anonymous=True
+        )
+        world.sequence += 1
+        services = {name: ServiceSpec(name) for name in "st"}
+        configuration = Configuration(
+            world.sequence,
+            MappingProxyType(services),
+            MappingProxyType(servers),
+            MappingProxyType(rules),
+            teams={"t": Team("t")},
+        )
+        world.tell(ConfigurationChanged(configuration))
+
+    apply("s")
+    request_id = world.request("upload", body=b"x", body_length=2)
+    apply("t")
+    world.is_measuring = False
+    world.tell(RequestBody(request_id, b"y", True))
+    exchange = world.forwarding._state.exchanges[request_id]
+    assert exchange.service_id == "t"
+    # It is the less urgent one of two ranks there.
+    demand = world.forwarding._state.pools["t"].admission._rank_demand
+    assert demand._counts == [0.0, 1.0]
+    world.close()
