Report a sudden load of a team before the next turn

An instance decides that its next report should not wait for its turn (LocalAdmission.is_report_urgent), and QuotaPeer.report_early returns that report, as docs/design/quotas.md says. No service called it, so a burst stayed unknown to the aggregator for up to 250 ms.

QuotaGate calls the quota service after an admission that makes the report urgent; QuotaPeer keeps to its limit of one message in 60 ms.

The new test fails before the change.

--- a/src/cuminhatch/services/quota/_gate.py
+++ b/src/cuminhatch/services/quota/_gate.py
@@ -11,6 +11,11 @@
 MAX_LABELS = 100
 
 Increment = Callable[[str, dict[str, str]], None]
+ReportEarly = Callable[[], None]
+
+
+def _report_in_turn() -> None:
+    """Leave the counters to the next report."""
 
 
 class QuotaGate:
@@ -20,15 +25,23 @@
     Owned by the quota service and shared with forwarding.
     """
 
-    def __init__(self, peer: QuotaPeer, increment: Increment) -> None:
+    def __init__(
+        self,
+        peer: QuotaPeer,
+        increment: Increment,
+        report_early: ReportEarly = _report_in_turn,
+    ) -> None:
         """
         Start without requests.
 
         :param peer: state of the quotas at this instance.
         :param increment: called with the name and the labels of a counter.
+        :param report_early: called if the next report should not wait for its
+            turn, because the load of a team has risen suddenly.
         """
         self._peer = peer
         self._increment = increment
+        self._report_early = report_early
         # Teams that are, or were, limited.
         self._labels: set[str] = set()
 
@@ -61,6 +74,8 @@
             label = UNLIMITED_LABEL
         name = "admitted" if admission.is_admitted else "refused"
         self._increment(f"quota_{name}_total", {"team": label})
+        if self._peer.local.is_report_urgent:
+            self._report_early()
         return admission
 
     def refund(self, team: Team, now_ms: float) -> None:
--- a/src/cuminhatch/services/quota/service.py
+++ b/src/cuminhatch/services/quota/service.py
@@ -82,7 +82,7 @@
             rng or Random(),
             kernel.clock.now_ms,
         )
-        self._gate = QuotaGate(self._peer, self._increment)
+        self._gate = QuotaGate(self._peer, self._increment, self._report_early)
 
     @property
     def gate(self) -> QuotaGate:
@@ -132,6 +132,11 @@
         self._record_events()
         self.call_after(INTERVAL_MS, message)
 
+    def _report_early(self) -> None:
+        if self._is_running:
+            self._send_all(self._peer.report_early(self.kernel.clock.now_ms))
+            self._record_events()
+
     def _on_gauges_requested(self, message: GaugesRequested) -> None:
         gauges = tuple(self._list_gauges()) if self._is_running else ()
         self.send(message.reply_to, GaugesReported(message.token, gauges))
--- a/tests/services/test_quota.py
+++ b/tests/services/test_quota.py
@@ -153,6 +153,22 @@
     assert 50 <= nodes.count_admitted() - before <= 5 * 20 + 20 + 8
 
 
+def test_sudden_load_is_reported_before_its_turn(nodes):
+    """Guards against a burst that is unknown until the next report."""
+    nodes.configure(WITH_QUOTA)
+    nodes.advance(3_000)
+    aggregator = nodes.find_aggregator()
+    node = next(node for node in nodes.all if node is not aggregator)
+    while node.quota._peer._reported_ms < nodes.clock.now_ms - 20.0:
+        nodes.advance(20)
+    nodes.advance(60)
+    for _ in range(8):
+        assert node.quota.gate.admit(TEAM, nodes.clock.now_ms).is_admitted
+    nodes.advance(20)
+    counts = aggregator.quota._peer._aggregation.instances[node.id].counts
+    assert counts["t"].admitted >= 4
+
+
 def test_metrics_name_only_teams_that_were_limited(nodes):
     """Guards against labels for every team of a configuration."""
     nodes.configure(WITH_QUOTA)
