Count no wait for a server before an upload is streamed

An upload without a declared length is received until it exceeds a bound, and is streamed from then on. The time until then counted as a wait for a server, so the upload of a slow caller was refused at once while servers were nearly full, unlike one whose body was received as a whole.

The wait begins when streaming begins. The new test fails before the change with a refusal and passes after it.

--- a/src/cuminhatch/services/forwarding/_receiving.py
+++ b/src/cuminhatch/services/forwarding/_receiving.py
@@ -64,6 +64,7 @@
 
 def stream_upload(state: ForwardingState, exchange: Exchange, obstacle: str) -> None:
     """Place an upload whose body is passed on as it arrives."""
+    exchange.placeable_ms = state.clock.now_ms
     details = {"reason": obstacle, "received_bytes": len(exchange.body)}
     state.record("upload_streamed", exchange.trace_id, details)
     count_upload(state, exchange, STREAMED)
--- a/tests/services/test_joined_parts.py
+++ b/tests/services/test_joined_parts.py
@@ -117,6 +117,18 @@
     assert take_refusal(world).status == 404
 
 
+def test_time_before_streaming_is_no_wait_for_a_server(world):
+    """Guards against streamed uploads refused because their caller is slow."""
+    world.loads = dict.fromkeys("ab", (3, 0, 1.0))
+    request_id = world.request("upload", 3_000, body=b"x", is_chunked=True)
+    world.advance(1_000.0)
+    world.tell(RequestBody(request_id, bytes(600 * 1024), False))
+    assert not world.take("callers", RequestRefused)
+    world.loads = {}
+    world.advance(60.0)
+    assert len(world.take_attempts()) == 1
+
+
 @pytest.mark.parametrize("target", ["other", "s"])
 def test_upload_of_another_rule_meanwhile_is_asked_for_again(target):
     """Guards against uploads that run for a rule they were not counted for."""
