Keep a route whose name a disabled one has as well

Rules are kept by name. A route that can't be used took the place of a usable one of its name, or the other way round, so that the requests of one of the two got 404.

Two usable routes of one name behave as before. The new test fails in its three cases before the change and passes after it.

--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -6,7 +6,7 @@
 new one with the next sequence number.
 """
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -282,3 +282,23 @@
         views.get("backend_server", configuration.servers),
         views.get("rule", configuration.rules),
     )
+
+
+def index_rules(rules: Iterable[Rule]) -> dict[str, Rule]:
+    """
+    Return rules by id, in their order.
+
+    A rule that can't be used gets another id if its own is taken. If one took
+    the place of the other, the requests of one would get 404.
+
+    :param rules: rules, those that can't be used included.
+    """
+    rules = list(rules)
+    usable_ids = {rule.rule_id for rule in rules if not rule.fault}
+    by_id: dict[str, Rule] = {}
+    for rule in rules:
+        rule_id = rule.rule_id
+        if rule.fault and (rule_id in usable_ids or rule_id in by_id):
+            rule_id = f"{rule_id} {rule.host}{rule.path_prefix}"
+        by_id[rule_id] = rule._replace(rule_id=rule_id)
+    return by_id
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -22,6 +22,7 @@
     ServiceSpec,
     Team,
     TrafficPart,
+    index_rules,
 )
 from cuminhatch.decisions.credentials import DIGEST_BYTES, digest_credential
 from cuminhatch.decisions.store_version import StoreVersion
@@ -194,17 +195,16 @@
 
 
 def _decode_rules(items: list[Any], refused: list[RefusedEntry]) -> dict[str, Rule]:
-    rules: dict[str, Rule] = {}
+    rules: list[Rule] = []
     for item in items:
         try:
             rule = _decode_rule(item)
         except ENTRY_ERRORS as error:
-            refusal = _refuse("rule", item, error)
-            refused.append(refusal)
-            rule = _make_disabled_rule(item, refusal.reason)
+            refused.append(_refuse("rule", item, error))
+            rule = _make_disabled_rule(item, refused[-1].reason)
         if rule is not None:
-            rules[rule.rule_id] = rule
-    return rules
+            rules.append(rule)
+    return index_rules(rules)
 
 
 def _make_disabled_rule(item: Any, fault: str) -> Rule | None:
@@ -262,9 +262,8 @@
         try:
             team = _decode_team(item)
         except ENTRY_ERRORS as error:
-            refusal = _refuse("team", item, error)
-            refused.append(refusal)
-            team = Team(refusal.entry_id, fault=refusal.reason)
+            refused.append(_refuse("team", item, error))
+            team = Team(refused[-1].entry_id, fault=refused[-1].reason)
         teams[team.team_id] = team
         for digest in _list_key_digests(item):
             team_ids_by_key[digest] = team.team_id
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -158,6 +158,19 @@
     assert len(document.refused) == 8
 
 
+@pytest.mark.parametrize("kinds", [("safe", 7), (7, "safe"), (7, 8)])
+def test_disabled_route_leaves_another_of_its_name_in_force(kinds):
+    """Guards against 404 for a route that an odd one has the name of."""
+    routes = [
+        ROUTE | {"prefix": f"/{place}/", "kind": kind}
+        for place, kind in enumerate(kinds)
+    ]
+    rules = decode(routes=routes).configuration.rules
+    found = [(rule.path_prefix, bool(rule.fault)) for rule in rules.values()]
+    assert found == [(f"/{place}/", kind != "safe") for place, kind in enumerate(kinds)]
+    assert all(rule_id == rule.rule_id for rule_id, rule in rules.items())
+
+
 def test_upload_is_not_idempotent():
     """Guards against an upload that runs twice."""
     rule = decode({"kind": "upload"}).configuration.rules["r-1"]
