--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -155,9 +155,9 @@
 
 def refund_quota(state: ForwardingState, exchange: Exchange) -> None:
     """Take back the admission of a request that provably did not run."""
-    if exchange.is_quota_charged:
-        exchange.is_quota_charged = False
-        state.quota.refund(exchange.team, state.clock.now_ms)
+    if exchange.quota_team is not None:
+        state.quota.refund(exchange.quota_team, state.clock.now_ms)
+        exchange.quota_team = None
 
 
 def finish_exchange(state: ForwardingState, exchange: Exchange, reason: str) -> None:
@@ -165,9 +165,6 @@
     for timer in (exchange.deadline_timer, exchange.hedge_timer):
         state.kernel.cancel(timer)
     state.exchanges_by_measurement.pop(exchange.measurement_id, None)
-    if not (exchange.attempted_server_ids or exchange.may_have_run):
-        # Its caller has left before it was sent.
-        refund_quota(state, exchange)
     del state.exchanges[exchange.request_id]
     finish_hedge(state, exchange)
     state.uploads.release(exchange.request_id)
