--- a/tests/decisions/test_candidates.py
+++ b/tests/decisions/test_candidates.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from cuminhatch.decisions.candidates import (
+    EXPLORED_AMONG,
     PREFERRED_FAR,
     PREFERRED_NEAR,
     SPARE_CANDIDATES,
@@ -11,6 +12,7 @@
     CandidateCounts,
     pick_candidates,
     preference_key,
+    widened_counts,
 )
 from cuminhatch.decisions.server_records import record_unreachable
 from tests.decisions._builders import NOW_MS, make_record
@@ -115,6 +117,34 @@
     assert sum(name.startswith("f") for name in probed) >= PREFERRED_FAR + 12
 
 
+def test_first_wider_searches_explore_the_same_servers():
+    """
+    Guards against a new connection for each server that a search explores.
+
+    Load: one in four requests finds the preferred servers nearly full.
+    """
+    records, rng = make_service(28, 85), Random(1)
+    probed = set()
+    for _ in range(100):
+        picked = pick_candidates(
+            records, frozenset(), widened_counts(1), NOW_MS, rng
+        ).first
+        probed.update(record.server.server_id for record in picked)
+    assert len(probed) == PREFERRED_NEAR + PREFERRED_FAR + 2 * EXPLORED_AMONG
+
+
+def test_request_that_waits_explores_all_servers():
+    """Guards against requests that wait while idle servers are never asked."""
+    records, rng = make_service(28, 85), Random(1)
+    probed = set()
+    for search in range(1, 60):
+        picked = pick_candidates(
+            records, frozenset(), widened_counts(search), NOW_MS, rng
+        ).first
+        probed.update(record.server.server_id for record in picked)
+    assert len(probed) > 0.7 * len(records)
+
+
 def test_wider_search_covers_all_of_a_small_service():
     """Guards against an idle server that is not considered."""
     for near, far in ((4, 6), (5, 9), (14, 0), (0, 14)):
--- a/tests/services/test_backends.py
+++ b/tests/services/test_backends.py
@@ -249,6 +249,24 @@
     harness.wait_for_ok(again)
 
 
+def test_connection_in_use_a_moment_ago_is_used_again(harness):
+    """Guards against a new connection for each request that may run once."""
+    peer = harness.serve_on_new_connection()
+    harness.advance(49)
+    harness.serve(peer, idle_max_ms=50.0)
+
+
+def test_connection_that_was_idle_for_longer_is_not_used(harness):
+    """Guards against a request lost on a connection that is closing."""
+    harness.serve_on_new_connection()
+    harness.advance(51)
+    attempt_id = harness.request(idle_max_ms=50.0)
+    new_peer = harness.accept()
+    new_peer.run_until(lambda: new_peer.received)
+    new_peer.send(OK)
+    harness.wait_for_ok(attempt_id)
+
+
 @pytest.mark.parametrize("data", [b"", b"HTTP/1.1 408 Request Timeout\r\n\r\n"])
 def test_closed_idle_connection_is_not_reused(harness, peer, data):
     """Guards against a stale message taken for the response to a request."""
--- a/tests/services/test_forwarding.py
+++ b/tests/services/test_forwarding.py
@@ -41,6 +41,7 @@
 )
 from tests.services.forwarding_world import (
     RULES,
+    SETTINGS,
     ForwardingWorld,
     get_request_id,
     make_server,
@@ -183,6 +184,19 @@
     assert not read.is_new_connection_required
 
 
+def test_misplaced_response_requires_new_connections(make_world):
+    """Guards against an outcome that a late copy of a response hides."""
+    settings = SETTINGS._replace(active_connection_ms=50.0)
+    world = make_world("a", settings=settings)
+    world.request("write")
+    first = take_only_attempt(world)
+    assert first.idle_max_ms == 50.0
+    world.respond(first, request_id=b"other")
+    world.request("write")
+    second = take_only_attempt(world)
+    assert second.is_new_connection_required
+
+
 def test_resend_denied_because_no_server_accepts_is_logged(make_world):
     """Guards against a request that ends without a logged reason."""
     world = make_world("a")
