--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -252,6 +252,49 @@
     sock.sendall(head.encode() + body)
 
 
+class Link(Server):
+    """
+    A link to a server, which passes bytes on in both directions.
+
+    While it is cut it drops what it gets, and resets nothing; what is sent on
+    a connection that was open then is lost.
+    """
+
+    def __init__(self, target):
+        self._target = target
+        self.is_cut = False
+        super().__init__()
+
+    def handle(self, sock):
+        if self.is_cut:
+            self._swallow(sock)
+            return
+        with socket.create_connection(self._target) as other:
+            back = threading.Thread(
+                target=self._copy_quietly, args=(other, sock), daemon=True
+            )
+            back.start()
+            self._copy(sock, other)
+
+    def _copy_quietly(self, source, target):
+        try:
+            self._copy(source, target)
+        except OSError:
+            pass
+
+    def _copy(self, source, target):
+        while data := source.recv(65536):
+            if self.is_cut:
+                self._swallow(source)
+                return
+            target.sendall(data)
+        target.shutdown(socket.SHUT_WR)
+
+    def _swallow(self, sock):
+        while sock.recv(65536):
+            pass
+
+
 class Request:
     """A request at a backend server."""
 
@@ -283,6 +326,8 @@
         self.slots = slots
         self.running = 0
         self.state = "ready"
+        # A server that leaves says so in all its answers.
+        self.is_leaving = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.work_s = 0.01
@@ -341,10 +386,11 @@
 
     def headers_of(self, request):
         """Return the headers of a response to a request that has run."""
-        return {
+        headers = {
             "Attempt-Id": request.request_id,
             "Response-Seal": f"seal.{request.request_id}",
         }
+        return headers | ({"Server-Leaving": "1"} if self.is_leaving else {})
 
     def registration(self):
         """Return the entry in the store."""
@@ -547,9 +593,11 @@
         self.backends = []
         internal = [free_port("127.0.0.11"), free_port("127.0.0.11")]
         ports = [free_port("127.0.0.11") for _ in range(3)]
+        # The links of the gateways to the store.
+        self.links = [Link(self.store.address) for _ in range(gateways)]
         self.gateways = [
-            Gateway(n, self.store.place, self.folder, internal, ports, **options)
-            for n in range(1, gateways + 1)
+            Gateway(n, link.place, self.folder, internal, ports, **options)
+            for n, link in enumerate(self.links, 1)
         ]
         self._is_open = True
         threading.Thread(target=self._beat, daemon=True).start()
@@ -565,6 +613,8 @@
             gateway.end()
         for backend in self.backends:
             backend.close()
+        for link in self.links:
+            link.close()
         self.store.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
