--- a/review/6/case.py
+++ b/review/6/case.py
@@ -106,7 +106,9 @@
         deployment.configure(make_configuration(1, routes, ["board"]))
         deployment.start()
         threads = [
-            threading.Thread(target=send_requests, args=(deployment, n, broken))
+            threading.Thread(
+                target=send_requests, args=(deployment, n, broken), daemon=True
+            )
             for n in range(CLIENTS)
         ]
         for thread in threads:
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -44,7 +44,8 @@
         # By request id: when it was sent, when it was answered, the answer.
         self.requests = {}
         self._threads = [
-            threading.Thread(target=self._run, args=(n,)) for n in range(CLIENTS)
+            threading.Thread(target=self._run, args=(n,), daemon=True)
+            for n in range(CLIENTS)
         ]
         for thread in self._threads:
             thread.start()
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -730,10 +730,10 @@
     record = Record()
     try:
         broken = play(record)
-    except (CaseError, OSError) as error:
-        record.add(f"the case could not be played: {error}")
+    except Exception as error:
+        record.add(f"the case could not be played: {error!r}")
         record.write(folder)
-        print(f"could not be played: {error}")
+        print(f"could not be played: {error!r}")
         sys.exit(NOT_RUN)
     for line in broken:
         record.add(f"BROKEN {line}")
