--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,10 +1,12 @@
 """
-A server leaves while a gateway is cut off from the store.
+A gateway behind a link of 5 Mbit/s is stopped, and closes idle connections.
 
-The server says in all its answers that it leaves. The gateway passes these
-answers on, and goes on sending until the server ends with requests at work.
+The end of a connection waits in the link behind answers to other clients. A
+request that its client sends meanwhile is read by the gateway and dropped.
 """
 
+import random
+import signal
 import sys
 import threading
 import time
@@ -17,54 +19,87 @@
     IS_TROUBLE,
     Client,
     Deployment,
+    SlowLink,
+    body_of,
+    make_answer,
     make_configuration,
     make_request,
     make_route,
     run_case,
 )
 
-SERVERS = 8
-CLIENTS = 16
-WORK_S = 0.18
-DRAIN_S = 2.0
-CUT_S = 5.5
-# The server leaves soon after the cut, and ends this long after the store has
-# accepted its report.
-LEAVES_AFTER_S = 0.3
-ENDS_AFTER_S = 4.5
-WARM_UP_S = 3.0
+LINK_MBPS = 5.0
+DELAY_S = 0.003
+DOWNLOAD_BYTES = 146_000
+DOWNLOADING = 4
+KEPT = 60
+PAUSE_S = (0.2, 1.0)
+CALM_S = 4.0
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+
+
+def send_download(backend, sock, request):
+    """Answer with a long body."""
+    body = body_of(request.request_id, DOWNLOAD_BYTES)
+    sock.sendall(make_answer(200, backend.headers_of(request), body))
+    return True
 
 
 class Traffic:
-    """Clients that confirm one thing after the other."""
+    """Clients of one gateway, which reach it over its slow link."""
 
-    def __init__(self, deployment):
-        self._deployment = deployment
+    def __init__(self, deployment, link):
+        self._record = deployment.record
+        self._link = link
         self._is_stopped = False
-        # By request id: when it was sent, when it was answered, the answer.
-        self.requests = {}
+        # The gateway is not ready any more.
+        self.is_stopping = False
+        # Of each request without an answer: id, when sent, when ended.
+        self.unanswered = []
+        self.answered = 0
+        names = [("map", n) for n in range(DOWNLOADING)]
+        names += [("status", n) for n in range(KEPT)]
         self._threads = [
-            threading.Thread(target=self._run, args=(n,), daemon=True)
-            for n in range(CLIENTS)
+            threading.Thread(target=self._run, args=name, daemon=True) for name in names
         ]
         for thread in self._threads:
             thread.start()
 
-    def _run(self, number):
+    def _run(self, route, number):
+        rng = random.Random(f"{route}-{number}")
         client = None
         index = 0
         while not self._is_stopped:
-            request_id = f"c{number}-{index:08d}"
-            index += 1
+            if route == "status":
+                time.sleep(rng.uniform(*PAUSE_S))
+            if client is not None and client.is_ended:
+                # Closed while idle; nothing was sent.
+                client.close()
+                client = None
             if client is None:
-                client = Client(self._deployment.gateways[0])
+                if self.is_stopping:
+                    # New connections go to other machines.
+                    return
+                client = Client(None, address=self._link.address)
+            index += 1
+            request_id = f"{route}-{number}-{index}"
             sent_s = time.monotonic()
-            client.send(
-                make_request("confirm", request_id, 1_500, method="POST", body=b"{}")
-            )
+            try:
+                client.send(make_request(route, request_id, 4_000))
+            except OSError:
+                client.close()
+                client = None
+                continue
             answer = client.read_answer()
-            self.requests[request_id] = sent_s, time.monotonic(), answer
-            self._deployment.record.add(f"client: {request_id} gets {answer}")
+            ended_s = time.monotonic()
+            self._record.add(
+                f"client: {request_id} gets {answer} after {ended_s - sent_s:.3f} s"
+            )
+            if answer.error:
+                self.unanswered.append((request_id, sent_s, ended_s, answer.error))
+            else:
+                self.answered += 1
             if answer.error or answer.headers.get("connection") == "close":
                 client.close()
                 client = None
@@ -73,73 +108,42 @@
         """End all clients."""
         self._is_stopped = True
         for thread in self._threads:
-            thread.join()
-
-
-def find_breaks(requests, leaving):
-    """Return the breaks of the rule, and what was lost by them."""
-    passed_on_s = min(
-        (
-            answered_s
-            for _, answered_s, answer in requests.values()
-            if "server-leaving" in answer.headers
-        ),
-        default=None,
-    )
-    if passed_on_s is None:
-        return []
-    reached = {request.request_id for request in leaving.runs}
-    late = [
-        (request_id, answer)
-        for request_id, (sent_s, _, answer) in requests.items()
-        if request_id in reached and sent_s > passed_on_s + DRAIN_S
-    ]
-    if not late:
-        return []
-    broken = [
-        f"DRAIN: {len(late)} requests that clients sent later than {DRAIN_S} s after"
-        f" the gateway had passed on an answer with Server-Leaving reached"
-        f" {leaving.server_id}"
-    ]
-    broken += [
-        f"{request_id}, one of these, was at work when the server ended, and got"
-        f" {answer}"
-        for request_id, answer in late
-        if answer.status != 200
-    ]
-    return broken
+            thread.join(timeout=10.0)
 
 
 def play(record):
     """Play the case; return the breaks of the rule."""
-    with Deployment(record, gateways=1) as deployment:
-        for number in range(SERVERS):
-            backend = deployment.add_backend(f"l{number}", "ledger", slots=3)
-            backend.work_s = WORK_S
-        routes = [make_route("confirm", "unsafe", "ledger")]
-        deployment.configure(make_configuration(1, routes, ["ledger"]))
+    with Deployment(record) as deployment:
+        for number in range(3):
+            deployment.add_backend(f"b{number}", "board")
+            deployment.add_backend(f"m{number}", "maps", send_download)
+        routes = [
+            make_route("status", "safe", "board"),
+            make_route("map", "download", "maps"),
+        ]
+        deployment.configure(make_configuration(1, routes, ["board", "maps"]))
         deployment.start()
-        traffic = Traffic(deployment)
-        time.sleep(WARM_UP_S)
+        gateway = deployment.gateways[0]
+        link = SlowLink(gateway.front, mbps=LINK_MBPS, delay_s=DELAY_S)
+        traffic = Traffic(deployment, link)
+        time.sleep(CALM_S)
+        stopped_s = time.monotonic()
         if IS_TROUBLE:
-            deployment.links[0].is_cut = True
-            record.add("the gateway is cut off from the store")
-        time.sleep(LEAVES_AFTER_S)
-        leaving = deployment.backends[0]
-        leaving.state = "draining"
-        leaving.is_leaving = True
-        deployment.register(leaving)
-        record.add(f"the store accepts that {leaving.server_id} is draining")
-        time.sleep(ENDS_AFTER_S)
-        deployment.backends.remove(leaving)
-        leaving.close()
-        deployment.store.write("servers", leaving.server_id, None)
-        record.add(f"{leaving.server_id} has ended")
-        time.sleep(CUT_S - LEAVES_AFTER_S - ENDS_AFTER_S)
-        deployment.links[0].is_cut = False
-        record.add("the cut is over")
+            gateway.signal(signal.SIGTERM)
+            record.add(f"{gateway.name}: SIGTERM")
+            traffic.is_stopping = True
+        time.sleep(GRACE_S + 0.5)
         traffic.stop()
-        return find_breaks(traffic.requests, leaving)
+        link.close()
+        record.add(f"longest wait of a byte for the link: {link.longest_wait_s:.3f} s")
+        record.add(f"answered: {traffic.answered}")
+        return [
+            f"LOST: {request_id} was sent {sent_s - stopped_s:.3f} s after SIGTERM, its"
+            f" connection ended {ended_s - sent_s:.3f} s later: {error}; it ran at"
+            f" {deployment.runs_of(request_id)}"
+            for request_id, sent_s, ended_s, error in traffic.unanswered
+            if sent_s >= stopped_s and ended_s - sent_s > LOSS_SLACK_S
+        ]
 
 
 if __name__ == "__main__":
--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -9,6 +9,7 @@
 import base64
 import json
 import os
+import select
 import shutil
 import signal
 import socket
@@ -17,6 +18,7 @@
 import tempfile
 import threading
 import time
+from collections import deque
 from http.client import HTTPConnection, HTTPException
 from pathlib import Path
 from urllib.parse import parse_qs, urlsplit
@@ -26,6 +28,8 @@
 HOST_NAME = "desk.example"
 HEARTBEAT_S = 1.5
 READY_TIMEOUT_S = 30.0
+PACKET_BYTES = 1_460
+WINDOW_BYTES = 64 * 1024
 HELD, BROKEN, NOT_RUN = 0, 1, 2
 # False when the case is played without the disruption.
 IS_TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -252,47 +256,86 @@
     sock.sendall(head.encode() + body)
 
 
-class Link(Server):
+class SlowLink(Server):
     """
-    A link to a server, which passes bytes on in both directions.
+    The link of one machine, with a bandwidth that all connections share.
 
-    While it is cut it drops what it gets, and resets nothing; what is sent on
-    a connection that was open then is lost.
+    Each direction is a queue: what was sent first arrives first, the end of a
+    connection included. A sender has at most a window of bytes on its way.
     """
 
-    def __init__(self, target):
+    def __init__(self, target, host="127.0.0.1", mbps=5.0, delay_s=0.008):
         self._target = target
-        self.is_cut = False
-        super().__init__()
+        self._bytes_per_s = mbps * 1e6 / 8
+        self._delay_s = delay_s
+        self._free_s = {"up": 0.0, "down": 0.0}
+        self._free_lock = threading.Lock()
+        # The longest wait of a byte for the link so far.
+        self.longest_wait_s = 0.0
+        super().__init__(host)
 
     def handle(self, sock):
-        if self.is_cut:
-            self._swallow(sock)
-            return
         with socket.create_connection(self._target) as other:
-            back = threading.Thread(
-                target=self._copy_quietly, args=(other, sock), daemon=True
-            )
-            back.start()
-            self._copy(sock, other)
-
-    def _copy_quietly(self, source, target):
-        try:
-            self._copy(source, target)
-        except OSError:
-            pass
+            other.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            ways = [("up", sock, other), ("down", other, sock)]
+            threads = [
+                threading.Thread(target=self._carry, args=way, daemon=True)
+                for way in ways
+            ]
+            for thread in threads:
+                thread.start()
+            for thread in threads:
+                thread.join()
+
+    def _reserve(self, way, size):
+        """Return when bytes that are sent now have passed the link."""
+        with self._free_lock:
+            now_s = time.monotonic()
+            begins_s = max(now_s, self._free_s[way])
+            self.longest_wait_s = max(self.longest_wait_s, begins_s - now_s)
+            self._free_s[way] = begins_s + size / self._bytes_per_s
+            return self._free_s[way] + self._delay_s
+
+    def _carry(self, way, source, target):
+        queue = deque()
+        changed = threading.Condition()
+        deliver = threading.Thread(
+            target=self._deliver, args=(queue, changed, target), daemon=True
+        )
+        deliver.start()
+        data = b"-"
+        while data:
+            with changed:
+                changed.wait_for(
+                    lambda: sum(len(part) for _, part in queue) < WINDOW_BYTES
+                )
+            try:
+                data = source.recv(PACKET_BYTES)
+            except OSError:
+                data = b""
+            with changed:
+                queue.append((self._reserve(way, len(data)), data))
+                changed.notify_all()
+        deliver.join()
 
-    def _copy(self, source, target):
-        while data := source.recv(65536):
-            if self.is_cut:
-                self._swallow(source)
+    def _deliver(self, queue, changed, target):
+        while True:
+            with changed:
+                changed.wait_for(lambda: queue)
+                due_s, data = queue[0]
+            time.sleep(max(0.0, due_s - time.monotonic()))
+            try:
+                if data:
+                    target.sendall(data)
+                else:
+                    target.shutdown(socket.SHUT_WR)
+            except OSError:
+                pass
+            with changed:
+                queue.popleft()
+                changed.notify_all()
+            if not data:
                 return
-            target.sendall(data)
-        target.shutdown(socket.SHUT_WR)
-
-    def _swallow(self, sock):
-        while sock.recv(65536):
-            pass
 
 
 class Request:
@@ -326,8 +369,6 @@
         self.slots = slots
         self.running = 0
         self.state = "ready"
-        # A server that leaves says so in all its answers.
-        self.is_leaving = False
         self.sequence = 0
         self.born = int(time.time() * 1000)
         self.work_s = 0.01
@@ -386,11 +427,10 @@
 
     def headers_of(self, request):
         """Return the headers of a response to a request that has run."""
-        headers = {
+        return {
             "Attempt-Id": request.request_id,
             "Response-Seal": f"seal.{request.request_id}",
         }
-        return headers | ({"Server-Leaving": "1"} if self.is_leaving else {})
 
     def registration(self):
         """Return the entry in the store."""
@@ -593,11 +633,9 @@
         self.backends = []
         internal = [free_port("127.0.0.11"), free_port("127.0.0.11")]
         ports = [free_port("127.0.0.11") for _ in range(3)]
-        # The links of the gateways to the store.
-        self.links = [Link(self.store.address) for _ in range(gateways)]
         self.gateways = [
-            Gateway(n, link.place, self.folder, internal, ports, **options)
-            for n, link in enumerate(self.links, 1)
+            Gateway(n, self.store.place, self.folder, internal, ports, **options)
+            for n in range(1, gateways + 1)
         ]
         self._is_open = True
         threading.Thread(target=self._beat, daemon=True).start()
@@ -613,8 +651,6 @@
             gateway.end()
         for backend in self.backends:
             backend.close()
-        for link in self.links:
-            link.close()
         self.store.close()
         shutil.rmtree(self.folder, ignore_errors=True)
 
@@ -694,8 +730,10 @@
 class Client:
     """A client with one connection, on which it may send several requests."""
 
-    def __init__(self, gateway, timeout_s=15.0):
-        self.sock = socket.create_connection(gateway.front, timeout=timeout_s)
+    def __init__(self, gateway, timeout_s=15.0, address=None):
+        self.sock = socket.create_connection(
+            address or gateway.front, timeout=timeout_s
+        )
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._file = self.sock.makefile("rb")
 
@@ -715,6 +753,12 @@
             return Answer(error=f"{type(error).__name__}: {error}")
         return Answer(int(line.split()[1]), headers, body)
 
+    @property
+    def is_ended(self):
+        """Tell whether the other side has closed the connection."""
+        readable, _, _ = select.select([self.sock], [], [], 0)
+        return bool(readable)
+
     def close(self):
         """Close the connection."""
         self.sock.close()
