Reject a body that goes on with a later response to another request

A server broke a response off and, 30 ms later, sent an earlier response of its own on the same connection.

Cause: whether the end of a body proves anything was decided when the head arrived. That bytes followed the end was known only to the parser when the body ended in a later read. Ruled out: that the search loses its place between reads, since a copy of the own response is found in pieces of one byte. With the end of the body at the end of a read nothing follows yet, so passing the bytes on is not enough.

Change, in both front ends: the part that ends a body carries what follows it; the id of any request counts then, and a status line that goes on behind the body. It also counts if the other response would end behind the body by its declared length, which is known as soon as its head has arrived.

--- a/src/cuminhatch/codecs/http1_parsers.py
+++ b/src/cuminhatch/codecs/http1_parsers.py
@@ -23,6 +23,9 @@
 # Framing bytes per chunk that don't count as chunk extensions: a chunk size of
 # up to 16 hexadecimal digits and two CRLFs.
 CHUNK_FRAMING_BYTES = 20
+# Bytes behind a response that are kept. Enough for a status line.
+TRAILING_DATA_MAX_BYTES = 512
+HEAD_END = b"\r\n\r\n"
 HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 # Headers that are not forwarded: the hop-by-hop headers of RFC 9110, section
@@ -309,8 +312,10 @@
         self._phrase = b""
         self._is_head_request = is_head_request
         self._is_close_delimited = False
+        self._has_length = False
         self._is_complete = False
         self._has_trailing_data = False
+        self._trailing_data = b""
 
     @property
     def is_close_delimited(self) -> bool:
@@ -326,6 +331,16 @@
         """
         return self._has_trailing_data
 
+    @property
+    def trailing_data(self) -> bytes:
+        """
+        Return the first bytes that followed a body with a length.
+
+        Only bytes of the read that completed the body are known. Empty for
+        other bodies, whose end is a part of their framing.
+        """
+        return self._trailing_data
+
     def feed(self, data: bytes) -> list[ParserEvent]:
         """
         Parse the next bytes.
@@ -340,6 +355,8 @@
         if self._is_complete and self._error is not None:
             self._error = None
             self._has_trailing_data = True
+        if self._has_trailing_data and self._has_length:
+            self._trailing_data = _find_trailing_data(data, events)
         return events
 
     def on_message_begin(self) -> None:
@@ -397,8 +414,9 @@
                 # decode the body.
                 self._fail(502, "transfer encoding is not supported")
             length = None
-        elif length is None:
-            self._is_close_delimited = True
+        else:
+            self._has_length = length is not None
+            self._is_close_delimited = length is None
         self._events.append(
             HeadParsed(
                 ResponseHead(status, phrase, self._get_end_to_end_headers()),
@@ -415,5 +433,22 @@
             self._events.append(MessageParsed())
 
 
+def _find_trailing_data(data: bytes, events: list[ParserEvent]) -> bytes:
+    """
+    Return the first bytes behind a body with a length that has ended.
+
+    :param data: bytes of the read that completed the body.
+    :param events: what they were parsed to.
+    """
+    body = b"".join(event.data for event in events if isinstance(event, BodyParsed))
+    if any(isinstance(event, HeadParsed) for event in events):
+        # The end of a head that began in an earlier read may be missing.
+        start = data.find(body, max(0, data.find(HEAD_END)))
+    else:
+        start = 0
+    end = start + len(body)
+    return data[end : end + TRAILING_DATA_MAX_BYTES]
+
+
 def _has_unsupported_encoding(encodings: list[bytes]) -> bool:
     return [encoding.lower() for encoding in encodings] != [b"chunked"]
--- a/src/cuminhatch/messages/attempts.py
+++ b/src/cuminhatch/messages/attempts.py
@@ -11,6 +11,7 @@
 from typing import NamedTuple
 
 from cuminhatch.codecs.http1 import RequestHead, ResponseHead
+from cuminhatch.decisions.response_copies import BodyPart
 from cuminhatch.messages.address import Address
 
 # Failure reason of an attempt that was not sent because this instance's share
@@ -102,7 +103,8 @@
     the response may be a repetition of an earlier one. ``has_trailing_data``
     is True if more bytes arrived behind the complete response.
     ``is_close_delimited`` is True if the body has no length and ends with the
-    connection.
+    connection. ``trailing_data`` are the first bytes behind a body with a
+    length, as far as they are known.
     """
 
     attempt_id: int
@@ -113,14 +115,32 @@
     is_reused: bool
     has_trailing_data: bool
     is_close_delimited: bool = False
+    trailing_data: bytes = b""
 
 
 class AttemptResponseBody(NamedTuple):
-    """Another part of the response body has arrived."""
+    """
+    Another part of the response body has arrived.
+
+    ``has_trailing_data`` and ``trailing_data`` are those of
+    :class:`AttemptResponse`.
+    """
 
     attempt_id: int
     data: bytes
     is_complete: bool
+    has_trailing_data: bool = False
+    trailing_data: bytes = b""
+
+
+def get_body_part(message: AttemptResponse | AttemptResponseBody) -> BodyPart:
+    """Return the part of a response body that a message brings."""
+    return BodyPart(
+        message.data,
+        message.is_complete,
+        message.has_trailing_data,
+        message.trailing_data,
+    )
 
 
 class AttemptFailed(NamedTuple):
--- a/src/cuminhatch/services/backends/_reports.py
+++ b/src/cuminhatch/services/backends/_reports.py
@@ -23,8 +23,8 @@
     What one read has brought of a response.
 
     ``parsed`` is the head if it has just arrived. ``is_reused``,
-    ``has_trailing_data`` and ``is_close_delimited`` are those of
-    :class:`AttemptResponse`.
+    ``has_trailing_data``, ``is_close_delimited`` and ``trailing_data`` are
+    those of :class:`AttemptResponse`.
     """
 
     parsed: HeadParsed | None
@@ -33,6 +33,7 @@
     is_reused: bool
     has_trailing_data: bool
     is_close_delimited: bool
+    trailing_data: bytes
 
 
 class Reports(NamedTuple):
@@ -68,10 +69,18 @@
                 part.is_reused,
                 part.has_trailing_data,
                 part.is_close_delimited,
+                part.trailing_data,
             )
             send(target, response)
         elif part.data or part.is_complete:
-            send(target, AttemptResponseBody(attempt_id, part.data, part.is_complete))
+            body = AttemptResponseBody(
+                attempt_id,
+                part.data,
+                part.is_complete,
+                part.has_trailing_data,
+                part.trailing_data,
+            )
+            send(target, body)
         return ""
 
     def on_failed(reason: str, is_sent: bool, is_reused: bool) -> None:
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -293,6 +293,7 @@
             connection.is_reused,
             attempt.parser.has_trailing_data,
             attempt.parser.is_close_delimited,
+            attempt.parser.trailing_data,
         )
         fault = attempt.reports.on_part(part)
         if fault:
--- a/src/cuminhatch/services/dispatch/_attempt_responses.py
+++ b/src/cuminhatch/services/dispatch/_attempt_responses.py
@@ -23,6 +23,7 @@
     LoadObserved,
     ResponseBody,
 )
+from cuminhatch.messages.attempts import get_body_part
 from cuminhatch.services.dispatch._admission_queues import (
     refresh_and_start_waiting,
     start_waiting_requests,
@@ -67,9 +68,10 @@
         record.attempt_tag,
         message.is_close_delimited or message.has_trailing_data,
         read_attempt_ids,
+        None if record.head.method == b"HEAD" else message.body_length,
     )
     fault = check_response(record, message, parsed)
-    if not fault and record.find_copy(message.data, message.is_complete):
+    if not fault and record.find_copy(get_body_part(message)):
         fault = ANOTHER_RESPONSE_IN_BODY
     if fault:
         reject_response(state, record, fault)
@@ -210,7 +212,7 @@
         start_waiting_requests(state, record.pool)
         return
     data, is_complete = message.data, message.is_complete
-    if record.find_copy(data, is_complete):
+    if record.find_copy(get_body_part(message)):
         count_server_failure(state, record.pool, record.view)
         cancel_attempt(state, record)
         abort_response(state, record, ANOTHER_RESPONSE_IN_BODY)
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -6,7 +6,7 @@
 from cuminhatch.codecs.http1 import Header, ResponseHead
 from cuminhatch.decisions.not_run_promise import is_unproven_promise
 from cuminhatch.decisions.placement import is_full
-from cuminhatch.decisions.response_copies import make_copy_finder
+from cuminhatch.decisions.response_copies import BodyPart, make_copy_finder
 from cuminhatch.decisions.response_origin import (
     ResponseEvidence,
     is_own_response,
@@ -32,6 +32,7 @@
     ATTEMPT_WITHDRAWN,
     CONNECTION_LIMIT,
     SERVER_EVACUATED,
+    get_body_part,
 )
 from cuminhatch.services._stream import CONNECTION_CLOSED, CONNECTION_FAILED
 from cuminhatch.services.forwarding._admission import (
@@ -101,6 +102,7 @@
         exchange.facts.request_id,
         message.is_close_delimited or message.has_trailing_data,
         partial(read_request_ids, state),
+        None if exchange.head.method == b"HEAD" else message.body_length,
     )
     if facts.is_not_executed:
         handle_not_run(state, exchange, attempt, facts, message)
@@ -109,7 +111,7 @@
     if is_unproven_promise(message.head.status, exchange.is_idempotent, False):
         handle_unproven_refusal(state, exchange, attempt, message)
         return
-    add_response_data(state, exchange, attempt, message.data, message.is_complete)
+    add_response_data(state, exchange, attempt, get_body_part(message))
 
 
 def check_response(attempt: Attempt) -> str:
@@ -180,7 +182,7 @@
     message: AttemptResponse,
 ) -> None:
     """Retry a request that the backend server has not executed."""
-    if attempt.find_copy(message.data, message.is_complete):
+    if attempt.find_copy(get_body_part(message)):
         # The other response may be that of a run.
         reject_response(state, exchange, attempt, ANOTHER_RESPONSE_IN_BODY)
         return
@@ -225,26 +227,25 @@
     """Buffer or forward a part of a response body."""
     found = find_attempt(state, message.attempt_id)
     if found is not None:
-        add_response_data(state, *found, message.data, message.is_complete)
+        add_response_data(state, *found, get_body_part(message))
 
 
 def add_response_data(
     state: ForwardingState,
     exchange: Exchange,
     attempt: Attempt,
-    data: bytes,
-    is_complete: bool,
+    part: BodyPart,
 ) -> None:
     """Buffer or forward a part of a response body; finish a complete one."""
-    attempt.response_bytes += len(data)
-    if attempt.find_copy(data, is_complete):
+    attempt.response_bytes += len(part.data)
+    if attempt.find_copy(part):
         reject_response(state, exchange, attempt, ANOTHER_RESPONSE_IN_BODY)
         return
     if exchange.stage is Stage.ANSWERING:
-        forward_response_data(state, exchange, attempt, data, is_complete)
+        forward_response_data(state, exchange, attempt, part.data, part.is_complete)
         return
-    attempt.body_parts.append(data)
-    if is_complete:
+    attempt.body_parts.append(part.data)
+    if part.is_complete:
         finish_response(state, exchange, attempt)
     elif (
         max(attempt.response_bytes, attempt.body_length or 0)
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -114,6 +114,24 @@
     assert sum(type(event) is MessageParsed for event in events) == 1
 
 
+@pytest.mark.parametrize("cut", range(len(TWO) + 2))
+def test_bytes_behind_a_body_are_kept(cut):
+    """Guards against bytes of a body among those behind it."""
+    parser = ResponseParser(is_head_request=False)
+    data = TWO + b"ab" + OK
+    parser.feed(data[:cut])
+    parser.feed(data[cut:])
+    assert parser.trailing_data == OK
+
+
+@pytest.mark.parametrize("first_line", [CHUNKED + b"0\r\n\r\n", OK + b"\r\nab"])
+def test_bytes_behind_other_bodies_are_not_known(first_line):
+    """Guards against chunk framing that counts as bytes behind a body."""
+    parser = ResponseParser(is_head_request=False)
+    parser.feed(first_line + OK)
+    assert parser.trailing_data == b""
+
+
 @pytest.mark.parametrize(
     "data",
     [
--- a/tests/decisions/test_response_copies.py
+++ b/tests/decisions/test_response_copies.py
@@ -5,6 +5,7 @@
 from cuminhatch.decisions.response_copies import (
     HEADER_LINE_MAX_BYTES,
     STATUS_LINE_MAX_BYTES,
+    BodyPart,
     make_copy_finder,
 )
 
@@ -20,8 +21,8 @@
     find_copy = make_copy_finder(expected_id, is_end_uncertain, read_ids)
     step = step or len(body) or 1
     parts = [body[at : at + step] for at in range(0, len(body), step)]
-    found = [find_copy(part, False) for part in parts]
-    return any(found) or find_copy(b"", True)
+    found = [find_copy(BodyPart(part, False)) for part in parts]
+    return any(found) or find_copy(BodyPart(b"", True))
 
 
 @pytest.mark.parametrize("step", [0, 1, 2, 7, 16])
@@ -92,3 +93,56 @@
 def test_empty_id_names_no_request():
     """Guards against rejected responses to requests without an id."""
     assert not has_copy(OWN_HEAD.replace(b"7", b""), expected_id=b"")
+
+
+def find_in_parts(finder, *parts):
+    return [finder(part) for part in parts]
+
+
+def make_other_response(size):
+    """Return a response to another request with a body of this size."""
+    length = b"Content-Length: %d\r\n" % size
+    return OTHER_HEAD[:-2] + length + b"\r\n" + b"y" * size
+
+
+@pytest.mark.parametrize("step", [0, 1, 7])
+@pytest.mark.parametrize("missing_bytes", [1, 20])
+def test_response_of_another_request_that_ends_behind_the_body(missing_bytes, step):
+    """Guards against a body filled up with another caller's (MIXED)."""
+    body = b"begin " + make_other_response(size=20)[:-missing_bytes]
+    finder = make_copy_finder(b"7", False, read_ids, len(body))
+    step = step or len(body)
+    parts = [BodyPart(body[at : at + step], False) for at in range(0, len(body), step)]
+    assert any(find_in_parts(finder, *parts))
+
+
+@pytest.mark.parametrize("step", [0, 1, 7])
+def test_response_of_another_request_that_ends_with_the_body(step):
+    """Guards against rejected bodies about responses."""
+    body = b"begin " + make_other_response(size=20)
+    finder = make_copy_finder(b"7", False, read_ids, len(body))
+    step = step or len(body)
+    parts = [BodyPart(body[at : at + step], False) for at in range(0, len(body), step)]
+    assert not any(find_in_parts(finder, *parts, BodyPart(b"", True)))
+
+
+def test_response_of_another_request_counts_once_bytes_follow_the_body():
+    """Guards against an end that proves nothing in a later part (MIXED)."""
+    finder = make_copy_finder(b"7", False, read_ids)
+    first, last = BodyPart(b"x" + OTHER_HEAD, False), BodyPart(b"y", True, True)
+    assert find_in_parts(finder, first, last) == [False, True]
+
+
+@pytest.mark.parametrize("size", range(1, len(b"HTTP/1.1 200 OK\r\n")))
+def test_status_line_that_goes_on_behind_the_body(size):
+    """Guards against the begin of a status line in a body (MIXED)."""
+    body, behind = b"x" + OTHER_HEAD[:size], OTHER_HEAD[size:]
+    finder = make_copy_finder(b"7", False, read_ids, len(body))
+    assert finder(BodyPart(body, True, True, behind))
+
+
+@pytest.mark.parametrize("body", [b"x", b"xH", b"x HTTP/1.", b"HTTP/1.1 2"])
+def test_status_line_behind_the_body(body):
+    """Guards against a whole body that is rejected for what follows it."""
+    finder = make_copy_finder(b"7", False, read_ids, len(body))
+    assert not finder(BodyPart(body, True, True, OTHER_HEAD))
--- a/tests/services/test_stale_responses.py
+++ b/tests/services/test_stale_responses.py
@@ -200,6 +200,96 @@
     peer.run_until(lambda: peer.is_closed)
 
 
+def break_off(front_end, missing_bytes):
+    """Begin a read, and let its response break off before the given bytes."""
+    peer, own_id = begin_read(front_end)
+    whole = front_end.success(own_id, b"x" * 300)
+    peer.send(whole[:-missing_bytes])
+    for _ in range(5):
+        front_end.kernel.tick(0)
+    return peer
+
+
+def make_other_response(front_end, shape):
+    """Return an earlier response to another request."""
+    other = front_end.success(b"999", b"y" * 300)
+    return without_length(other) if shape == "until end" else other
+
+
+# The response of the other request ends within the first bytes that are
+# missing, in its status line, its head or its body.
+@pytest.mark.parametrize("missing_bytes", [3, 12, 30, 45, 200])
+@pytest.mark.parametrize("shape", ["length", "until end"])
+def test_later_response_of_another_request_is_no_body(gateway, shape, missing_bytes):
+    """Guards against a body that goes on with another caller's (MIXED)."""
+    peer = break_off(gateway, missing_bytes)
+    peer.send(make_other_response(gateway, shape))
+    assert finish_on_new_connection(gateway, b"sent again").data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("missing_bytes", [3, 12, 30, 45, 200])
+@pytest.mark.parametrize("shape", ["length", "until end"])
+def test_later_response_of_another_request_aborts_a_forwarded_one(
+    daemon, shape, missing_bytes
+):
+    """Guards against a response that looks whole with another in it."""
+    peer = break_off(daemon, missing_bytes)
+    peer.send(make_other_response(daemon, shape))
+    received = daemon.world.received["callers"]
+    run_until(daemon.kernel, lambda: ResponseAborted in map(type, received))
+    assert not any(getattr(message, "is_complete", False) for message in received)
+    peer.run_until(lambda: peer.is_closed)
+
+
+@pytest.mark.parametrize("step", [1, 7, 100])
+def test_later_response_of_another_request_in_pieces_is_no_body(gateway, step):
+    """Guards against a body whose end meets the end of a part read (MIXED)."""
+    peer = break_off(gateway, 200)
+    peer.send(make_other_response(gateway, "length"), step=step)
+    assert finish_on_new_connection(gateway, b"sent again").data == b"sent again"
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_write_that_breaks_off_before_another_response_is_unknown(gateway):
+    """Guards against a second run, or a not-run, of a write that ran."""
+    gateway.request("write")
+    peer = gateway.accept()
+    peer.send(gateway.success(gateway.receive(peer), b"x" * 300)[:-200])
+    for _ in range(5):
+        gateway.kernel.tick(0)
+    peer.send(make_other_response(gateway, "length"))
+    final = gateway.take_final()
+    assert final.outcome is Outcome.UNKNOWN
+    assert not is_not_run(final)
+    assert not gateway.has_new_connection()
+
+
+@pytest.mark.parametrize("shape", ["length", "until end"])
+def test_streamed_response_with_another_response_in_it_is_aborted(front_end, shape):
+    """Guards against a long response that ends with another caller's."""
+    peer, own_id = begin_read(front_end)
+    whole = front_end.success(own_id, b"x" * (RESPONSE_BUFFER_MAX_BYTES + 1000))
+    received = front_end.world.received["callers"]
+    peer.send(whole[:-200])
+    run_until(front_end.kernel, lambda: ResponseStarted in map(type, received))
+    peer.send(make_other_response(front_end, shape))
+    run_until(front_end.kernel, lambda: ResponseAborted in map(type, received))
+    assert not any(getattr(message, "is_complete", False) for message in received)
+    peer.run_until(lambda: peer.is_closed)
+
+
+def test_whole_response_before_another_one_is_returned(front_end):
+    """Guards against a whole body that is rejected for what follows it."""
+    peer, own_id = begin_read(front_end)
+    # It ends like the begin of a status line.
+    body = b"x" * 100 + b"HTTP/1."
+    peer.send(
+        front_end.success(own_id, body) + make_other_response(front_end, "length")
+    )
+    assert front_end.take_final().data == body
+
+
 @pytest.mark.parametrize("step", [1, 7])
 @pytest.mark.parametrize("has_length", [True, False])
 def test_copy_in_pieces_is_no_body(gateway, has_length, step):
--- a/tests/services/test_stuttering_servers.py
+++ b/tests/services/test_stuttering_servers.py
@@ -68,6 +68,8 @@
         # (step, bytes) by connection; None for bytes closes it.
         self.unsent = defaultdict(list)
         self.runs = Counter()
+        # The latest response to another request.
+        self.earlier = b""
 
     def advance(self):
         """Accept connections, read requests and send what is due."""
@@ -118,10 +120,13 @@
             parts = [drop_length(whole), None]
         elif kind < 0.85:
             parts = [drop_length(whole) + whole, None]
-        elif kind < 0.95:
+        elif kind < 0.9:
             parts = [whole[:-MISSING_BYTES] + whole]
+        elif kind < 0.95:
+            parts = [whole[:-MISSING_BYTES], self.earlier or None]
         else:
             parts = [whole[:-MISSING_BYTES], None]
+        self.earlier = whole
         for part in parts:
             self.unsent[sock].append((due, part))
             due += self.rng.choice((0, 1, 2, 6))
