Let no key count once a configuration lists no team

Cause: the decoder took an empty list for a document without teams, for which nothing is checked. Ruled out: a version that was not in force yet (the key of the version before counted no more than an unknown one), and services that take an empty table for none (they refused with 401 before the fix, for new and waiting requests).

Change: only a document without the member needs no keys. null is malformed, as it is for routes and services, so that the version in force stays. "config check" warns of an empty list and tells what becomes of requests.

--- a/src/cuminhatch/decisions/configuration_changes.py
+++ b/src/cuminhatch/decisions/configuration_changes.py
@@ -327,10 +327,13 @@
 def _find_team_changes(draft: Draft, in_force: Draft) -> Iterator[Finding]:
     if draft.teams is None:
         if in_force.teams is not None:
-            message = "all teams removed; every route is open to callers without a key"
+            message = "no teams any more; every route is open to callers without a key"
             yield Finding(CHANGE, "tenants", "", "", message)
         return
-    if in_force.teams is None:
+    if not draft.teams and in_force.teams != draft.teams:
+        message = "no team is left; all requests get 401, except on anonymous routes"
+        yield Finding(CHANGE, "tenants", "", "", message)
+    elif in_force.teams is None:
         message = (
             "the first teams; requests without a key of one get 401, except on "
             "anonymous routes"
--- a/src/cuminhatch/decisions/configuration_check.py
+++ b/src/cuminhatch/decisions/configuration_check.py
@@ -138,6 +138,7 @@
             findings += _check_split(route)
             findings += _check_route_limits(route, limits)
     findings += _find_anonymous_routes(draft)
+    findings += _find_missing_teams(draft)
     for service in draft.services:
         if service.is_usable:
             findings += _check_warmup(service)
@@ -384,6 +385,14 @@
             yield Finding(WARNING, route.place, "is_anonymous", "true", message, hint)
 
 
+def _find_missing_teams(draft: Draft) -> Iterator[Finding]:
+    if draft.teams is None or draft.teams:
+        return
+    message = "lists no team, so all requests get 401, except on anonymous routes"
+    hint = "leave the list out if callers need no key"
+    yield Finding(WARNING, "tenants", "", "", message, hint)
+
+
 def _check_warmup(entry: ServiceEntry) -> Iterator[Finding]:
     rate = entry.spec.warmup_rate
     if rate > 0 and entry.warmup_ms == 0:
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -253,8 +253,13 @@
 def _decode_teams(
     document: dict[str, Any], refused: list[RefusedEntry]
 ) -> tuple[Mapping[str, Team] | None, dict[bytes, str]]:
-    """Return the teams by id, or None, and their ids by credential."""
-    if document.get("tenants") in (None, []):
+    """
+    Return the teams by id, or None, and their ids by credential.
+
+    Callers need no credential only if the document does not list teams at
+    all. With an empty list no credential is known.
+    """
+    if "tenants" not in document:
         return None, {}
     teams: dict[str, Team] = {}
     team_ids_by_key: dict[bytes, str] = {}
--- a/src/cuminhatch/platform/drafts.py
+++ b/src/cuminhatch/platform/drafts.py
@@ -170,7 +170,7 @@
         _read_version(document.get("base-version")),
         routes,
         services,
-        teams or None,
+        teams if isinstance(document.get("tenants"), list) else None,
         _read_limits(document),
     )
     return DraftRead(draft, tuple(findings), is_accepted)
--- a/tests/decisions/test_configuration_check.py
+++ b/tests/decisions/test_configuration_check.py
@@ -236,3 +236,7 @@
     some, none = make_draft(), make_draft(teams=None)
     assert "open to callers without a key" in list_messages(none, some)[0]
     assert "get 401" in list_messages(some, none)[0]
+    empty = make_draft(teams=())
+    for in_force in (some, none):
+        assert "all requests get 401" in list_messages(empty, in_force)[0]
+    assert "open to callers without a key" in list_messages(none, empty)[0]
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -12,7 +12,13 @@
 )
 from cuminhatch.decisions.catalog import CatalogChange
 from cuminhatch.decisions.configuration import Team, TrafficPart
-from cuminhatch.decisions.credentials import digest_credential
+from cuminhatch.decisions.credentials import (
+    UNKNOWN_CREDENTIAL,
+    AccessDenied,
+    AccessGranted,
+    check_access,
+    digest_credential,
+)
 from cuminhatch.decisions.store_version import (
     NO_VERSION,
     ConfigurationVersion,
@@ -123,6 +129,8 @@
         {"services": None},
         {"services": {}},
         {"tenants": {"name": "t"}},
+        {"tenants": None},
+        {"tenants": False},
     ],
 )
 def test_malformed_configuration_is_rejected(fields):
@@ -194,10 +202,20 @@
     assert found == {b"a": "t-1", b"b": "t-1", b"c": "t-2"}
 
 
-@pytest.mark.parametrize("fields", [{}, {"tenants": []}, {"tenants": None}])
-def test_document_without_teams_needs_no_credentials(fields):
+def test_document_without_teams_needs_no_credentials():
     """Guards against 401 in deployments that know no teams."""
-    assert decode(**fields).configuration.teams is None
+    assert decode().configuration.teams is None
+
+
+@pytest.mark.parametrize("key", [b"", b"a", b"removed"])
+def test_document_with_an_empty_list_of_teams_knows_no_key(key):
+    """Guards against a service that opens with its last team gone (ROUTE)."""
+    configuration = decode(tenants=[]).configuration
+    rule = configuration.rules["r-1"]
+    access = check_access(configuration, rule, digest_credential(key) if key else b"")
+    assert access == AccessDenied(401, UNKNOWN_CREDENTIAL)
+    anonymous = rule._replace(is_anonymous=True)
+    assert check_access(configuration, anonymous, b"") == AccessGranted(None)
 
 
 def test_redacted_document_is_the_same_configuration_without_keys():
--- a/tests/services/test_credentials.py
+++ b/tests/services/test_credentials.py
@@ -76,6 +76,25 @@
     assert not world.take_attempts()
 
 
+@pytest.mark.parametrize("headers", [(), KEY_1, ((b"key", b"key-3"),)])
+def test_request_is_401_once_the_last_team_is_removed(world, headers):
+    """Guards against keys that are not checked, and passed on (UNASKED)."""
+    configure(world, keys={})
+    world.request("read", headers=headers)
+    refusal = take_refusal(world)
+    assert (refusal.status, refusal.reason) == (401, "unknown-credential")
+    assert not world.take_attempts()
+
+
+def test_waiting_request_is_401_once_the_last_team_is_removed(world):
+    """Guards against a request that runs with a key that was withdrawn."""
+    measured = start_waiting(world)
+    configure(world, keys={})
+    world.tell(measured)
+    assert take_refusal(world).status == 401
+    assert not world.take_attempts()
+
+
 @pytest.mark.parametrize("headers", [(), KEY_1, ((b"key", b"key-3"),)])
 def test_anonymous_rule_needs_no_key(world, headers):
     """Guards against a key or a team that an anonymous rule passes on."""
