Run no pipelined request behind a response that may be streamed

A caller sent four safe requests behind a download.

Cause: the listener passes up to eight requests on at once without knowing what their responses are. Ruled out: the end of the stop as the place to mend, since the four were passed on before the SIGTERM and their responses can't overtake the download.

Change: the listener asks forwarding for each pipelined request. It is allowed unless the response before it may be streamed: by the kind of its route, by an earlier streamed response of its rule, or because it is being streamed. A request that waits has not run, and its caller sends it again. Short responses are pipelined as before, for two messages within the process.

--- a/src/cuminhatch/decisions/configuration.py
+++ b/src/cuminhatch/decisions/configuration.py
@@ -40,7 +40,8 @@
     the highest. ``servers_max`` limits the number of backend servers that one
     request is sent to.
 
-    ``is_upload`` marks requests with long bodies. Requests of a rule that
+    ``is_upload`` marks requests with long bodies, ``has_long_responses`` those
+    whose responses are long. Requests of a rule that
     ``is_anonymous`` need no credential. ``fault`` says why the rule cannot be
     used and is empty if it can; its requests are refused.
 
@@ -63,6 +64,7 @@
     priority: int = 0
     servers_max: int = 3
     is_upload: bool = False
+    has_long_responses: bool = False
     is_anonymous: bool = False
     fault: str = ""
 
--- a/src/cuminhatch/messages/requests.py
+++ b/src/cuminhatch/messages/requests.py
@@ -53,9 +53,30 @@
     request_id: int
 
 
+class PipeliningRequested(NamedTuple):
+    """
+    The caller has sent another request behind this one.
+
+    It waits for :class:`PipeliningAllowed` or the end of the response.
+    """
+
+    request_id: int
+
+
 # From the service that handles requests to the listener.
 
 
+class PipeliningAllowed(NamedTuple):
+    """
+    The next request of the connection may be forwarded before the response.
+
+    Not sent if the response may be streamed. The responses behind it would
+    have to wait for its end, for longer than a planned stop takes.
+    """
+
+    request_id: int
+
+
 class ResponseStarted(NamedTuple):
     """
     A response starts, with the body available so far.
--- a/src/cuminhatch/platform/documents.py
+++ b/src/cuminhatch/platform/documents.py
@@ -29,7 +29,8 @@
 from cuminhatch.errors import CodecError
 
 VERSION_PREFIX = "r"
-SAFE_ROUTE_KINDS = frozenset({"safe", "download"})
+DOWNLOAD_KIND = "download"
+SAFE_ROUTE_KINDS = frozenset({"safe", DOWNLOAD_KIND})
 UPLOAD_KIND = "upload"
 ROUTE_KINDS = SAFE_ROUTE_KINDS | {"unsafe", UPLOAD_KIND}
 API_KEYS_FIELD = "api-keys"
@@ -246,6 +247,7 @@
             1, _get_optional(item, "max-attempts", _get_integer, INT32_MAX) or 1
         ),
         is_upload=kind == UPLOAD_KIND,
+        has_long_responses=kind == DOWNLOAD_KIND,
         is_anonymous=_get_flag(item, "anonymous"),
     )
 
--- a/src/cuminhatch/services/forwarding/_requests.py
+++ b/src/cuminhatch/services/forwarding/_requests.py
@@ -9,6 +9,8 @@
 from cuminhatch.messages import (
     AttemptRequestBody,
     CallerDisconnected,
+    PipeliningAllowed,
+    PipeliningRequested,
     RequestBody,
     RequestReadPaused,
     RequestReceived,
@@ -139,6 +141,25 @@
     state.increment("requests_refused_total", {"reason": reason})
 
 
+def on_pipelining_requested(
+    state: ForwardingState, message: PipeliningRequested
+) -> None:
+    """Allow the next request unless the response may be streamed."""
+    exchange = state.exchanges.get(message.request_id)
+    if exchange is None or not may_stream(state, exchange):
+        state.send("callers", PipeliningAllowed(message.request_id))
+
+
+def may_stream(state: ForwardingState, exchange: Exchange) -> bool:
+    """Tell whether the response to a request is, or may be, streamed."""
+    rule = exchange.rule
+    return (
+        exchange.stage is Stage.ANSWERING
+        or rule.has_long_responses
+        or rule.rule_id in state.streamed_rule_ids
+    )
+
+
 def on_request_body(state: ForwardingState, message: RequestBody) -> None:
     """Forward a part of a body, or buffer it until an attempt starts."""
     exchange = state.exchanges.get(message.request_id)
--- a/src/cuminhatch/services/forwarding/_responses.py
+++ b/src/cuminhatch/services/forwarding/_responses.py
@@ -329,6 +329,7 @@
     cancel_attempts(state, exchange, kept=attempt)
     exchange.stage = Stage.ANSWERING
     exchange.streaming_attempt = attempt
+    state.streamed_rule_ids.add(exchange.rule.rule_id)
     record_streaming(state, exchange, attempt)
     data = b"".join(attempt.body_parts)
     attempt.body_parts.clear()
--- a/src/cuminhatch/services/forwarding/_servers.py
+++ b/src/cuminhatch/services/forwarding/_servers.py
@@ -46,6 +46,7 @@
     previous, state.configuration = state.configuration, message.configuration
     if previous.rules is not message.configuration.rules:
         state.match_rule = make_router(message.configuration)
+        state.streamed_rule_ids &= message.configuration.rules.keys()
     note_access_change(state, previous)
     for service_id in message.configuration.services:
         if service_id not in state.pools:
--- a/src/cuminhatch/services/forwarding/_state.py
+++ b/src/cuminhatch/services/forwarding/_state.py
@@ -126,6 +126,8 @@
         self.senders = Senders(settings.instance_id, kernel.clock.now_ms)
         self.stop = NO_STOP
         self.is_stop_limit_reached = False
+        # Rules of which a response has been streamed.
+        self.streamed_rule_ids: set[str] = set()
         self.configuration: Configuration = EMPTY_CONFIGURATION
         self.match_rule = make_router(EMPTY_CONFIGURATION)
         # Changes whenever access to services may have changed.
--- a/src/cuminhatch/services/forwarding/service.py
+++ b/src/cuminhatch/services/forwarding/service.py
@@ -14,6 +14,7 @@
     ConfigurationChanged,
     DrainLimitReached,
     GaugesRequested,
+    PipeliningRequested,
     RequestBody,
     RequestFailed,
     RequestReceived,
@@ -44,6 +45,7 @@
 )
 from cuminhatch.services.forwarding._requests import (
     on_caller_disconnected,
+    on_pipelining_requested,
     on_request_body,
     on_request_received,
 )
@@ -127,6 +129,7 @@
             GaugesRequested: on_gauges_requested,
             RequestReceived: on_request_received,
             RequestBody: on_request_body,
+            PipeliningRequested: on_pipelining_requested,
             CallerDisconnected: on_caller_disconnected,
             ExchangeTimedOut: on_exchange_timed_out,
             HedgeDue: on_hedge_due,
--- a/src/cuminhatch/services/http_listener/_requests.py
+++ b/src/cuminhatch/services/http_listener/_requests.py
@@ -9,6 +9,8 @@
 )
 from cuminhatch.messages import (
     CallerDisconnected,
+    PipeliningAllowed,
+    PipeliningRequested,
     RequestBody,
     RequestReadPaused,
     RequestReadResumed,
@@ -114,7 +116,9 @@
     Tell whether the next request may start before earlier ones end.
 
     Only complete requests with a safe method may: if the connection closes,
-    callers resend pipelined requests, and these may then run twice.
+    callers resend pipelined requests, and these may then run twice. None may
+    behind a response that is or may be streamed: it could wait for longer than
+    a planned stop takes.
     """
     last_exchange = connection.last_exchange
     is_next_allowed = (
@@ -124,11 +128,35 @@
     )
     if not is_next_allowed or state.is_stop_announced:
         return False
+    if connection.exchange.is_response_started:
+        return False
     if len(connection.pipelined_exchanges) + 1 >= state.limits.pipelined:
         return False
     parsed = connection.parsed_events[0]
     is_safe = parsed.head.method in SAFE_METHODS and parsed.body_length == 0
-    return is_safe and not is_write_buffer_full(connection)
+    if not is_safe or is_write_buffer_full(connection):
+        return False
+    request_pipelining(state, last_exchange)
+    return last_exchange.is_pipelining_allowed
+
+
+def request_pipelining(state: ListenerState, exchange: Exchange) -> None:
+    """Ask once whether a request behind another may be forwarded."""
+    if not exchange.is_pipelining_requested:
+        exchange.is_pipelining_requested = True
+        state.send(state.target, PipeliningRequested(exchange.request_id))
+
+
+def on_pipelining_allowed(state: ListenerState, message: PipeliningAllowed) -> None:
+    """Forward the request behind another one."""
+    connection = state.connections_by_request.get(message.request_id)
+    if connection is None:
+        return
+    exchange = connection.last_exchange
+    if exchange.request_id == message.request_id:
+        exchange.is_pipelining_allowed = True
+        process_events(state, connection)
+        update_reading(connection)
 
 
 def start_pipelined_exchange(state: ListenerState, connection: Connection) -> None:
--- a/src/cuminhatch/services/http_listener/_state.py
+++ b/src/cuminhatch/services/http_listener/_state.py
@@ -74,6 +74,10 @@
         self.is_continue_pending = parsed.is_continue_expected
         self.is_request_complete = False
         self.is_response_started = False
+        # Whether a request behind this one may be forwarded before the
+        # response, which the target service is asked once.
+        self.is_pipelining_requested = False
+        self.is_pipelining_allowed = False
         self.is_chunked = False
         # Bytes of the response body that are still to be sent; None if it has
         # no length or no body.
--- a/src/cuminhatch/services/http_listener/service.py
+++ b/src/cuminhatch/services/http_listener/service.py
@@ -14,6 +14,7 @@
     DrainFinished,
     DrainLimitReached,
     DrainStarted,
+    PipeliningAllowed,
     RequestReadPaused,
     RequestReadResumed,
     RequestRefused,
@@ -29,6 +30,7 @@
 )
 from cuminhatch.services.http_listener._requests import (
     on_data,
+    on_pipelining_allowed,
     on_read_paused,
     on_read_resumed,
 )
@@ -106,6 +108,7 @@
             RequestRefused: on_request_refused,
             RequestReadPaused: on_read_paused,
             RequestReadResumed: on_read_resumed,
+            PipeliningAllowed: on_pipelining_allowed,
             DrainLimitReached: on_drain_limit_reached,
         }
         table = {
--- a/tests/services/_loopback.py
+++ b/tests/services/_loopback.py
@@ -9,6 +9,8 @@
     CallerDisconnected,
     CallerResumed,
     CallerStalled,
+    PipeliningAllowed,
+    PipeliningRequested,
     RequestBody,
     RequestReceived,
     ResponseStarted,
@@ -78,6 +80,7 @@
 
     name = "answers"
     is_echoing = True
+    allows_pipelining = True
 
     def __init__(self, kernel):
         super().__init__(kernel)
@@ -88,6 +91,7 @@
         return {
             RequestReceived: self.on_request,
             RequestBody: self.on_request,
+            PipeliningRequested: self.on_pipelining_requested,
             CallerDisconnected: self.messages.append,
             CallerStalled: self.messages.append,
             CallerResumed: self.messages.append,
@@ -100,6 +104,11 @@
     def count(self, kind):
         return sum(type(message) is kind for message in self.messages)
 
+    def on_pipelining_requested(self, message):
+        self.messages.append(message)
+        if self.allows_pipelining:
+            self.send("callers", PipeliningAllowed(message.request_id))
+
     def on_request(self, message):
         self.messages.append(message)
         body = self.bodies.setdefault(message.request_id, bytearray())
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -18,6 +18,8 @@
     DrainFinished,
     DrainLimitReached,
     DrainStarted,
+    PipeliningAllowed,
+    PipeliningRequested,
     RequestBody,
     RequestReadPaused,
     RequestReadResumed,
@@ -597,6 +599,32 @@
     assert len(pipelined.target.heads) == 1
 
 
+def test_nothing_is_forwarded_ahead_of_its_turn_unless_it_is_allowed(pipelined):
+    """Guards against a request behind a response that may be streamed."""
+    pipelined.target.allows_pipelining = False
+    peer = pipelined.begin(GET % 1 + GET % 2)
+    run_ticks(pipelined.kernel, 10)
+    assert len(pipelined.target.heads) == 1
+    assert pipelined.target.count(PipeliningRequested) == 1
+    pipelined.target.respond(1, b"first")
+    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
+    # An answer that comes too late changes nothing.
+    pipelined.send(PipeliningAllowed(1))
+    pipelined.target.respond(2, b"second")
+    peer.run_until(lambda: peer.received.endswith(b"second"))
+
+
+def test_nothing_is_forwarded_behind_a_response_that_has_begun(pipelined):
+    """Guards against a request behind a response that is streamed."""
+    peer = pipelined.begin(GET % 1)
+    pipelined.target.respond(1, b"part", is_complete=False, length=100)
+    peer.run_until(lambda: b"part" in peer.received)
+    peer.send(GET % 2)
+    pipelined.send(PipeliningAllowed(1))
+    run_ticks(pipelined.kernel, 10)
+    assert len(pipelined.target.heads) == 1
+
+
 def test_nothing_is_forwarded_after_connection_close(pipelined):
     """Guards against a request whose response cannot be sent."""
     closing = b"GET /1 HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n"
--- a/tests/services/test_planned_stop.py
+++ b/tests/services/test_planned_stop.py
@@ -19,10 +19,10 @@
     StopScheduled,
 )
 from cuminhatch.outcomes import Outcome
-from cuminhatch.services.http_listener import HttpListener
+from cuminhatch.services.http_listener import HttpListener, ListenerLimits
 from cuminhatch.services.supervisor import Supervisor
 from tests.services._loopback import connect
-from tests.services.forwarding_world import ForwardingWorld, make_server
+from tests.services.forwarding_world import RULES, ForwardingWorld, make_server
 from tests.services.front_ends import Daemon, FrontEnd, Gateway, is_not_run
 
 # Those of a gateway with 6 s from SIGTERM to SIGKILL.
@@ -32,6 +32,10 @@
     b"POST /%s/x HTTP/1.1\r\nHost: h\r\nid: %d\r\nwait: %d\r\ncontent-length: 0\r\n\r\n"
 )
 LONG_WAIT_MS = 20_000
+DOWNLOAD = RULES["read"]._replace(
+    rule_id="download", path_prefix="/download/", has_long_responses=True
+)
+STREAMED_BYTES = 300 * 1024
 
 
 class StoppingWorld(ForwardingWorld):
@@ -44,7 +48,12 @@
         self.kernel.register(
             Supervisor(self.kernel, ANNOUNCE_MS, LIMIT_MS, ("callers",))
         )
-        self.listener = HttpListener(self.kernel, Address("127.0.0.1", 0), "forwarding")
+        self.listener = HttpListener(
+            self.kernel,
+            Address("127.0.0.1", 0),
+            "forwarding",
+            limits=ListenerLimits(pipelined=8),
+        )
         self.kernel.register(self.listener)
         self.listener.open()
 
@@ -63,7 +72,7 @@
     def make_world(self):
         world = StoppingWorld()
         server = make_server("a")._replace(host="127.0.0.1", port=self.port)
-        world.configure(server)
+        world.configure(server, rules=RULES | {"download": DOWNLOAD})
         return world
 
     def connect(self):
@@ -287,6 +296,62 @@
     assert caller.is_reset
 
 
+def send_reads(stopping, caller, *kinds):
+    """Send safe requests at once; their ids count from 1."""
+    requests = [REQUEST % (kind, n, LONG_WAIT_MS) for n, kind in enumerate(kinds, 1)]
+    caller.send(b"".join(requests).replace(b"POST", b"GET"))
+
+
+@pytest.mark.parametrize("kind", [b"download", b"read"])
+def test_no_request_runs_behind_a_streamed_response(stopping, kind):
+    """Guards against responses that wait behind a stream in a stop (LOST)."""
+    caller = stopping.connect()
+    behind = [b"read"] * 3
+    if kind == b"download":
+        # Expected to be streamed before its response has begun.
+        send_reads(stopping, caller, kind, *behind)
+    else:
+        send_reads(stopping, caller, kind)
+    peer = stopping.accept()
+    given_id = stopping.receive(peer)
+    peer.send(stopping.success(given_id, bytes(STREAMED_BYTES))[:-1])
+    caller.run_until(lambda: len(caller.received) > STREAMED_BYTES // 2)
+    if kind == b"read":
+        send_reads(stopping, caller, *behind)
+    run_ticks(stopping)
+    assert not stopping.has_new_connection()
+    stopping.announce_stop()
+    stopping.reach_limit()
+    assert not stopping.has_new_connection()
+
+
+def test_no_request_runs_behind_one_of_a_rule_that_streams(stopping):
+    """Guards against a rule whose long responses nothing announces (LOST)."""
+    caller = stopping.connect()
+    send_reads(stopping, caller, b"read")
+    peer = stopping.accept()
+    given_id = stopping.receive(peer)
+    peer.send(stopping.success(given_id, bytes(STREAMED_BYTES)))
+    caller.run_until(lambda: len(caller.received) > STREAMED_BYTES)
+    send_reads(stopping, caller, b"read", b"brief")
+    stopping.receive(peer)
+    assert not stopping.has_new_connection()
+
+
+def test_requests_behind_a_short_response_run_at_once(stopping):
+    """Guards against requests that wait for each other without need."""
+    caller = stopping.connect()
+    send_reads(stopping, caller, b"read", b"brief", b"read", b"download", b"read")
+    peers = [stopping.accept() for _ in range(4)]
+    given_ids = [stopping.receive(peer) for peer in peers]
+    assert given_ids == [b"1", b"2", b"3", b"4"]
+    # The fifth waits for the download before it.
+    assert not stopping.has_new_connection()
+    for peer, given_id in reversed(list(zip(peers, given_ids, strict=True))):
+        peer.send(stopping.success(given_id))
+    caller.run_until(lambda: caller.received.count(b"200") == 4)
+
+
 @pytest.fixture(params=[Gateway, Daemon])
 def front_end(request):
     front_end = request.param()
