Refuse requests in the second half of a stop instead of sending them

Cause: kept connections bring requests until the end of a stop.

Change: a request received in the second half of a stop is refused as not run at once, with a short Retry-After, unless its own deadline is before the end. Its caller goes to another instance. The half of the stop that is left is for requests that servers have.

Test: test_request_in_the_second_half_of_a_stop_is_refused failed before.

--- a/src/cuminhatch/decisions/stopping.py
+++ b/src/cuminhatch/decisions/stopping.py
@@ -1,5 +1,6 @@
 """Whether a request can end before the process that stops."""
 
+from math import inf
 from typing import NamedTuple
 
 # A request that arrives late in a stop has to end before the process does, and
@@ -13,14 +14,16 @@
     Monotonic times of a stop.
 
     From ``late_from_ms`` on the platform sends no new connections;
-    ``ends_ms`` is when requests without a response are cut off.
+    ``ends_ms`` is when requests without a response are cut off. Requests
+    received from ``refused_from_ms`` on are not sent to a server.
     """
 
     late_from_ms: float
     ends_ms: float
+    refused_from_ms: float = inf
 
 
-NO_STOP = StopSchedule(float("inf"), float("inf"))
+NO_STOP = StopSchedule(inf, inf)
 
 
 def can_end_before_stop(
@@ -41,5 +44,8 @@
     """
     if deadline_ms <= stop.ends_ms:
         return True
+    if received_ms >= stop.refused_from_ms:
+        # No estimate bounds how long a server takes.
+        return False
     margin = LATE_REQUEST_MARGIN if received_ms >= stop.late_from_ms else 1.0
     return now_ms + predicted_ms * margin <= stop.ends_ms
--- a/src/cuminhatch/messages/lifecycle.py
+++ b/src/cuminhatch/messages/lifecycle.py
@@ -1,5 +1,6 @@
 """Messages about the lifecycle of the process."""
 
+from math import inf
 from typing import Any, NamedTuple
 
 
@@ -32,11 +33,13 @@
     The process will end; times are monotonic.
 
     A request received from ``late_from_ms`` on is not to be sent to a backend
-    server unless its response is expected well before ``ends_ms``.
+    server unless its response is expected well before ``ends_ms``; one that is
+    received from ``refused_from_ms`` on only if its deadline is before that.
     """
 
     late_from_ms: float
     ends_ms: float
+    refused_from_ms: float = inf
 
 
 class DrainLimitReached(NamedTuple):
--- a/src/cuminhatch/services/dispatch/_request_deadlines.py
+++ b/src/cuminhatch/services/dispatch/_request_deadlines.py
@@ -100,7 +100,7 @@
 
 def on_stop_scheduled(state: DispatchState, message: StopScheduled) -> None:
     """Accept only requests that can end before the process does."""
-    state.stop = StopSchedule(message.late_from_ms, message.ends_ms)
+    state.stop = StopSchedule(*message)
 
 
 def on_drain_limit_reached(state: DispatchState, message: DrainLimitReached) -> None:
--- a/src/cuminhatch/services/forwarding/_completion.py
+++ b/src/cuminhatch/services/forwarding/_completion.py
@@ -214,7 +214,7 @@
 
 def on_stop_scheduled(state: ForwardingState, message: StopScheduled) -> None:
     """Send on only requests that can end before the process does."""
-    state.stop = StopSchedule(message.late_from_ms, message.ends_ms)
+    state.stop = StopSchedule(*message)
 
 
 def on_drain_limit_reached(state: ForwardingState, message: DrainLimitReached) -> None:
--- a/src/cuminhatch/services/supervisor.py
+++ b/src/cuminhatch/services/supervisor.py
@@ -36,6 +36,9 @@
 # Before the end of the process, for the final responses of the requests that
 # are left to be written and read.
 FINAL_RESPONSES_MS = 100.0
+# Part of a stop in which requests are still sent to servers. A server may take
+# far longer than usual, and the rest of the stop is left to it.
+SERVED_SHARE = 0.5
 
 
 class AnnouncementEnded(NamedTuple):
@@ -143,8 +146,11 @@
         limit_ms = self._announce_ms + self._limit_ms
         requests_limit_ms = max(0.0, limit_ms - FINAL_RESPONSES_MS)
         now_ms = self.kernel.clock.now_ms
+        late_from_ms = now_ms + self._announce_ms
         scheduled = StopScheduled(
-            now_ms + self._announce_ms, now_ms + requests_limit_ms
+            late_from_ms,
+            now_ms + requests_limit_ms,
+            max(late_from_ms, now_ms + limit_ms * SERVED_SHARE),
         )
         for name in REQUEST_SERVICES:
             self.send(name, scheduled)
--- a/tests/services/test_planned_stop.py
+++ b/tests/services/test_planned_stop.py
@@ -207,6 +207,19 @@
     assert read_statuses(caller) == [b"200"]
 
 
+@pytest.mark.parametrize("kind", [b"read", b"write"])
+def test_request_in_the_second_half_of_a_stop_is_refused(stopping, kind):
+    """Guards against a request that a slow server has at the end (LOST)."""
+    caller, peer = serve_one(stopping)
+    stopping.announce_stop()
+    stopping.world.clock.advance(ANNOUNCE_MS)
+    run_ticks(stopping)
+    stopping.world.clock.advance((ANNOUNCE_MS + LIMIT_MS) / 2 - ANNOUNCE_MS)
+    stopping.send_request(caller, kind, 2)
+    assert read_statuses(caller) == [b"200", b"503"]
+    assert is_not_sent(stopping, peer)
+
+
 def test_request_whose_deadline_is_before_the_end_is_sent(stopping):
     """Guards against refusals of requests that end by their deadline."""
     caller = stopping.connect()
