Refuse responses with a status that HTTP does not define

Statuses from 600 on were passed on. No caller got the status 000 itself.

Cause: the parser took each status under 200 for an interim response, while httptools reads a body for most of them and hands it out before the head of the next response. Ruled out: services that join bodies, which hold with the parser mended.

Change: a status outside 100 to 599 is an error of the response, and so are an interim response with a body and body bytes before a final head. This holds for both front ends, health checks, load probes and the client for the store and other instances.

--- a/src/cuminhatch/codecs/http1_parsers.py
+++ b/src/cuminhatch/codecs/http1_parsers.py
@@ -25,7 +25,14 @@
 CHUNK_FRAMING_BYTES = 20
 # Bytes behind a response that are kept. Enough for a status line.
 TRAILING_DATA_MAX_BYTES = 512
+# Reasons for which a response counts as failed.
+INVALID_STATUS = "invalid status"
+MALFORMED_RESPONSE = "malformed response"
 HEAD_END = b"\r\n\r\n"
+# Statuses of RFC 9110, section 15.
+MIN_STATUS = 100
+MIN_FINAL_STATUS = 200
+MAX_STATUS = 599
 HTTP_VERSIONS = frozenset({"1.0", "1.1"})
 
 # Headers that are not forwarded: the hop-by-hop headers of RFC 9110, section
@@ -69,6 +76,10 @@
         return self._status
 
 
+class InvalidStatusError(FramingError):
+    """A response has a status that HTTP does not define."""
+
+
 class HeadParsed(NamedTuple):
     """
     The head of a message is complete.
@@ -379,8 +390,10 @@
         """Emit body data; data after the end of the response is trailing."""
         if self._is_complete:
             self._has_trailing_data = True
-        else:
-            super().on_body(data)
+            return
+        if self._is_in_head:
+            self._fail(502, "interim response with a body")
+        super().on_body(data)
 
     def on_message_complete(self) -> None:
         """End the response; the end of an interim response is ignored."""
@@ -395,11 +408,15 @@
         phrase, self._phrase = self._phrase, b""
         if self._is_complete:
             self._fail(502, "bytes after the end of the response")
+        if not MIN_STATUS <= status <= MAX_STATUS:
+            self._error = InvalidStatusError(502, f"invalid status {status:03d}")
+            raise self._error
         if version not in HTTP_VERSIONS:
             self._fail(502, "HTTP version is not supported")
         if status == 101:
             self._fail(502, "unexpected protocol upgrade")
-        if status < 200:
+        if status < MIN_FINAL_STATUS:
+            self._check_interim_framing()
             return
         self._end_head(len(phrase))
         encodings = self._get_values(b"transfer-encoding")
@@ -432,6 +449,22 @@
             self._is_complete = True
             self._events.append(MessageParsed())
 
+    def _check_interim_framing(self) -> None:
+        """Refuse a body, which an interim response never has."""
+        if self._get_values(b"transfer-encoding") or self._get_body_length():
+            self._fail(502, "interim response with a body")
+
+
+def describe_response_error(error: FramingError) -> str:
+    """
+    Return the reason for which a response counts as failed.
+
+    :param error: error that stopped its parser.
+    """
+    if isinstance(error, InvalidStatusError):
+        return INVALID_STATUS
+    return MALFORMED_RESPONSE
+
 
 def _find_trailing_data(data: bytes, events: list[ParserEvent]) -> bytes:
     """
--- a/src/cuminhatch/decisions/response_copies.py
+++ b/src/cuminhatch/decisions/response_copies.py
@@ -15,7 +15,7 @@
 # Start of a status line, wherever in the body it stands: the first response
 # may have stopped in the middle of a line.
 STATUS_LINE_START = b"HTTP/1."
-STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [1-5][0-9][0-9](?: [\t\x20-\xff]*)?")
+STATUS_LINE = compile_pattern(rb"HTTP/1\.[01] [0-9][0-9][0-9](?: [\t\x20-\xff]*)?")
 HEADER_LINE = compile_pattern(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*([\t\x20-\xff]*)")
 # Longer lines count as body. Bounds what is kept between two parts.
 STATUS_LINE_MAX_BYTES = 256
--- a/src/cuminhatch/services/backends/service.py
+++ b/src/cuminhatch/services/backends/service.py
@@ -12,7 +12,12 @@
     encode_chunk,
     encode_request_head,
 )
-from cuminhatch.codecs.http1_parsers import BodyParsed, HeadParsed, MessageParsed
+from cuminhatch.codecs.http1_parsers import (
+    BodyParsed,
+    HeadParsed,
+    MessageParsed,
+    describe_response_error,
+)
 from cuminhatch.decisions.configuration import Configuration
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import (
@@ -258,7 +263,8 @@
         attempt.has_response = True
         events = attempt.parser.feed(data)
         if attempt.parser.error is not None:
-            self._fail_attempt(connection, "malformed response")
+            reason = describe_response_error(attempt.parser.error)
+            self._fail_attempt(connection, reason)
             return
         self._process_events(connection, attempt, events)
 
--- a/src/cuminhatch/services/http_client.py
+++ b/src/cuminhatch/services/http_client.py
@@ -16,6 +16,7 @@
     HeadParsed,
     MessageParsed,
     ResponseParser,
+    describe_response_error,
 )
 from cuminhatch.kernel import Kernel, MessageTable, Service
 from cuminhatch.messages import Address, HttpFailed, HttpReplied, HttpRequested
@@ -239,7 +240,8 @@
             return
         events = exchange.parser.feed(data)
         if exchange.parser.error is not None:
-            self._fail_exchange(exchange, "malformed response")
+            reason = describe_response_error(exchange.parser.error)
+            self._fail_exchange(exchange, reason)
             return
         is_complete = False
         for event in events:
--- a/tests/codecs/test_http1.py
+++ b/tests/codecs/test_http1.py
@@ -15,6 +15,7 @@
 from cuminhatch.codecs.http1_parsers import (
     BodyParsed,
     HeadParsed,
+    InvalidStatusError,
     MessageParsed,
     RequestParser,
     ResponseParser,
@@ -23,6 +24,7 @@
 OK = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
 INTERIM = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: a\r\n\r\n"
+CHUNK_OF_TWO = b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"
 TWO = OK + b"Content-Length: 2\r\n\r\n"
 
 
@@ -114,6 +116,31 @@
     assert sum(type(event) is MessageParsed for event in events) == 1
 
 
+@pytest.mark.parametrize("is_head_request", [True, False])
+@pytest.mark.parametrize("step", [0, 1])
+@pytest.mark.parametrize("interim", [b"", INTERIM])
+@pytest.mark.parametrize("status", [b"000", b"007", b"099", b"600", b"999"])
+def test_response_with_an_invalid_status_is_refused(
+    status, interim, step, is_head_request
+):
+    """Guards against a body whose first bytes are not its own (MIXED)."""
+    parser = ResponseParser(is_head_request)
+    invalid = TWO.replace(b"200", status) + b"ab"
+    assert feed(parser, interim + invalid + TWO + b"cd", step) == []
+    assert isinstance(parser.error, InvalidStatusError)
+
+
+@pytest.mark.parametrize("step", [0, 1])
+@pytest.mark.parametrize("framing", [b"Content-Length: 2\r\n\r\nab", CHUNK_OF_TWO])
+@pytest.mark.parametrize("status", [b"100", b"102", b"103", b"150", b"199"])
+def test_interim_response_with_a_body_is_refused(status, framing, step):
+    """Guards against a body that begins with that of another response."""
+    parser = ResponseParser(is_head_request=False)
+    interim = OK.replace(b"200", status) + framing
+    assert feed(parser, interim + TWO + b"cd", step) == []
+    assert parser.error is not None
+
+
 @pytest.mark.parametrize("cut", range(len(TWO) + 2))
 def test_bytes_behind_a_body_are_kept(cut):
     """Guards against bytes of a body among those behind it."""
--- a/tests/decisions/test_response_copies.py
+++ b/tests/decisions/test_response_copies.py
@@ -34,6 +34,7 @@
         b"HTTP/1." + OWN_HEAD,
         b"HTTP/1.1 200 " + OWN_HEAD,
         b"HHTTP/1.1 200\r\nId: 7",
+        b"HTTP/1.1 000 X\r\nId: 7",
         b"H" * 10 + OWN_HEAD[: OWN_HEAD.index(b"7") + 1],
         OTHER_HEAD + b"body" + OWN_HEAD,
         OTHER_HEAD[:-2] + OWN_HEAD,
--- a/tests/services/test_stuttering_servers.py
+++ b/tests/services/test_stuttering_servers.py
@@ -23,6 +23,7 @@
 STEP_MS = 4.0
 STEPS_MAX = 4000
 BODY_BYTES = 400
+INVALID_STATUSES = (b" 000 ", b" 199 ", b" 999 ")
 # More than a head, so that the id of a copy lies within the declared length.
 MISSING_BYTES = 300
 
@@ -112,8 +113,10 @@
             self.unsent[sock].append((due, self.gateway.refusal(ids[0])))
             return
         self.runs[ids[0]] += 1
-        if kind < 0.45:
+        if kind < 0.4:
             parts = [whole]
+        elif kind < 0.45:
+            parts = [whole.replace(b" 200 ", self.rng.choice(INVALID_STATUSES)), whole]
         elif kind < 0.65:
             parts = [whole, whole]
         elif kind < 0.75:
