Split the tests of the listener by drain and pipelining

test_http_listener.py had grown to 769 lines with three subjects. Drain and pipelining have files of their own, the harness a module that test_endless_peers.py uses, too.

--- a/tests/services/test_endless_peers.py
+++ b/tests/services/test_endless_peers.py
@@ -18,8 +18,8 @@
 from cuminhatch.services import HttpClient
 from cuminhatch.services.http_client import MAX_RESPONSE_BYTES
 from tests.services._loopback import Peer, run_until
+from tests.services.listener_harness import CHUNKED, POST, Harness
 from tests.services.test_backend_probes import ProbeHarness
-from tests.services.test_http_listener import CHUNKED, POST, Harness
 from tests.support import Recorder, run_ticks
 
 TIMEOUT_MS = 400.0
--- a/tests/services/test_http_listener.py
+++ b/tests/services/test_http_listener.py
@@ -1,26 +1,15 @@
 """Tests of the HTTP listener over loopback connections."""
 
-import re
 import socket
 
 import h11
 import pytest
 
-from cuminhatch import ManualClock
 from cuminhatch.codecs.http1_parsers import MAX_HEAD_BYTES
-from cuminhatch.kernel import SUPERVISOR, Kernel
 from cuminhatch.messages import (
-    Address,
     CallerDisconnected,
     CallerResumed,
     CallerStalled,
-    DrainAnnounced,
-    DrainFinished,
-    DrainLimitReached,
-    DrainStarted,
-    PipeliningAllowed,
-    PipeliningRequested,
-    RequestBody,
     RequestReadPaused,
     RequestReadResumed,
     RequestReceived,
@@ -34,57 +23,22 @@
     MAX_UNREQUESTED_BODY_BYTES,
     SWEEP_INTERVAL_MS,
     WRITE_HIGH_WATER_BYTES,
-    HttpListener,
-    ListenerLimits,
 )
-from tests.services._loopback import EchoService, connect, run_until
-from tests.support import Recorder, run_ticks
+from tests.services._loopback import run_until
+from tests.services.listener_harness import (
+    CHUNKED,
+    GET,
+    HOST,
+    POST,
+    Harness,
+    response_ids_in,
+)
+from tests.support import run_ticks
 
-HOST = b"Host: a\r\n"
-GET = b"GET /%d HTTP/1.1\r\n" + HOST + b"\r\n"
-POST = b"POST / HTTP/1.1\r\n" + HOST
-CHUNKED = POST + b"Transfer-Encoding: chunked\r\n\r\n"
 UPLOAD_BYTES = 16 << 20
 BODY_PATTERN = bytes(range(256)) * 16 * 1024
 
 
-class Harness:
-    """A kernel with a listener and a service that echoes requests."""
-
-    def __init__(self, **limits):
-        self.kernel = Kernel(ManualClock())
-        self.target = self.kernel.register(EchoService(self.kernel))
-        address, limits = Address("127.0.0.1", 0), ListenerLimits(**limits)
-        self.listener = HttpListener(self.kernel, address, "answers", limits=limits)
-        self.kernel.register(self.listener)
-        self.kernel.open()
-
-    def connect(self, data=b""):
-        peer = connect(self.kernel, self.listener.address)
-        peer.send(data)
-        return peer
-
-    def begin(self, data):
-        """Send a request that the test answers itself."""
-        self.target.is_echoing = False
-        peer = self.connect(data)
-        run_until(self.kernel, lambda: self.target.messages)
-        return peer
-
-    def send(self, message):
-        self.kernel.send("callers", message)
-
-    def record_drain_reports(self):
-        recorder = Recorder(self.kernel, SUPERVISOR, DrainFinished)
-        return self.kernel.register(recorder).received
-
-    def advance(self, ms):
-        """Advance the clock in steps of the sweep interval."""
-        for _ in range(int(ms // SWEEP_INTERVAL_MS) + 1):
-            self.kernel.clock.advance(SWEEP_INTERVAL_MS)
-            run_ticks(self.kernel, 4)
-
-
 @pytest.fixture
 def harness():
     return Harness()
@@ -117,10 +71,6 @@
     return body
 
 
-def response_ids_in(data):
-    return [int(n) for n in re.findall(rb"x-answer: (\d+)", data)]
-
-
 @pytest.mark.parametrize("step", [0, 1])
 @pytest.mark.parametrize("method", ["GET", "HEAD", "POST"])
 @pytest.mark.parametrize("body", [None, b"", b"abc", BODY_PATTERN[:5000]])
@@ -207,6 +157,8 @@
         for trailer in (b"A : b", b"A: b\nC: d", b"Content-Length: 1")
     ),
 ]
+
+
 TOO_LARGE = [
     POST + b"X: " + b"a" * 2 * MAX_HEAD_BYTES + b"\r\n\r\n",
     POST + b"X" * 2 * MAX_HEAD_BYTES,
@@ -454,208 +406,6 @@
     assert harness.listener.connection_count == 2
 
 
-def test_drain_completes_all_requests(harness):
-    """Guards against requests that are lost when a daemon stops."""
-    harness.target.is_echoing = False
-    idle, busy, uploading, fresh = (harness.connect() for _ in range(4))
-    idle.send(GET % 1)
-    run_until(harness.kernel, lambda: harness.target.messages)
-    harness.target.respond(1, b"first")
-    idle.run_until(lambda: idle.received)
-    busy.send(GET % 2)
-    uploading.send(POST + b"Content-Length: 3\r\n\r\na")
-    run_until(harness.kernel, lambda: harness.listener.exchange_count == 2)
-    queued = harness.connect()
-    queued.sock.send(GET % 4)
-    harness.send(DrainStarted())
-    run_ticks(harness.kernel, 10)
-    idle.read()
-    # Its caller may have sent a request that has not arrived.
-    assert not idle.is_closed
-    with pytest.raises(ConnectionRefusedError):
-        harness.connect()
-    fresh.send(GET % 5)
-    idle.send(GET % 6)
-    uploading.send(b"bc")
-    run_until(harness.kernel, lambda: harness.target.count(RequestBody) == 1)
-    run_until(harness.kernel, lambda: harness.listener.exchange_count == 5)
-    for request_id in range(2, 7):
-        harness.target.respond(request_id, b"last")
-    for peer in (idle, busy, uploading, fresh, queued):
-        peer.run_until(lambda peer=peer: peer.is_closed)
-        assert peer.received.endswith(b"\r\nconnection: close\r\n\r\nlast")
-        assert not peer.is_reset
-    harness.advance(DEFAULT_LIMITS.linger_timeout_ms)
-    assert harness.listener.connection_count == harness.listener.exchange_count == 0
-
-
-def test_drain_serves_callers_that_waited_for_a_connection():
-    """Guards against callers at the limit that a planned stop cuts off."""
-    harness = Harness(max_connections=1)
-    busy = harness.begin(GET % 1)
-    waiting = harness.connect(GET % 2)
-    run_ticks(harness.kernel)
-    assert harness.listener.connection_count == 1
-    harness.send(DrainStarted())
-    run_until(harness.kernel, lambda: harness.listener.exchange_count == 2)
-    for request_id, peer in enumerate((busy, waiting), start=1):
-        harness.target.respond(request_id, b"last")
-        peer.run_until(lambda peer=peer: peer.is_closed)
-        assert peer.received.endswith(b"last")
-        assert not peer.is_reset
-
-
-def test_drain_closes_connections_that_never_send():
-    """Guards against a drain that waits for callers without a request."""
-    harness = Harness(drain_first_request_timeout_ms=1000)
-    peer = harness.connect()
-    run_until(harness.kernel, lambda: harness.listener.connection_count)
-    harness.send(DrainStarted())
-    harness.advance(1000)
-    assert harness.listener.connection_count == 0
-    peer.run_until(lambda: peer.is_closed)
-
-
-def test_drain_closes_connections_that_stay_idle(harness):
-    """Guards against a drain that waits for callers without a request."""
-    peer = harness.connect(GET % 1)
-    peer.run_until(lambda: peer.received)
-    # How long it has been idle before tells nothing about the next request.
-    harness.advance(DEFAULT_LIMITS.idle_timeout_ms / 2)
-    harness.send(DrainStarted())
-    harness.advance(DEFAULT_LIMITS.drain_idle_timeout_ms - 3 * SWEEP_INTERVAL_MS)
-    peer.read()
-    assert not peer.is_closed
-    harness.advance(3 * SWEEP_INTERVAL_MS)
-    peer.run_until(lambda: peer.is_closed)
-    assert harness.listener.connection_count == 0
-
-
-def test_drain_is_finished_when_the_last_connection_has_closed(harness):
-    """Guards against a stop before, or long after, the last response."""
-    reports = harness.record_drain_reports()
-    peer = harness.begin(GET % 1)
-    harness.send(DrainStarted())
-    run_ticks(harness.kernel)
-    assert reports == []
-    harness.target.respond(1, b"last")
-    peer.run_until(lambda: peer.is_closed)
-    assert peer.received.endswith(b"last")
-    peer.sock.close()
-    run_until(harness.kernel, lambda: reports)
-    run_ticks(harness.kernel)
-    assert reports == [DrainFinished("callers")]
-
-
-def test_drain_without_connections_is_finished_at_once(harness):
-    """Guards against a stop that waits although no caller is connected."""
-    reports = harness.record_drain_reports()
-    harness.send(DrainStarted())
-    run_ticks(harness.kernel)
-    assert reports == [DrainFinished("callers")]
-
-
-@pytest.fixture
-def pipelined():
-    return Harness(pipelined=3)
-
-
-def test_pipelined_reads_are_passed_on_together(pipelined):
-    """
-    Guards against a short request that waits for a long one before it.
-
-    At most three are in progress at the same time; the responses are sent in
-    the order of the requests, whichever is complete first.
-    """
-    peer = pipelined.begin(b"".join(GET % n for n in range(5)))
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 3)
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 3
-    for request_id in (3, 2):
-        pipelined.target.respond(request_id, b"later")
-    run_ticks(pipelined.kernel, 10)
-    peer.read()
-    assert not peer.received
-    pipelined.target.respond(1, b"first")
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 5)
-    for request_id in (5, 4):
-        pipelined.target.respond(request_id, b"last")
-    peer.run_until(lambda: len(response_ids_in(peer.received)) == 5)
-    assert response_ids_in(peer.received) == [1, 2, 3, 4, 5]
-
-
-@pytest.mark.parametrize(
-    "second",
-    [
-        POST + b"Content-Length: 1\r\n\r\na",
-        b"GET / HTTP/1.1\r\n" + HOST + b"Content-Length: 1\r\n\r\na",
-        b"GET / HTTP/1.1\r\n" + HOST,
-    ],
-)
-def test_only_complete_safe_requests_are_pipelined(pipelined, second):
-    """Guards against side effects of a request that the caller resends."""
-    pipelined.begin(GET % 1 + second)
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 1
-
-
-def test_nothing_is_forwarded_ahead_of_its_turn_unless_it_is_allowed(pipelined):
-    """Guards against a request behind a response that may be streamed."""
-    pipelined.target.allows_pipelining = False
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 1
-    assert pipelined.target.count(PipeliningRequested) == 1
-    pipelined.target.respond(1, b"first")
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    # An answer that comes too late changes nothing.
-    pipelined.send(PipeliningAllowed(1))
-    pipelined.target.respond(2, b"second")
-    peer.run_until(lambda: peer.received.endswith(b"second"))
-
-
-def test_nothing_is_forwarded_behind_a_response_that_has_begun(pipelined):
-    """Guards against a request behind a response that is streamed."""
-    peer = pipelined.begin(GET % 1)
-    pipelined.target.respond(1, b"part", is_complete=False, length=100)
-    peer.run_until(lambda: b"part" in peer.received)
-    peer.send(GET % 2)
-    pipelined.send(PipeliningAllowed(1))
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 1
-
-
-def test_nothing_is_forwarded_after_connection_close(pipelined):
-    """Guards against a request whose response cannot be sent."""
-    closing = b"GET /1 HTTP/1.1\r\nConnection: close\r\n" + HOST + b"\r\n"
-    pipelined.begin(closing + GET % 2)
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 1
-
-
-def test_pipelined_requests_are_cancelled_when_the_caller_leaves(pipelined):
-    """Guards against work on pipelined requests whose caller is gone."""
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    peer.sock.close()
-    run_until(pipelined.kernel, lambda: pipelined.target.count(CallerDisconnected) == 2)
-    assert pipelined.listener.exchange_count == 0
-
-
-def test_aborted_response_waits_for_earlier_ones(pipelined):
-    """Guards against an aborted response that truncates an earlier one."""
-    peer = pipelined.begin(GET % 1 + GET % 2 + GET % 3)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 3)
-    pipelined.target.respond(2, b"part", is_complete=False, length=100)
-    pipelined.send(ResponseAborted(2))
-    run_ticks(pipelined.kernel, 10)
-    pipelined.target.respond(1, b"first")
-    peer.run_until(lambda: peer.is_closed)
-    assert b"first" in peer.received
-    run_until(pipelined.kernel, lambda: pipelined.target.count(CallerDisconnected) == 1)
-    assert pipelined.listener.exchange_count == 0
-
-
 @pytest.mark.parametrize("is_head_first", [True, False])
 def test_response_message_out_of_order_resets_the_connection(harness, is_head_first):
     """Guards against a head in a body, and a body without a head (MIXED)."""
@@ -688,82 +438,3 @@
     peer.run_until(lambda: peer.is_closed)
     assert peer.is_reset
     assert harness.listener.exchange_count == 0
-
-
-def test_response_message_out_of_order_of_a_pipelined_request(pipelined):
-    """Guards against a second head that was buffered behind the first one."""
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    pipelined.target.respond(2, b"part", is_complete=False, length=20)
-    pipelined.target.respond(2, b"second")
-    run_ticks(pipelined.kernel, 10)
-    pipelined.target.respond(1, b"first")
-    peer.run_until(lambda: peer.is_closed)
-    assert peer.is_reset
-    assert b"second" not in peer.received
-    assert pipelined.listener.exchange_count == 0
-
-
-def test_refusal_of_a_pipelined_request_is_sent_in_order(pipelined):
-    """Guards against a refusal that is taken for an earlier response."""
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    refusal = RequestRefused(2, 503, Outcome.NOT_RUN, "servers-full", b"", 100.0)
-    pipelined.send(refusal)
-    run_ticks(pipelined.kernel, 10)
-    pipelined.target.respond(1, b"first")
-    peer.run_until(lambda: b"servers-full\n" in peer.received)
-    assert peer.received.index(b"first") < peer.received.index(b" 503 ")
-
-
-def test_long_buffered_response_is_stalled(pipelined):
-    """Guards against memory use by responses behind a slow one."""
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    size = WRITE_HIGH_WATER_BYTES + 1
-    pipelined.target.respond(2, bytes(size), is_complete=False, length=size + 1)
-    run_until(pipelined.kernel, lambda: pipelined.target.count(CallerStalled) == 1)
-    pipelined.target.respond(1, b"first")
-    peer.run_until(lambda: pipelined.target.count(CallerResumed) == 1)
-    pipelined.send(ResponseBody(2, b"a", True))
-    peer.run_until(lambda: peer.received.endswith(b"a"))
-    assert pipelined.listener.exchange_count == 0
-
-
-def test_drain_completes_pipelined_requests(pipelined):
-    """Guards against pipelined requests lost when a daemon stops."""
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    pipelined.send(DrainStarted())
-    run_ticks(pipelined.kernel, 4)
-    pipelined.target.respond(1, b"first")
-    pipelined.target.respond(2, b"second")
-    peer.run_until(lambda: peer.is_closed)
-    assert peer.received.count(b"connection: close") == 1
-    assert peer.received.endswith(b"\r\nconnection: close\r\n\r\nsecond")
-
-
-def test_no_request_is_passed_on_ahead_of_its_turn_once_a_stop_is_announced(pipelined):
-    """Guards against responses that still wait when the process ends."""
-    pipelined.send(DrainAnnounced())
-    peer = pipelined.begin(GET % 1 + GET % 2)
-    run_ticks(pipelined.kernel, 10)
-    assert len(pipelined.target.heads) == 1
-    pipelined.target.respond(1, b"first")
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 2)
-    pipelined.target.respond(2, b"second")
-    peer.run_until(lambda: peer.received.endswith(b"second"))
-
-
-def test_complete_responses_are_sent_when_the_limit_of_the_drain_is_reached(pipelined):
-    """Guards against a response that a stop cuts off behind a slower one."""
-    peer = pipelined.begin(GET % 1 + GET % 2 + GET % 3)
-    run_until(pipelined.kernel, lambda: len(pipelined.target.heads) == 3)
-    pipelined.send(DrainStarted())
-    pipelined.target.respond(2, b"second")
-    run_ticks(pipelined.kernel, 10)
-    assert not peer.received
-    pipelined.send(DrainLimitReached())
-    peer.run_until(lambda: b"second" in peer.received)
-    assert re.findall(rb"HTTP/1.1 (\d+)", peer.received) == [b"504", b"200"]
-    assert b"cuminhatch-outcome: unknown" in peer.received.lower()
