Show that a repeated health check answer passes for a part of a body

A script's backends repeat the last answer of a connection behind one that has no length. If it was the answer to a health check, callers get it as the end of their own answer, as a success (MIXED).

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -228,6 +228,10 @@
         self.runs = []
         # Attempt ids of the requests that arrived, with the time.
         self.arrivals = []
+        # Attempt ids of the requests that it has answered after a run.
+        self.finished = set()
+        # Reader of each open connection, by its writer.
+        self.readers = {}
         self.running = 0
         self.usual_ms = 60.0
         # Work of single requests in ms, by attempt id.
@@ -290,6 +294,7 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self.readers[writer] = reader
         try:
             while (message := await read_message(reader)) is not None:
                 answer = await self._answer(reader, *message)
@@ -301,6 +306,7 @@
             pass
         finally:
             self._writers.discard(writer)
+            self.readers.pop(writer)
             writer.close()
 
     async def _answer(self, reader, start, headers, body):
@@ -338,6 +344,7 @@
         body = f"answer to {attempt_id}".encode()
         seal = {"Response-Seal": f"seal.{attempt_id}"}
         status = 504 if is_late else 200
+        self.finished.add(attempt_id)
         self.record(f"{self.server_id} answers {attempt_id} with {status}")
         return make_answer(status, self._headers() | echo | seal, body)
 
@@ -436,7 +443,7 @@
     def __init__(self, record, store_port, number=1, peers_port=0, seeds=(), **bounds):
         self.record = record
         self.name = f"front-{number}"
-        self.host = f"127.0.0.{number}"
+        self.host = f"127.0.{number // 250}.{number % 250}"
         self.port, self.ready_port, metrics_port = free_ports(3, self.host)
         self.peers_port = peers_port or free_ports(1, "0.0.0.0")[0]
         self._directory = tempfile.TemporaryDirectory()
