Show that replaced machines hold up the take-over of the reader

A script replaces 300 machines, kills the one that reads the store and moves a route to another service. The machine that is left runs requests at the old service for 5.6 to 6.0 s after the acknowledgement (CONFIG). The stand-ins now keep the ports that they give out.

--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -63,13 +63,18 @@
 
 
 # Each one is given out once; the start differs between scripts.
+_GUARDS = {}
 _PORTS = itertools.chain(
     range(10_000 + os.getpid() % 12_000, 30_000), range(10_000, 30_000)
 )
 
 
 def free_ports(count, host="127.0.0.1"):
-    """Return TCP ports that are free also for UDP."""
+    """
+    Return TCP ports that are free also for UDP.
+
+    A socket that does not listen keeps each of them from other scripts.
+    """
     found = []
     while len(found) < count:
         port = next(_PORTS)
@@ -79,6 +84,14 @@
                 udp.bind((host, port))
             except OSError:
                 continue
+        guard = socket.socket()
+        guard.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            guard.bind((host, port))
+        except OSError:
+            guard.close()
+            continue
+        _GUARDS[host, port] = guard
         found.append(port)
     return found
 
@@ -526,6 +539,8 @@
         if self.process is not None and self.process.returncode is None:
             self.process.kill()
             await self.process.wait()
+        for address in [key for key in _GUARDS if key[0] == self.host]:
+            _GUARDS.pop(address).close()
 
 
 def make_route(name, service, kind="safe", timeout_ms=None, target_ms=1000, **more):
